Lay out the workspace, the keys, the error table and the design

Cause: nothing stands yet; the parts need shared types to be built side by side. Conclusion: the parts can start from these types.

--- /dev/null
+++ b/lagoongauge/src/flow/mod.rs
@@ -0,0 +1,86 @@
+//! Flows: the 5-tuple, its keyed hash and what a packet says of its flow's life.
+
+use std::hash::Hasher;
+use std::net::{IpAddr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+/// Transport protocol of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Protocol {
+    /// Transmission Control Protocol.
+    Tcp,
+    /// User Datagram Protocol.
+    Udp,
+}
+
+impl Protocol {
+    /// Returns the protocol's number in an IP header.
+    pub const fn number(self) -> u8 {
+        match self {
+            Self::Tcp => 6,
+            Self::Udp => 17,
+        }
+    }
+}
+
+/// The caller's and the service's end of a flow, as the caller sees them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Tuple {
+    /// Transport protocol.
+    pub protocol: Protocol,
+    /// The caller's address and port.
+    pub caller: SocketAddr,
+    /// The service's address and port.
+    pub service: SocketAddr,
+}
+
+/// Key of the flow hash; all entry hosts share it, callers can't know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HashKey(pub [u8; 16]);
+
+/// Keyed hash of a [`Tuple`]; it stands for the flow everywhere behind the parser.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FlowHash(pub u64);
+
+impl FlowHash {
+    /// Hashes a flow's tuple, the same on every entry host that holds `key`.
+    pub fn new(key: &HashKey, tuple: &Tuple) -> Self {
+        let mut hasher = SipHasher13::new_with_key(&key.0);
+        write_end(&mut hasher, tuple.caller);
+        write_end(&mut hasher, tuple.service);
+        hasher.write_u8(tuple.protocol.number());
+        Self(hasher.finish())
+    }
+
+    /// Returns the flow's bucket in a table of `2^bits` buckets, taken from the high bits.
+    pub const fn bucket(self, bits: u8) -> u32 {
+        (self.0 >> (64 - bits as u32)) as u32
+    }
+}
+
+/// What a packet says of its flow's life; see "Lifecycle" in docs/DESIGN.md.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Signal {
+    /// A TCP SYN without data.
+    Open,
+    /// A TCP SYN that carries data.
+    OpenData,
+    /// A TCP segment without SYN, FIN or RST, or an ICMP error that speaks of the flow.
+    Middle,
+    /// A TCP FIN.
+    Finish,
+    /// A TCP RST.
+    Reset,
+    /// A UDP datagram, which says nothing of the flow's life.
+    Datagram,
+}
+
+fn write_end(hasher: &mut SipHasher13, end: SocketAddr) {
+    match end.ip() {
+        IpAddr::V4(ip) => hasher.write(&ip.octets()),
+        IpAddr::V6(ip) => hasher.write(&ip.octets()),
+    }
+    hasher.write_u16(end.port());
+}
--- /dev/null
+++ b/lagoongauge/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions of lagoongauge, a layer-4 load balancer for members who share one front door.
+//!
+//! Every module here is a pure state machine: an event goes in with a given instant, actions come
+//! out. Sockets, clocks, threads and disks belong to the programs; see `docs/DESIGN.md`.
+
+pub mod error;
+pub mod flow;
+pub mod id;
+pub mod route;
+pub mod settings;
+pub mod time;
--- /dev/null
+++ b/lagoongauged/src/bin/lagoon-entry.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/lagoongauged/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared parts of the programs.
