--- /dev/null
+++ b/lagoongauge/src/route/compact.rs
@@ -0,0 +1,131 @@
+//! Compact form of records and handed-over buckets, by serde visitors.
+
+use std::fmt;
+
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use super::message::Gift;
+use super::record::{Key, Record};
+
+/// Bits of a record's flags.
+const FLAG_BITS: u32 = 3;
+
+/// A record without its bucket, as seen some seconds before it is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Compact {
+    rest: u64,
+    target: u16,
+    flags: u8,
+    age: u32,
+}
+
+impl Compact {
+    /// Takes the parts of a record that follow its bucket.
+    pub fn new(record: &Record, bits: u8, second: u32) -> Self {
+        Self {
+            rest: record.key().rest(bits),
+            target: record.target(),
+            flags: record.flags(),
+            age: second.saturating_sub(record.seen()),
+        }
+    }
+
+    /// Builds the record again.
+    pub fn record(self, bucket: u32, bits: u8, second: u32) -> Record {
+        let key = Key::join(bucket, bits, self.rest);
+        Record::new(key, self.target, second.saturating_sub(self.age)).with_flags(self.flags)
+    }
+}
+
+impl Serialize for Compact {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let packed = u32::from(self.target) << FLAG_BITS | u32::from(self.flags);
+        let mut tuple = to.serialize_tuple(4)?;
+        tuple.serialize_element(&((self.rest >> 32) as u32))?;
+        tuple.serialize_element(&(self.rest as u32).to_le_bytes())?;
+        tuple.serialize_element(&packed)?;
+        tuple.serialize_element(&self.age)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Compact {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_tuple(4, CompactVisitor)
+    }
+}
+
+struct CompactVisitor;
+
+impl<'de> Visitor<'de> for CompactVisitor {
+    type Value = Compact;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a record's rest of the hash, target with flags, and age")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let high: u32 = next(&mut seq)?;
+        let low: [u8; 4] = next(&mut seq)?;
+        let packed: u32 = next(&mut seq)?;
+        let age = next(&mut seq)?;
+        let target = u16::try_from(packed >> FLAG_BITS).map_err(A::Error::custom)?;
+        let flags = (packed & ((1 << FLAG_BITS) - 1)) as u8;
+        let rest = u64::from(high) << 32 | u64::from(u32::from_le_bytes(low));
+        Ok(Compact { rest, target, flags, age })
+    }
+}
+
+/// A handed-over bucket, told by its distance from the one before.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct CompactGift {
+    distance: u32,
+    /// One more than the span, so that "unknown" takes one byte.
+    known: u32,
+    careful: u32,
+    last: bool,
+    records: Vec<Compact>,
+}
+
+impl CompactGift {
+    /// Writes buckets in rising order.
+    pub fn list(gifts: &[Gift], bits: u8, second: u32) -> Vec<Self> {
+        let mut before = 0;
+        let one = |gift: &Gift| {
+            let distance = gift.bucket.wrapping_sub(before);
+            before = gift.bucket;
+            let records = gift.records.iter();
+            Self {
+                distance,
+                known: gift.knowledge.0.wrapping_add(1),
+                careful: gift.knowledge.1,
+                last: gift.last,
+                records: records.map(|record| Compact::new(record, bits, second)).collect(),
+            }
+        };
+        gifts.iter().map(one).collect()
+    }
+
+    /// Reads the buckets again.
+    pub fn gifts(list: Vec<Self>, bits: u8, second: u32) -> Option<Vec<Gift>> {
+        let mut bucket = 0u32;
+        let mut gifts = Vec::new();
+        for compact in list {
+            bucket = bucket.checked_add(compact.distance).filter(|&b| b < 1 << bits)?;
+            let records = compact.records.into_iter();
+            gifts.push(Gift {
+                bucket,
+                knowledge: (compact.known.wrapping_sub(1), compact.careful),
+                last: compact.last,
+                records: records.map(|record| record.record(bucket, bits, second)).collect(),
+            });
+        }
+        Some(gifts)
+    }
+}
+
+fn next<'de, T: Deserialize<'de>, A: SeqAccess<'de>>(seq: &mut A) -> Result<T, A::Error> {
+    seq.next_element()?.ok_or_else(|| A::Error::custom("a record is cut short"))
+}
--- /dev/null
+++ b/lagoongauge/src/route/deltas.rs
@@ -0,0 +1,54 @@
+//! Compact serialization of rising lists of numbers, as the distances between them.
+
+use std::fmt;
+
+use serde::de::{SeqAccess, Visitor};
+use serde::ser::SerializeSeq;
+use serde::{Deserializer, Serializer};
+
+/// Writes the distances.
+///
+/// # Errors
+///
+/// Passes on the serializer's errors.
+pub fn serialize<S: Serializer>(list: &[u32], to: S) -> Result<S::Ok, S::Error> {
+    let mut seq = to.serialize_seq(Some(list.len()))?;
+    let mut last = 0;
+    for &value in list {
+        seq.serialize_element(&value.wrapping_sub(last))?;
+        last = value;
+    }
+    seq.end()
+}
+
+/// Reads what [`serialize`] wrote.
+///
+/// # Errors
+///
+/// Fails where a number would pass 32 bits.
+pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u32>, D::Error> {
+    from.deserialize_seq(Deltas)
+}
+
+struct Deltas;
+
+impl<'de> Visitor<'de> for Deltas {
+    type Value = Vec<u32>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("distances between rising numbers")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let mut list = Vec::new();
+        let mut last = 0u32;
+        while let Some(distance) = seq.next_element::<u32>()? {
+            let Some(value) = last.checked_add(distance) else {
+                return Err(serde::de::Error::custom("the numbers do not rise"));
+            };
+            list.push(value);
+            last = value;
+        }
+        Ok(list)
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/route/ledger.rs
@@ -0,0 +1,541 @@
+//! The part of a service's flows that one host decides on: its records and its duty per bucket.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use super::admit::Admit;
+use super::plan::{Layout, View};
+use super::record::{KEY_BITS, Key, Record, Shard};
+use super::table::NO_TARGET;
+use super::{Direction, Facts, Verdict};
+use crate::error::Kind;
+use crate::flow::Signal;
+use crate::id::{HostId, ServiceId};
+use crate::time::{Instant, Span};
+
+/// Logarithm of the number of shards of a service's records.
+const SHARD_BITS: u8 = 6;
+
+/// How long after its first SYN a caller's stack may still repeat it.
+pub const RETRY_SPAN: Span = Span::seconds(64);
+
+/// A bucket's live flows are not known, and won't be until it has been held for the idle limit.
+pub(super) const UNKNOWN: u32 = u32::MAX;
+
+/// What a host does for a bucket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Duty {
+    /// Another host decides.
+    Other,
+    /// This host decides.
+    Own,
+    /// This host decides as soon as every host knows that the former home is lost.
+    Pause,
+    /// This host decides as soon as the former home has handed the records over.
+    Wait(HostId),
+    /// This host decides until it hands the records over.
+    Give,
+    /// The records are under way; nobody decides until they arrive.
+    Given,
+}
+
+impl Duty {
+    /// Returns whether this host decides on the bucket's flows now.
+    pub(super) const fn decides(self) -> bool {
+        matches!(self, Self::Own | Self::Give)
+    }
+
+    /// Returns whether a handover of the bucket is under way.
+    pub(super) const fn pending(self) -> bool {
+        matches!(self, Self::Wait(_) | Self::Give | Self::Given)
+    }
+}
+
+/// What the settings say of a service's flows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Bounds {
+    pub idle_limit: Span,
+    pub max_flows: u32,
+}
+
+/// What a sweep over a service's records found.
+#[derive(Debug, Default)]
+pub(super) struct Sweep {
+    /// Open flows by index of target.
+    pub counts: Vec<u32>,
+    /// Held buckets in which no flow differs from the table.
+    pub settled: Vec<u32>,
+}
+
+/// Records and duties of one service at one host.
+#[derive(Debug)]
+pub(super) struct Ledger {
+    pub service: ServiceId,
+    pub bounds: Bounds,
+    bits: u8,
+    shards: Vec<Mutex<Shard>>,
+    len: AtomicUsize,
+    duties: Vec<Duty>,
+    /// Second from which on every live flow of the bucket has a record.
+    known: Vec<u32>,
+    /// Second until which an unrecorded SYN may be the repetition of one forwarded by a lost home.
+    careful: Vec<u32>,
+    /// Buckets held by the prepared table.
+    fresh: Vec<u32>,
+}
+
+/// Returns an instant as whole seconds.
+pub(super) const fn second(now: Instant) -> u32 {
+    (now.0 / 1000) as u32
+}
+
+const fn seconds(span: Span) -> u32 {
+    span.0.div_ceil(1000) as u32
+}
+
+impl Ledger {
+    /// Builds the ledger of a service that no host has served yet.
+    pub fn new(service: ServiceId, bits: u8, bounds: Bounds) -> Self {
+        let count = 1 << bits;
+        Self {
+            service,
+            bounds,
+            bits,
+            shards: (0..1 << SHARD_BITS).map(|_| Mutex::default()).collect(),
+            len: AtomicUsize::new(0),
+            duties: vec![Duty::Other; count],
+            known: vec![UNKNOWN; count],
+            careful: vec![0; count],
+            fresh: Vec::new(),
+        }
+    }
+
+    /// Returns the host's duty for a bucket.
+    pub fn duty(&self, bucket: u32) -> Duty {
+        self.duties[bucket as usize]
+    }
+
+    /// Returns the number of buckets whose handover is under way.
+    pub fn pending(&self) -> usize {
+        self.duties.iter().filter(|duty| duty.pending()).count()
+    }
+
+    /// Returns the logarithm of the number of buckets.
+    pub fn bits(&self) -> u8 {
+        self.bits
+    }
+
+    /// Returns the number of buckets.
+    pub fn count(&self) -> u32 {
+        self.duties.len() as u32
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.len.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes that the records take.
+    pub fn bytes(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).bytes()).sum()
+    }
+
+    /// Returns the buckets with the given duty.
+    pub fn buckets(&self, duty: Duty) -> impl Iterator<Item = u32> + '_ {
+        (0..).zip(&self.duties).filter(move |(_, d)| **d == duty).map(|(bucket, _)| bucket)
+    }
+
+    /// Returns the records of a bucket.
+    pub fn records(&self, bucket: u32) -> Vec<Record> {
+        let mut records = Vec::new();
+        for shard in self.shards_of(bucket) {
+            let shard = lock(shard);
+            records.extend(shard.iter().filter(|r| r.key().bucket(self.bits) == bucket));
+        }
+        records
+    }
+
+    /// Returns the spans after which the bucket's flows are known and its SYNs are new ones.
+    pub fn knowledge(&self, now: Instant, bucket: u32) -> (u32, u32) {
+        let second = second(now);
+        let known = match self.known[bucket as usize] {
+            UNKNOWN => UNKNOWN,
+            at => at.saturating_sub(second),
+        };
+        (known, self.careful[bucket as usize].saturating_sub(second))
+    }
+
+    /// Decides on a packet of a bucket that this host decides on.
+    pub fn decide(
+        &self,
+        now: Instant,
+        facts: &Facts,
+        layout: &Layout,
+        limits: &impl Admit,
+    ) -> Verdict {
+        let key = Key::new(facts.flow);
+        let mut shard = lock(self.shard(key));
+        if facts.direction == Direction::Outward {
+            if let Some(record) = shard.get_mut(key) {
+                self.note(record, now, facts, limits);
+            }
+            return Verdict::Answer;
+        }
+        let opens = matches!(facts.signal, Signal::Open | Signal::OpenData);
+        let Some(record) = shard.get_mut(key) else {
+            return self.unrecorded(now, facts, layout, limits, &mut shard);
+        };
+        if opens && record.closed() {
+            let again = layout.takes_new(record.target());
+            let target = if again { record.target() } else { layout.choice(key.bucket(self.bits)) };
+            return self.open(now, facts, target, layout, limits, &mut shard);
+        }
+        if layout.is_gone(record.target()) {
+            return Verdict::Drop(Kind::Unroutable);
+        }
+        self.note(record, now, facts, limits);
+        forward(layout, record.target())
+    }
+
+    /// Goes over all records: ends those whose time is over and counts the others.
+    pub fn sweep(&mut self, now: Instant, layout: &Layout, limits: &impl Admit) -> Sweep {
+        let mut sweep = Sweep { counts: vec![0; layout.names.len()], settled: Vec::new() };
+        let mut pinned = vec![false; self.duties.len()];
+        let mut silent = Vec::new();
+        let at = second(now);
+        let mut len = 0;
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            shard.retain(|record| {
+                let bucket = record.key().bucket(self.bits);
+                let duty = self.duties[bucket as usize];
+                if duty != Duty::Given && self.ended(record, at, layout) {
+                    if !record.closed() && duty != Duty::Other {
+                        limits.release(self.service);
+                        silent.push(bucket);
+                    }
+                    return false;
+                }
+                let index = record.target();
+                if !record.closed() && duty.decides() {
+                    sweep.counts[usize::from(index)] += 1;
+                }
+                pinned[bucket as usize] |= index != layout.choice(bucket) && !layout.is_gone(index);
+                true
+            });
+            len += shard.len();
+        }
+        self.len.store(len, Ordering::Relaxed);
+        for bucket in silent.into_iter().filter(|&bucket| !layout.is_held(bucket)) {
+            self.known[bucket as usize] = UNKNOWN;
+        }
+        if layout.next.is_none() {
+            let owned = self.buckets(Duty::Own).filter(|&bucket| layout.is_held(bucket));
+            let whole = owned.filter(|&bucket| self.known[bucket as usize] <= at);
+            sweep.settled = whole.filter(|&bucket| !pinned[bucket as usize]).collect();
+        }
+        sweep
+    }
+
+    /// Notes that the buckets which a prepared table would move are held.
+    pub fn prepare(&mut self, before: &[bool], layout: &Layout) {
+        let held = (0..).zip(before).filter(|&(bucket, was)| !was && layout.is_held(bucket));
+        self.fresh.extend(held.map(|(bucket, _)| bucket));
+    }
+
+    /// Notes that every host relays the packets of the prepared buckets from now on.
+    pub fn switch(&mut self, now: Instant) {
+        let fresh = std::mem::take(&mut self.fresh);
+        self.watch(now, &fresh);
+    }
+
+    /// Takes it that every packet of these buckets without a record comes by here from now on.
+    pub fn watch(&mut self, now: Instant, buckets: &[u32]) {
+        let at = second(now);
+        let mut held = vec![false; self.duties.len()];
+        for &bucket in buckets {
+            held[bucket as usize] = true;
+            if self.known[bucket as usize] == UNKNOWN {
+                self.known[bucket as usize] = at + seconds(self.bounds.idle_limit);
+            }
+        }
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            for record in shard.iter_mut() {
+                if held[record.key().bucket(self.bits) as usize] {
+                    record.touch(at);
+                }
+            }
+        }
+    }
+
+    /// Takes the duties that follow from a changed view; returns the buckets given up.
+    ///
+    /// `present` says whether the view knows this host in its present life.
+    pub fn change_view(
+        &mut self,
+        own: HostId,
+        present: bool,
+        prior: &View,
+        view: &View,
+        limits: &impl Admit,
+    ) -> Vec<u32> {
+        let mut dropped = Vec::new();
+        let mut gained = Vec::new();
+        for bucket in 0..self.duties.len() as u32 {
+            let home = view.home(self.service, bucket);
+            let former = prior.home(self.service, bucket);
+            let old = self.duties[bucket as usize];
+            let new = match present {
+                true => next_duty(old, own, home, former, view),
+                false => Duty::Other,
+            };
+            if new == Duty::Other && old != Duty::Other {
+                dropped.push(bucket);
+            }
+            if new != Duty::Other && old == Duty::Other {
+                gained.push(bucket);
+            }
+            self.duties[bucket as usize] = new;
+        }
+        self.count_in(&gained, limits);
+        dropped
+    }
+
+    /// Begins to decide on the buckets whose former home is lost.
+    pub fn settle(&mut self, now: Instant, layout: &Layout) {
+        let paused: Vec<_> = self.buckets(Duty::Pause).collect();
+        for &bucket in &paused {
+            self.duties[bucket as usize] = Duty::Own;
+            self.known[bucket as usize] = UNKNOWN;
+            self.careful[bucket as usize] = second(now) + seconds(RETRY_SPAN);
+        }
+        let held: Vec<_> = paused.into_iter().filter(|&b| layout.is_held(b)).collect();
+        self.watch(now, &held);
+    }
+
+    /// Begins to decide on all buckets of a new service that this host is the home of.
+    pub fn begin(&mut self, now: Instant, own: HostId, view: &View, careful: Instant) {
+        for bucket in 0..self.duties.len() as u32 {
+            if view.home(self.service, bucket) == Some(own) {
+                self.duties[bucket as usize] = Duty::Own;
+                self.careful[bucket as usize] = second(careful);
+                if careful <= now {
+                    self.known[bucket as usize] = 0;
+                }
+            }
+        }
+    }
+
+    /// Sets the duty for a bucket.
+    pub fn set_duty(&mut self, bucket: u32, duty: Duty) {
+        self.duties[bucket as usize] = duty;
+    }
+
+    /// Takes a bucket over with what its former home knows of it.
+    pub fn take(&mut self, now: Instant, bucket: u32, knowledge: (u32, u32)) {
+        let at = second(now);
+        self.duties[bucket as usize] = Duty::Own;
+        self.known[bucket as usize] = at.saturating_add(knowledge.0);
+        self.careful[bucket as usize] = at.saturating_add(knowledge.1);
+    }
+
+    /// Adds a record that the former home has handed over, in place of a replicated one.
+    pub fn receive(&self, record: Record, limits: &impl Admit) {
+        let mut shard = lock(self.shard(record.key()));
+        let old = shard.insert(record);
+        if old.is_none() {
+            self.len.fetch_add(1, Ordering::Relaxed);
+        }
+        let counted = old.is_some_and(|old| !old.closed());
+        match (counted, record.closed()) {
+            (false, false) => limits.adopt(self.service),
+            (true, true) => limits.release(self.service),
+            _ => {}
+        }
+    }
+
+    /// Adds a replicated record, unless there is one of the same flow.
+    pub fn replicate(&self, record: Record, limits: &impl Admit) {
+        let mut shard = lock(self.shard(record.key()));
+        if shard.get_mut(record.key()).is_some() || self.len() >= self.bounds.max_flows as usize {
+            return;
+        }
+        shard.insert(record);
+        self.len.fetch_add(1, Ordering::Relaxed);
+        let decided = self.duty(record.key().bucket(self.bits)) != Duty::Other;
+        if decided && !record.closed() {
+            limits.adopt(self.service);
+        }
+    }
+
+    /// Ends all records of these buckets, as another host decides on them from now on.
+    pub fn discard(&self, buckets: &[u32], limits: &impl Admit) {
+        let mut gone = vec![false; self.duties.len()];
+        buckets.iter().for_each(|&bucket| gone[bucket as usize] = true);
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            shard.retain(|record| {
+                let keep = !gone[record.key().bucket(self.bits) as usize];
+                if !keep {
+                    self.len.fetch_sub(1, Ordering::Relaxed);
+                    if !record.closed() {
+                        limits.release(self.service);
+                    }
+                }
+                keep
+            });
+        }
+    }
+
+    fn count_in(&self, buckets: &[u32], limits: &impl Admit) {
+        let mut gained = vec![false; self.duties.len()];
+        buckets.iter().for_each(|&bucket| gained[bucket as usize] = true);
+        for shard in &self.shards {
+            let shard = lock(shard);
+            let open = shard.iter().filter(|record| !record.closed());
+            let open = open.filter(|r| gained[r.key().bucket(self.bits) as usize]);
+            open.for_each(|_| limits.adopt(self.service));
+        }
+    }
+
+    fn ended(&self, record: &Record, at: u32, layout: &Layout) -> bool {
+        if layout.is_gone(record.target()) {
+            return record.ended(at, RETRY_SPAN);
+        }
+        record.ended(at, self.bounds.idle_limit)
+    }
+
+    fn note(&self, record: &mut Record, now: Instant, facts: &Facts, limits: &impl Admit) {
+        let open = !record.closed();
+        record.touch(second(now));
+        match facts.signal {
+            Signal::Finish => record.finish(facts.direction == Direction::Inward),
+            Signal::Reset => record.reset(),
+            _ => {}
+        }
+        if open && record.closed() {
+            limits.release(self.service);
+        }
+    }
+
+    fn unrecorded(
+        &self,
+        now: Instant,
+        facts: &Facts,
+        layout: &Layout,
+        limits: &impl Admit,
+        shard: &mut Shard,
+    ) -> Verdict {
+        let key = Key::new(facts.flow);
+        let bucket = key.bucket(self.bits);
+        let unknown = second(now) < self.known[bucket as usize];
+        let old = layout.fallback(bucket);
+        match facts.signal {
+            Signal::Open | Signal::OpenData => {
+                self.open(now, facts, layout.choice(bucket), layout, limits, shard)
+            }
+            Signal::Datagram if !(unknown && layout.is_held(bucket)) => {
+                self.open(now, facts, layout.choice(bucket), layout, limits, shard)
+            }
+            Signal::Middle | Signal::Datagram if unknown && layout.name(old).is_some() => {
+                self.learn(now, key, old, limits, shard);
+                forward(layout, old)
+            }
+            _ => forward(layout, old),
+        }
+    }
+
+    fn learn(&self, now: Instant, key: Key, target: u16, limits: &impl Admit, shard: &mut Shard) {
+        if self.len() >= self.bounds.max_flows as usize {
+            return;
+        }
+        shard.insert(Record::new(key, target, second(now)));
+        self.len.fetch_add(1, Ordering::Relaxed);
+        limits.adopt(self.service);
+    }
+
+    fn open(
+        &self,
+        now: Instant,
+        facts: &Facts,
+        target: u16,
+        layout: &Layout,
+        limits: &impl Admit,
+        shard: &mut Shard,
+    ) -> Verdict {
+        let key = Key::new(facts.flow);
+        let Some(name) = layout.name(target) else {
+            return self.refuse(now, key, Kind::NoTarget);
+        };
+        if self.len() >= self.bounds.max_flows as usize {
+            return self.refuse(now, key, Kind::FlowLimit);
+        }
+        if let Err(kind) = limits.admit(now, self.service) {
+            return self.refuse(now, key, kind);
+        }
+        if shard.insert(Record::new(key, target, second(now))).is_none() {
+            self.len.fetch_add(1, Ordering::Relaxed);
+        }
+        Verdict::Forward(name)
+    }
+
+    /// Refuses a flow, but only where no lost home can have forwarded an earlier SYN of it.
+    fn refuse(&self, now: Instant, key: Key, kind: Kind) -> Verdict {
+        if second(now) < self.careful[key.bucket(self.bits) as usize] {
+            return Verdict::Drop(kind);
+        }
+        Verdict::Refuse(kind)
+    }
+
+    fn shard(&self, key: Key) -> &Mutex<Shard> {
+        &self.shards[key.bucket(SHARD_BITS) as usize]
+    }
+
+    fn shards_of(&self, bucket: u32) -> &[Mutex<Shard>] {
+        let first = Key::join(bucket, self.bits, 0).bucket(SHARD_BITS) as usize;
+        let rest = (1u64 << (KEY_BITS - u32::from(self.bits))) - 1;
+        let last = Key::join(bucket, self.bits, rest).bucket(SHARD_BITS) as usize;
+        &self.shards[first..=last]
+    }
+}
+
+fn lock(shard: &Mutex<Shard>) -> std::sync::MutexGuard<'_, Shard> {
+    shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn forward(layout: &Layout, target: u16) -> Verdict {
+    if target == NO_TARGET || layout.is_gone(target) {
+        return Verdict::Drop(Kind::Unroutable);
+    }
+    layout.name(target).map_or(Verdict::Drop(Kind::Unroutable), Verdict::Forward)
+}
+
+/// Returns a host's duty for a bucket under a new view, see "Homes that change" in docs/DESIGN.md.
+fn next_duty(
+    old: Duty,
+    own: HostId,
+    home: Option<HostId>,
+    former: Option<HostId>,
+    view: &View,
+) -> Duty {
+    let mine = home == Some(own);
+    let lost = |host: HostId| !view.knows(host);
+    match old {
+        Duty::Own if mine => Duty::Own,
+        Duty::Own => Duty::Give,
+        Duty::Give | Duty::Given => match former {
+            Some(receiver) if !lost(receiver) => old,
+            _ if mine => Duty::Pause,
+            _ => Duty::Other,
+        },
+        Duty::Wait(source) if mine && lost(source) => Duty::Pause,
+        Duty::Wait(_) | Duty::Pause if mine => old,
+        Duty::Wait(_) | Duty::Pause => Duty::Other,
+        Duty::Other if !mine => Duty::Other,
+        Duty::Other => match former {
+            Some(source) if source != own && !lost(source) => Duty::Wait(source),
+            _ => Duty::Pause,
+        },
+    }
+}
--- a/lagoongauge/src/route/mod.rs
+++ b/lagoongauge/src/route/mod.rs
@@ -1,5 +1,22 @@
 //! Routing: which target a flow's packet goes to, the same on whichever entry host it lands.
 
+mod admit;
+mod codec;
+mod compact;
+mod core;
+mod deltas;
+mod follower;
+mod handover;
+mod home;
+mod ledger;
+mod message;
+mod plan;
+mod planner;
+mod record;
+mod router;
+mod runs;
+mod table;
+
 use serde::{Deserialize, Serialize};
 
 use crate::error::Kind;
@@ -7,6 +24,14 @@
 use crate::id::{HostId, ServiceId, TargetId};
 use crate::time::Instant;
 
+pub use admit::{Admit, Unlimited};
+pub use codec::MAX_MESSAGE;
+pub use message::{Action, Beat, Event, Gift, Gifts, Message, Part, Pins, Settled, Steps};
+pub use plan::{Layout, Plan, Stamp, Step, View};
+pub use record::{Key, Record};
+pub use router::{Candidate, CandidateState, Election, Router, Status};
+pub use table::Table;
+
 /// Which way a packet goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Direction {
--- /dev/null
+++ b/lagoongauge/src/route/router.rs
@@ -0,0 +1,291 @@
+//! The router: what the data path asks and what messages and time change.
+
+use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+use super::admit::{Admit, Unlimited};
+use super::core::Core;
+use super::ledger::Duty;
+use super::message::{Action, Message};
+use super::plan::Stamp;
+use super::table::Table;
+use super::{Direction, Facts, Route, Verdict};
+use crate::error::Kind;
+use crate::flow::{HashKey, Signal};
+use crate::id::{HostId, ServiceId, TargetId};
+use crate::settings::Resolved;
+use crate::time::Instant;
+
+/// Most entry hosts that relay one packet.
+pub const MAX_HOPS: u8 = 2;
+
+/// Whether a target may have flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CandidateState {
+    /// It may get new flows, as its weight says.
+    New,
+    /// It keeps its established flows and gets no new ones.
+    Established,
+    /// It is gone, and its flows with it.
+    Gone,
+}
+
+/// A target as the policy weighs it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The target.
+    pub target: TargetId,
+    /// Share of new flows against the other targets' weights.
+    pub weight: u16,
+    /// Whether it may have flows.
+    pub state: CandidateState,
+}
+
+/// Who holds the group's lease, as this host knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Election {
+    /// The holder and its epoch, where this host has granted it the lease or holds it itself.
+    pub holder: Option<(HostId, u64)>,
+    /// When the lease ends, where this host holds it.
+    pub until: Instant,
+}
+
+/// A router's state for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// The last step that the host has applied.
+    pub stamp: Stamp,
+    /// Whether the host may act.
+    pub leased: bool,
+    /// Whether the host plans for its group.
+    pub planning: bool,
+    /// The homes of the view.
+    pub hosts: Vec<HostId>,
+    /// Records held.
+    pub records: usize,
+    /// Bytes that the records take.
+    pub record_bytes: usize,
+    /// Held buckets of all services.
+    pub held: usize,
+    /// Buckets whose handover is under way.
+    pub pending: u32,
+}
+
+/// Routing of one entry host; `A` are the limits that it asks before it opens a flow.
+#[derive(Debug)]
+pub struct Router<A = Unlimited> {
+    key: HashKey,
+    core: RwLock<Core>,
+    limits: A,
+}
+
+impl Router {
+    /// Builds the router of a host that has just started, without limits.
+    ///
+    /// `seed` has to differ from that of the host's earlier processes.
+    pub fn new(own: HostId, key: HashKey, seed: u64, now: Instant) -> Self {
+        Self::with_limits(own, key, seed, now, Unlimited)
+    }
+}
+
+impl<A: Admit> Router<A> {
+    /// Builds the router of a host that has just started.
+    pub fn with_limits(own: HostId, key: HashKey, seed: u64, now: Instant, limits: A) -> Self {
+        Self { key, core: RwLock::new(Core::new(own, seed, now)), limits }
+    }
+
+    /// Returns the key that flows are hashed with.
+    pub fn key(&self) -> &HashKey {
+        &self.key
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> &A {
+        &self.limits
+    }
+
+    /// Returns the open flows of a service by target; only the planner knows the group's.
+    pub fn counts(&self, service: ServiceId) -> Vec<(TargetId, u32)> {
+        self.read().group_counts(service)
+    }
+
+    /// Returns whether a host that wanted to leave has handed over everything.
+    pub fn left(&self) -> bool {
+        let core = self.read();
+        let view = &core.plan.view;
+        let out = !view.hosts.contains(&core.own);
+        let known = view.hosts.is_empty() || core.plan.settled;
+        core.follower.leaving && out && known && !core.giving() && !core.handover.busy()
+    }
+
+    /// Returns the router's state for operators.
+    pub fn status(&self, now: Instant) -> Status {
+        let core = self.read();
+        Status {
+            stamp: core.plan.stamp,
+            leased: core.leased(now),
+            planning: core.planner.as_ref().is_some_and(|p| p.active() && p.until > now),
+            hosts: core.plan.view.hosts.clone(),
+            records: core.ledgers.values().map(|ledger| ledger.len()).sum(),
+            record_bytes: core.ledgers.values().map(|ledger| ledger.bytes()).sum(),
+            held: core.plan.services.values().map(|layout| layout.held_count()).sum(),
+            pending: core.pending(),
+        }
+    }
+
+    /// Takes new settings.
+    pub fn apply(&self, _now: Instant, resolved: &Resolved) {
+        self.write().apply_settings(resolved);
+    }
+
+    /// Takes the targets of a service as the policy weighs them; they count at the planner.
+    pub fn targets(&self, _now: Instant, service: ServiceId, candidates: &[Candidate]) {
+        let present = candidates.iter().filter(|c| c.state != CandidateState::Gone);
+        let weight = |c: &Candidate| match c.state {
+            CandidateState::New => c.weight,
+            _ => 0,
+        };
+        let entries = present.map(|c| (c.target, weight(c))).collect();
+        self.write().wanted.insert(service, Table::new(entries));
+    }
+
+    /// Takes in who holds the group's lease; to be told at least as often as the host ticks.
+    pub fn elect(&self, now: Instant, election: Election) {
+        self.write().elect(now, election.holder, election.until);
+    }
+
+    /// Asks to be no home any more; see [`Router::left`].
+    pub fn leave(&self, now: Instant) -> Vec<Action> {
+        let mut core = self.write();
+        core.follower.leaving = true;
+        Vec::from_iter(core.beat(now))
+    }
+
+    /// Takes a peer's message in.
+    pub fn message(&self, now: Instant, from: HostId, message: Message) -> Vec<Action> {
+        let mut core = self.write();
+        if !core.peers.contains(&from) {
+            return Vec::new();
+        }
+        let limits = &self.limits;
+        match message {
+            Message::Beat(beat) => {
+                let mut actions = core.hear_beat(now, from, &beat);
+                actions.extend(core.plan_tick(now, limits));
+                actions
+            }
+            Message::Grant { epoch, sent, life } => {
+                core.granted(epoch, sent, life);
+                Vec::new()
+            }
+            Message::Probe { epoch } => {
+                if !core.follower.hear(epoch) {
+                    return Vec::new();
+                }
+                core.follower.follow(now, Some(from));
+                Vec::from_iter(core.beat(now))
+            }
+            Message::Steps(steps) => core.steps(now, from, &steps, limits),
+            Message::Behind { epoch, stamp } => {
+                if !core.follower.hear(epoch) {
+                    return Vec::new();
+                }
+                Vec::from_iter(core.follower.fetch(now, from, stamp))
+            }
+            Message::Fetch { stamp, have } => core.parts(from, stamp, have),
+            Message::Part(part) => core.part(now, from, part, limits),
+            Message::Settled(settled) => {
+                core.hear_settled(&settled);
+                Vec::new()
+            }
+            Message::Gifts(gifts) => core.take_gifts(now, from, gifts, limits),
+            Message::Taken { number, .. } => {
+                core.gifts_taken(from, number, limits);
+                core.hand_over(now)
+            }
+            Message::Pins(pins) => core.take_pins(now, from, pins, limits),
+            Message::Pinned { number } => {
+                core.pins_taken(from, number);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Lets time pass; to be called about ten times a second.
+    pub fn tick(&self, now: Instant) -> Vec<Action> {
+        let mut core = self.write();
+        let mut actions = Vec::new();
+        for report in core.sweep(now, &self.limits) {
+            match core.follower.planner {
+                Some(planner) if planner != core.own => {
+                    actions.push(Action::Send(planner, report));
+                }
+                _ => core.hear_own(&report),
+            }
+        }
+        actions.extend(core.plan_tick(now, &self.limits));
+        actions.extend(core.follow_tick(now));
+        actions.extend(core.hand_over(now));
+        actions
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, Core> {
+        self.core.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, Core> {
+        self.core.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<A: Admit> Route for Router<A> {
+    fn route(&self, now: Instant, facts: &Facts) -> Verdict {
+        let core = self.read();
+        let layout = core.plan.services.get(&facts.service);
+        let (Some(layout), Some(ledger)) = (layout, core.ledgers.get(&facts.service)) else {
+            return unplanned(facts);
+        };
+        let bucket = facts.flow.bucket(layout.bits);
+        let leased = core.leased(now);
+        let duty = ledger.duty(bucket);
+        if facts.direction == Direction::Outward && !ends(facts.signal) {
+            return Verdict::Answer;
+        }
+        if leased && duty.decides() {
+            return ledger.decide(now, facts, layout, &self.limits);
+        }
+        if facts.direction == Direction::Outward {
+            return relay(&core, facts, bucket, duty).unwrap_or(Verdict::Answer);
+        }
+        let plain = facts.signal == Signal::Middle && !layout.is_held(bucket);
+        if leased && plain {
+            let target = layout.name(layout.choice(bucket));
+            return target.map_or(Verdict::Drop(Kind::Unroutable), Verdict::Forward);
+        }
+        relay(&core, facts, bucket, duty).unwrap_or(Verdict::Drop(Kind::NotCurrent))
+    }
+}
+
+/// Returns the relay to the host that decides on a bucket, unless this host or nobody does.
+fn relay(core: &Core, facts: &Facts, bucket: u32, duty: Duty) -> Option<Verdict> {
+    if facts.hops >= MAX_HOPS {
+        return None;
+    }
+    let host = match duty {
+        Duty::Wait(source) => source,
+        Duty::Own | Duty::Pause => return None,
+        Duty::Other | Duty::Give | Duty::Given => core.plan.view.home(facts.service, bucket)?,
+    };
+    (host != core.own).then_some(Verdict::Relay(host))
+}
+
+/// Returns the verdict on a packet of a service that has no table yet.
+fn unplanned(facts: &Facts) -> Verdict {
+    match facts.direction {
+        Direction::Outward => Verdict::Answer,
+        Direction::Inward => Verdict::Drop(Kind::NoTarget),
+    }
+}
+
+const fn ends(signal: Signal) -> bool {
+    matches!(signal, Signal::Finish | Signal::Reset)
+}
--- /dev/null
+++ b/lagoongauge/src/route/table.rs
@@ -0,0 +1,144 @@
+//! Tables: which target each bucket of a service goes to.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::TargetId;
+
+/// Index that stands for "no target".
+pub const NO_TARGET: u16 = u16::MAX;
+
+/// Fraction bits of the fixed-point logarithm.
+const FRACTION_BITS: u32 = 16;
+
+/// The weighted targets of a service, from which every host works out the same buckets.
+///
+/// A target of weight 0 takes no new flows, but its established flows go on. A target that is
+/// missing is gone, and its flows with it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// Targets with their weights, ordered by target.
+    pub entries: Vec<(TargetId, u16)>,
+}
+
+impl Table {
+    /// Builds a table; the order of `entries` does not matter.
+    pub fn new(mut entries: Vec<(TargetId, u16)>) -> Self {
+        entries.sort_unstable();
+        entries.dedup_by_key(|entry| entry.0);
+        Self { entries }
+    }
+
+    /// Returns the weight of a target, or nothing if the target is gone.
+    pub fn weight(&self, target: TargetId) -> Option<u16> {
+        let index = self.entries.binary_search_by_key(&target, |entry| entry.0).ok()?;
+        Some(self.entries[index].1)
+    }
+
+    /// Returns the target of one bucket, by weighted rendezvous hashing.
+    pub fn choose(&self, bucket: u32) -> Option<TargetId> {
+        self.choose_among(bucket, |_| true)
+    }
+
+    /// Returns the first target in the bucket's rendezvous order for which `usable` holds.
+    pub fn choose_among(&self, bucket: u32, usable: impl Fn(TargetId) -> bool) -> Option<TargetId> {
+        let mut best: Option<(u64, u64, TargetId)> = None;
+        for &(target, weight) in &self.entries {
+            if weight == 0 || !usable(target) {
+                continue;
+            }
+            let cost = u64::from(log_cost(mix(target.0, bucket)));
+            let weight = u64::from(weight);
+            let better = match best {
+                None => true,
+                Some((least, other, _)) => cost * other < least * weight,
+            };
+            if better {
+                best = Some((cost, weight, target));
+            }
+        }
+        best.map(|(_, _, target)| target)
+    }
+
+    /// Returns the target of each of the `2^bits` buckets, as an index given by `index`.
+    pub fn expand(&self, bits: u8, mut index: impl FnMut(TargetId) -> u16) -> Vec<u16> {
+        (0..1u32 << bits).map(|bucket| self.choose(bucket).map_or(NO_TARGET, &mut index)).collect()
+    }
+}
+
+/// Mixes a key with a number into 64 well-spread bits, the same on every machine.
+pub(super) fn mix(key: u64, number: u32) -> u64 {
+    let mut x = key ^ (u64::from(number) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Returns minus the binary logarithm of `x / 2^64` in fixed point.
+///
+/// Integers alone, as the results of floating-point logarithms may differ between machines.
+fn log_cost(x: u64) -> u32 {
+    let x = x | 1;
+    let zeros = x.leading_zeros();
+    let mut mantissa = (x << zeros) >> 32;
+    let mut fraction = 0;
+    for _ in 0..FRACTION_BITS {
+        mantissa = (mantissa * mantissa) >> 31;
+        fraction <<= 1;
+        if mantissa >= 1 << 32 {
+            mantissa >>= 1;
+            fraction |= 1;
+        }
+    }
+    ((zeros + 1) << FRACTION_BITS) - fraction
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BITS: u8 = 14;
+
+    fn table(weights: &[u16]) -> Table {
+        let target = |i: usize| TargetId(mix(77, i as u32));
+        Table::new(weights.iter().enumerate().map(|(i, &w)| (target(i), w)).collect())
+    }
+
+    fn choices(table: &Table) -> Vec<Option<TargetId>> {
+        (0..1 << BITS).map(|bucket| table.choose(bucket)).collect()
+    }
+
+    #[test]
+    fn buckets_follow_the_weights() {
+        let table = table(&[100, 200, 0, 100]);
+        let buckets = choices(&table);
+        for &(target, weight) in &table.entries {
+            let count = buckets.iter().filter(|&&t| t == Some(target)).count() as f64;
+            let share = count / buckets.len() as f64;
+            assert!((share - f64::from(weight) / 400.0).abs() < 0.02, "{target}: {share}");
+        }
+    }
+
+    #[test]
+    fn a_lower_weight_moves_only_that_targets_buckets() {
+        let before = table(&[100, 100, 100, 100]);
+        let after = table(&[100, 50, 100, 100]);
+        let lowered = TargetId(mix(77, 1));
+        for (old, new) in choices(&before).into_iter().zip(choices(&after)) {
+            assert!(old == new || old == Some(lowered));
+        }
+    }
+
+    #[test]
+    fn nothing_is_chosen_where_all_weights_are_zero() {
+        assert_eq!(table(&[0, 0]).choose(3), None);
+        assert_eq!(Table::default().choose(3), None);
+    }
+
+    #[test]
+    fn the_next_choice_passes_over_targets_out_of_reach() {
+        let table = table(&[100, 100, 100]);
+        let first = table.choose(9).unwrap();
+        let next = table.choose_among(9, |t| t != first).unwrap();
+        assert_ne!(first, next);
+    }
+}
--- /dev/null
+++ b/lagoongauge/tests/route_net/mod.rs
@@ -0,0 +1,476 @@
+//! A small fake of the network between real routers, and a reference model of the flows.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BinaryHeap};
+
+use indexmap::IndexMap;
+use lagoongauge::flow::{FlowHash, HashKey, Protocol, Signal};
+use lagoongauge::id::{CentreId, HostId, MemberId, ServiceId, TargetId};
+use lagoongauge::route::{
+    Action, Candidate, CandidateState, Direction, Election, Event, Facts, Message, Route, Router,
+    Verdict,
+};
+use lagoongauge::settings::{Host, Resolved, Service};
+use lagoongauge::time::{Instant, Span};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Bytes of IP and UDP headers.
+const HEADER_BYTES: usize = 28;
+
+/// Time between two ticks of a router.
+const TICK: u64 = 50;
+
+pub const SERVICE: ServiceId = ServiceId(1);
+pub const RIVAL: ServiceId = ServiceId(2);
+pub const IDLE_LIMIT: Span = Span::seconds(600);
+
+/// How the network treats messages and packets.
+#[derive(Debug, Clone, Copy)]
+pub struct Weather {
+    /// Lost messages in a hundred.
+    pub loss: u32,
+    /// Duplicated messages in a hundred.
+    pub duplicates: u32,
+    /// Longest delay in milliseconds.
+    pub delay: u64,
+}
+
+pub const CALM: Weather = Weather { loss: 0, duplicates: 0, delay: 2 };
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Parcel {
+    Message(HostId, Vec<u8>),
+    Packet(usize, Facts),
+}
+
+#[derive(Debug, PartialEq, Eq)]
+struct Due {
+    at: u64,
+    order: u64,
+    to: HostId,
+    parcel: Parcel,
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// A flow as the reference model knows it.
+#[derive(Debug, Clone)]
+pub struct Flow {
+    pub service: ServiceId,
+    pub hash: FlowHash,
+    /// The only target that may ever see the flow.
+    pub target: Option<TargetId>,
+    pub refused: bool,
+    pub closed: bool,
+    /// What went wrong.
+    pub faults: Vec<String>,
+    /// Packets that reached the target since the last look.
+    pub arrived: u32,
+    pub opened_at: u64,
+}
+
+pub struct Node {
+    pub router: Router,
+    /// When the process started on the common clock.
+    pub started: u64,
+    pub up: bool,
+}
+
+/// Routers, network and flows.
+pub struct Net {
+    pub now: u64,
+    pub nodes: IndexMap<HostId, Node>,
+    pub weather: Weather,
+    pub flows: Vec<Flow>,
+    pub resolved: Resolved,
+    /// Pairs of hosts that can't reach each other.
+    pub cut: Vec<(HostId, HostId)>,
+    /// Hosts whose messages to others are all lost.
+    pub mute: Vec<HostId>,
+    pub events: Vec<(HostId, Event)>,
+    /// Bytes sent per host and second.
+    pub sent: BTreeMap<(HostId, u64), usize>,
+    pub sent_kinds: BTreeMap<&'static str, usize>,
+    /// Holder of the lease, its epoch and the time at which it is next free.
+    pub holder: Option<(HostId, u64, u64)>,
+    candidates: BTreeMap<ServiceId, Vec<Candidate>>,
+    queue: BinaryHeap<Due>,
+    order: u64,
+    lives: u64,
+    pub relays: u64,
+    pub forwards: u64,
+    rng: ChaCha8Rng,
+}
+
+/// How long a fake lease goes on after its holder is gone.
+const LEASE: u64 = 2_000;
+
+impl Net {
+    /// Builds `up` running hosts of `all` configured ones.
+    pub fn new(seed: u64, all: u32, up: u32, weather: Weather) -> Self {
+        let mut net = Self {
+            now: 0,
+            nodes: IndexMap::new(),
+            weather,
+            flows: Vec::new(),
+            resolved: resolved(all, 10),
+            cut: Vec::new(),
+            mute: Vec::new(),
+            events: Vec::new(),
+            sent: BTreeMap::new(),
+            sent_kinds: BTreeMap::new(),
+            holder: None,
+            candidates: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            lives: 0,
+            relays: 0,
+            forwards: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        (1..=up).for_each(|host| net.start(HostId(host)));
+        net
+    }
+
+    pub fn rng(&mut self) -> &mut ChaCha8Rng {
+        &mut self.rng
+    }
+
+    /// Starts a host, as a new process without memory.
+    pub fn start(&mut self, host: HostId) {
+        self.lives += 1;
+        let seed = u64::from(host.0) << 32 | self.lives;
+        let router = Router::new(host, HashKey([7; 16]), seed, Instant(0));
+        router.apply(Instant(0), &self.resolved);
+        for (&service, list) in &self.candidates {
+            router.targets(Instant(0), service, list);
+        }
+        self.nodes.insert(host, Node { router, started: self.now, up: true });
+    }
+
+    /// Ends a host at once.
+    pub fn crash(&mut self, host: HostId) {
+        if let Some(node) = self.nodes.get_mut(&host) {
+            node.up = false;
+        }
+        if let Some((holder, _, free)) = &mut self.holder
+            && *holder == host
+        {
+            *free = self.now + LEASE;
+        }
+    }
+
+    pub fn leave(&mut self, host: HostId) {
+        let now = self.clock(host);
+        let actions = self.nodes[&host].router.leave(now);
+        self.act(host, actions);
+    }
+
+    pub fn up(&self) -> Vec<HostId> {
+        self.nodes.iter().filter(|(_, node)| node.up).map(|(&host, _)| host).collect()
+    }
+
+    pub fn router(&self, host: u32) -> &Router {
+        &self.nodes[&HostId(host)].router
+    }
+
+    pub fn clock(&self, host: HostId) -> Instant {
+        Instant(self.now - self.nodes[&host].started)
+    }
+
+    /// Sets the weights of a service's targets at every host; weight 0 drains.
+    pub fn targets(&mut self, service: ServiceId, weights: &[(u64, u16)]) {
+        let candidate = |&(target, weight): &(u64, u16)| Candidate {
+            target: TargetId(target),
+            weight,
+            state: match weight {
+                0 => CandidateState::Established,
+                _ => CandidateState::New,
+            },
+        };
+        let list: Vec<_> = weights.iter().map(candidate).collect();
+        for host in self.up() {
+            let now = self.clock(host);
+            self.nodes[&host].router.targets(now, service, &list);
+        }
+        self.candidates.insert(service, list);
+    }
+
+    /// Lets time pass in steps of 10 ms.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 10;
+            self.elect();
+            self.deliver();
+            if self.now % TICK == 0 {
+                for host in self.up() {
+                    let now = self.clock(host);
+                    let actions = self.nodes[&host].router.tick(now);
+                    self.act(host, actions);
+                }
+            }
+        }
+    }
+
+    /// Opens a flow with a SYN at a random host.
+    pub fn open(&mut self, service: ServiceId) -> usize {
+        let hash = FlowHash(self.rng.random());
+        let flow = Flow {
+            service,
+            hash,
+            target: None,
+            refused: false,
+            closed: false,
+            faults: Vec::new(),
+            arrived: 0,
+            opened_at: self.now,
+        };
+        self.flows.push(flow);
+        let flow = self.flows.len() - 1;
+        self.packet(flow, Signal::Open);
+        flow
+    }
+
+    /// Sprays a packet of a flow to a random host.
+    pub fn packet(&mut self, flow: usize, signal: Signal) {
+        let hosts = self.up();
+        let host = hosts[self.rng.random_range(0..hosts.len())];
+        self.packet_at(flow, signal, host);
+    }
+
+    pub fn packet_at(&mut self, flow: usize, signal: Signal, host: HostId) {
+        let facts = Facts {
+            service: self.flows[flow].service,
+            flow: self.flows[flow].hash,
+            signal,
+            direction: Direction::Inward,
+            source: None,
+            hops: 0,
+        };
+        self.route(host, flow, facts);
+    }
+
+    /// Sends a packet of each open flow, or a SYN again where no target has answered.
+    pub fn traffic(&mut self) {
+        for flow in 0..self.flows.len() {
+            if self.flows[flow].closed || self.flows[flow].refused {
+                continue;
+            }
+            match self.flows[flow].target {
+                Some(_) => self.packet(flow, Signal::Middle),
+                None => self.packet(flow, Signal::Open),
+            }
+        }
+    }
+
+    pub fn close(&mut self, flow: usize) {
+        self.flows[flow].closed = true;
+        self.packet(flow, Signal::Reset);
+    }
+
+    /// Returns the faults of all flows.
+    pub fn faults(&self) -> Vec<String> {
+        self.flows.iter().flat_map(|flow| flow.faults.clone()).collect()
+    }
+
+    /// Returns the open flows with a target.
+    pub fn established(&self) -> Vec<usize> {
+        let open = |i: &usize| self.flows[*i].target.is_some() && !self.flows[*i].closed;
+        (0..self.flows.len()).filter(open).collect()
+    }
+
+    /// Returns the most bytes that a host sent in one second from `from` on.
+    pub fn worst_second(&self, from: u64) -> usize {
+        let late = self.sent.iter().filter(|((_, second), _)| *second >= from / 1000);
+        late.map(|(_, &bytes)| bytes).max().unwrap_or(0)
+    }
+
+    fn route(&mut self, host: HostId, flow: usize, facts: Facts) {
+        let now = self.clock(host);
+        let verdict = self.nodes[&host].router.route(now, &facts);
+        let at = self.now;
+        let state = &mut self.flows[flow];
+        match verdict {
+            Verdict::Forward(target) => {
+                self.forwards += 1;
+                state.arrived += 1;
+                if state.refused {
+                    state.faults.push(format!("{at}: {host} forwarded a refused flow"));
+                }
+                if !owns(state.service, target) {
+                    state.faults.push(format!("{at}: {host} forwarded to a rival's {target}"));
+                }
+                match state.target {
+                    None => state.target = Some(target),
+                    Some(first) if first != target => state.faults.push(format!(
+                        "{at}: {host} sent {:?} (hops {}) of a flow of {first}, opened {}, to {target}",
+                        facts.signal, facts.hops, state.opened_at
+                    )),
+                    Some(_) => {}
+                }
+            }
+            Verdict::Refuse(kind) => {
+                if state.target.is_some() {
+                    state.faults.push(format!("{at}: {host} refused a forwarded flow: {kind}"));
+                }
+                state.refused = true;
+            }
+            Verdict::Relay(to) => {
+                self.relays += 1;
+                let hops = facts.hops + 1;
+                self.send(host, to, Parcel::Packet(flow, Facts { hops, ..facts }));
+            }
+            Verdict::Answer | Verdict::Drop(_) => {}
+        }
+    }
+
+    fn act(&mut self, host: HostId, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => {
+                    let bytes = message.encode();
+                    let second = self.now / 1000;
+                    *self.sent.entry((host, second)).or_default() += bytes.len() + HEADER_BYTES;
+                    *self.sent_kinds.entry(kind(&message)).or_default() +=
+                        bytes.len() + HEADER_BYTES;
+                    self.send(host, to, Parcel::Message(host, bytes));
+                }
+                Action::Event(event) => self.events.push((host, event)),
+            }
+        }
+    }
+
+    fn send(&mut self, from: HostId, to: HostId, parcel: Parcel) {
+        let apart = self.cut.contains(&(from, to)) || self.cut.contains(&(to, from));
+        if apart || self.mute.contains(&from) || self.rng.random_range(0..100) < self.weather.loss {
+            return;
+        }
+        let again = self.rng.random_range(0..100) < self.weather.duplicates;
+        for _ in 0..=u32::from(again) {
+            let at = self.now + self.rng.random_range(0..=self.weather.delay);
+            self.order += 1;
+            self.queue.push(Due { at, order: self.order, to, parcel: parcel.clone() });
+        }
+    }
+
+    fn deliver(&mut self) {
+        while self.queue.peek().is_some_and(|due| due.at <= self.now) {
+            let Some(due) = self.queue.pop() else { return };
+            if !self.nodes.get(&due.to).is_some_and(|node| node.up) {
+                continue;
+            }
+            match due.parcel {
+                Parcel::Message(from, bytes) => {
+                    let message = Message::decode(&bytes).expect("a sent message decodes");
+                    let now = self.clock(due.to);
+                    let actions = self.nodes[&due.to].router.message(now, from, message);
+                    self.act(due.to, actions);
+                }
+                Parcel::Packet(flow, facts) => self.route(due.to, flow, facts),
+            }
+        }
+    }
+
+    /// Gives the lease to the first host that is up and reaches a majority.
+    fn elect(&mut self) {
+        let healthy = |net: &Self, host: HostId| {
+            let apart = |&&other: &&HostId| {
+                net.cut.contains(&(host, other)) || net.cut.contains(&(other, host))
+            };
+            let hosts: Vec<_> = net.resolved.hosts.keys().copied().collect();
+            let reached = hosts.iter().filter(|h| net.nodes.get(*h).is_some_and(|n| n.up));
+            let reached = reached.filter(|h| !apart(h)).count();
+            net.nodes.get(&host).is_some_and(|node| node.up)
+                && !net.mute.contains(&host)
+                && reached * 2 > hosts.len()
+        };
+        match self.holder {
+            Some((host, epoch, _)) if healthy(self, host) => {
+                self.holder = Some((host, epoch, self.now + LEASE));
+            }
+            Some((_, _, free)) if self.now < free => {}
+            other => {
+                let epoch = other.map_or(0, |(_, epoch, _)| epoch) + 1;
+                let next = self.up().into_iter().find(|&host| healthy(self, host));
+                let Some(host) = next else { return };
+                self.holder = Some((host, epoch, self.now + LEASE));
+            }
+        }
+        let Some((holder, epoch, free)) = self.holder else { return };
+        for host in self.up() {
+            let started = self.nodes[&host].started;
+            let apart = self.cut.contains(&(host, holder)) || self.cut.contains(&(holder, host));
+            let known = (host == holder || !apart).then_some((holder, epoch));
+            let until = Instant(free.saturating_sub(started));
+            let now = self.clock(host);
+            let election = Election { holder: known, until };
+            self.nodes[&host].router.elect(now, election);
+        }
+    }
+}
+
+fn kind(message: &Message) -> &'static str {
+    match message {
+        Message::Beat(_) => "beat",
+        Message::Grant { .. } => "grant",
+        Message::Probe { .. } => "probe",
+        Message::Steps(_) => "steps",
+        Message::Behind { .. } => "behind",
+        Message::Fetch { .. } => "fetch",
+        Message::Part(_) => "part",
+        Message::Settled(_) => "settled",
+        Message::Gifts(_) => "gifts",
+        Message::Taken { .. } => "taken",
+        Message::Pins(_) => "pins",
+        Message::Pinned { .. } => "pinned",
+    }
+}
+
+/// Targets below 1000 are those of `SERVICE`, the others those of `RIVAL`.
+fn owns(service: ServiceId, target: TargetId) -> bool {
+    (target.0 < 1000) == (service == SERVICE)
+}
+
+/// Builds settings with two members' services of `2^bits` buckets each and `hosts` hosts.
+pub fn resolved(hosts: u32, bits: u8) -> Resolved {
+    let service = |member: u16| Service {
+        member: MemberId(member),
+        name: format!("service of {member}"),
+        protocol: Protocol::Tcp,
+        address: format!("192.0.2.{member}:443").parse().expect("an address"),
+        bucket_bits: bits,
+        max_flows: 100_000,
+        max_rate: 100_000,
+        idle_limit: IDLE_LIMIT,
+        drain_limit: Span::seconds(3600),
+        slow_start: Span::seconds(10),
+        established_goal: 999_000,
+        unbroken_goal: 999_900,
+        answer_goal: Span::millis(100),
+        imbalance_goal: 1100,
+    };
+    let host = |id: u32| {
+        let peer = format!("127.0.0.{id}:7000").parse().expect("an address");
+        (HostId(id), Host { centre: CentreId(1), group: 1, peer })
+    };
+    Resolved {
+        version: 1,
+        members: IndexMap::new(),
+        services: [(SERVICE, service(1)), (RIVAL, service(2))].into_iter().collect(),
+        groups: [(SERVICE, 1), (RIVAL, 1)].into_iter().collect(),
+        hosts: (1..=hosts).map(host).collect(),
+    }
+}
