--- /dev/null
+++ b/lagoongauged/src/measure/mod.rs
@@ -0,0 +1,5 @@
+//! Measurements that `lagoon-measure` runs, one module each; see docs/MEASUREMENTS.md.
+//!
+//! A module offers `options`, a command-line parser, and `run`, which prints JSON lines.
+
+pub mod policy;
