--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod flow;
 pub mod id;
+pub mod replica;
 pub mod route;
 pub mod settings;
 pub mod time;
--- /dev/null
+++ b/lagoongauge/src/replica/core.rs
@@ -0,0 +1,319 @@
+//! The replica's state, and what its driver calls.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::Machine;
+use super::configuration::{Change, Configuration, Identity};
+use super::entry::{Entry, Payload, Position};
+use super::lead::Peer;
+use super::log::Log;
+use super::message::{Body, Message};
+use super::outbox::{Action, Mark, Outbox, ProposalId};
+use super::setup::Setup;
+use super::snapshot::Snapshot;
+use super::store::{Ballot, Recovered};
+use super::transfer::Incoming;
+use crate::error::{Error, Kind, Result};
+use crate::id::HostId;
+use crate::time::{Instant, Span};
+
+/// Time between two requests to join, in heartbeats.
+const JOIN_BEATS: u64 = 4;
+
+/// What a replica does in its term.
+#[derive(Debug)]
+pub(super) enum Role {
+    /// Takes entries from a leader, if there is one.
+    Follower,
+    /// Asks whether it would be elected.
+    Asking(Vec<Identity>),
+    /// Stands for election; its own vote counts once the mark is durable.
+    Standing(Vec<Identity>, Mark),
+    /// Leads.
+    Leading(Lead),
+}
+
+/// What a leader keeps.
+#[derive(Debug)]
+pub(super) struct Lead {
+    pub(super) peers: IndexMap<Identity, Peer>,
+    pub(super) elected: Instant,
+    pub(super) first: u64,
+    pub(super) next_beat: Instant,
+    pub(super) pending: BTreeMap<u64, ProposalId>,
+}
+
+/// A replica of the log; see the module's documentation.
+#[derive(Debug)]
+pub struct Core<M> {
+    pub(super) setup: Setup,
+    pub(super) machine: M,
+    pub(super) random: ChaCha8Rng,
+    pub(super) now: Instant,
+    pub(super) ballot: Ballot,
+    pub(super) log: Log,
+    pub(super) snapshot: Snapshot,
+    pub(super) configurations: Vec<(u64, Configuration)>,
+    pub(super) commit: u64,
+    pub(super) noted: u64,
+    pub(super) applied: u64,
+    pub(super) durable: u64,
+    pub(super) role: Role,
+    pub(super) leader: Option<Identity>,
+    pub(super) heard: Instant,
+    pub(super) deadline: Instant,
+    pub(super) next_join: Instant,
+    pub(super) next_note: Instant,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) outbox: Outbox,
+}
+
+impl<M: Machine> Core<M> {
+    /// Starts a replica from its recovered state, with the machine as it is before any command.
+    ///
+    /// Fails with `StorageCorrupt` if the recovered parts don't fit each other.
+    pub fn new(setup: Setup, recovered: Recovered, mut machine: M, now: Instant) -> Result<Self> {
+        let (snapshot, fresh) = match recovered.snapshot {
+            Some(snapshot) => (snapshot, false),
+            None => (Snapshot::new(Position::default(), Configuration::default(), &[]), true),
+        };
+        if !fresh {
+            machine.restore(snapshot.state())?;
+        }
+        let base = snapshot.position();
+        let mut core = Self {
+            random: ChaCha8Rng::seed_from_u64(setup.random),
+            now,
+            ballot: recovered.ballot,
+            log: Log::new(base),
+            configurations: vec![(base.index, snapshot.configuration().clone())],
+            commit: base.index,
+            noted: recovered.commit,
+            applied: base.index,
+            durable: base.index,
+            role: Role::Follower,
+            leader: None,
+            heard: now,
+            deadline: now,
+            next_join: now,
+            next_note: now,
+            incoming: None,
+            outbox: Outbox::default(),
+            setup,
+            machine,
+            snapshot,
+        };
+        for entry in recovered.entries {
+            core.check_next(&entry)?;
+            core.add(entry);
+        }
+        core.durable = core.log.last().index;
+        if recovered.commit > core.durable {
+            let (commit, last) = (recovered.commit, core.durable);
+            let detail = format!("entry {commit} was committed, but the log ends at {last}");
+            return Err(Error::new(Kind::StorageCorrupt, detail));
+        }
+        core.commit_to(recovered.commit);
+        core.reset_deadline();
+        Ok(core)
+    }
+
+    /// Returns the machine, whose state may be older than what is committed.
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// Returns the host that leads, where it is known.
+    pub fn leader(&self) -> Option<HostId> {
+        self.leader.map(|leader| leader.host)
+    }
+
+    /// Tells whether this replica leads.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leading(_))
+    }
+
+    /// Returns the latest configuration, which may not be committed yet.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configurations.last().expect("there is always one").1
+    }
+
+    /// Returns the machine with all that was accepted anywhere before `now`.
+    ///
+    /// `now` has to be taken after the request arrived. Fails with `NotLeader`, or with
+    /// `NotCurrent` while no lease holds.
+    pub fn read(&self, now: Instant) -> Result<&M> {
+        self.check_current(now)?;
+        Ok(&self.machine)
+    }
+
+    /// Takes a command to be committed; its answer comes as an action.
+    ///
+    /// Fails with `NotLeader`, `NoQuorum` or `Oversized`; the command then never runs.
+    pub fn propose(&mut self, now: Instant, command: Vec<u8>) -> Result<ProposalId> {
+        if command.len() > self.setup.limits.command {
+            let (have, most) = (command.len(), self.setup.limits.command);
+            let detail = format!("command has {have} bytes, at most {most} are taken");
+            return Err(Error::new(Kind::Oversized, detail));
+        }
+        self.advance(now);
+        self.check_leads()?;
+        self.check_lease()?;
+        Ok(self.append(Payload::Command(command)))
+    }
+
+    /// Takes a change of the configuration; its answer is empty.
+    ///
+    /// Fails with `NotLeader`, with `NoQuorum` also while an earlier change is not committed, or
+    /// with `InvalidValue`.
+    pub fn change(&mut self, now: Instant, change: Change) -> Result<ProposalId> {
+        self.advance(now);
+        self.check_leads()?;
+        self.check_lease()?;
+        self.check_settled()?;
+        let next = self.configuration().with(change)?;
+        let id = self.append(Payload::Configuration(next));
+        self.sync_peers();
+        Ok(id)
+    }
+
+    /// Takes a message from another replica.
+    pub fn message(&mut self, now: Instant, message: Message) {
+        self.advance(now);
+        let own = self.setup.identity;
+        if message.to.host != own.host || message.from.host == own.host {
+            return;
+        }
+        if matches!(message.body, Body::Join) {
+            self.on_join(message.from);
+            return;
+        }
+        if message.to != own {
+            return;
+        }
+        self.dispatch(message);
+    }
+
+    /// Lets time pass; to be called several times in each heartbeat interval.
+    pub fn tick(&mut self, now: Instant) {
+        self.advance(now);
+        match self.role {
+            Role::Leading(_) => self.tick_leader(),
+            _ => self.tick_follower(),
+        }
+        self.note_commit();
+    }
+
+    /// Notes that all batches up to `mark` are synced.
+    pub fn persisted(&mut self, mark: Mark) {
+        if let Some(index) = self.outbox.persisted(mark) {
+            self.durable = index;
+        }
+        match &mut self.role {
+            Role::Standing(..) => self.count_own_vote(),
+            Role::Leading(_) => self.advance_commit(),
+            _ => {}
+        }
+    }
+
+    /// Takes what the driver has to do now.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        self.send_entries();
+        self.outbox.take(self.log.last().index)
+    }
+
+    /// Ends this replica after its store failed, and answers what is pending.
+    ///
+    /// The driver then starts a new one from the store. What was not synced was sent to nobody,
+    /// so a full store's error refuses it; the rest is `Unknown`.
+    pub fn abandon(mut self, error: &Error) -> Vec<Action> {
+        let Role::Leading(lead) = std::mem::replace(&mut self.role, Role::Follower) else {
+            return self.outbox.take(0).into_iter().filter(is_answer).collect();
+        };
+        let mut answers: Vec<_> = self.outbox.take(0).into_iter().filter(is_answer).collect();
+        for (index, id) in lead.pending {
+            let refused = index > self.durable && error.kind == Kind::StorageFull;
+            let error = if refused { error.clone() } else { unknown() };
+            answers.push(Action::Rejected { id, error });
+        }
+        answers
+    }
+
+    pub(super) fn advance(&mut self, now: Instant) {
+        self.now = self.now.max(now);
+    }
+
+    pub(super) fn reset_deadline(&mut self) {
+        let timing = self.setup.timing;
+        let wait = self.random.random_range(timing.election_min.0..=timing.election_max.0);
+        self.deadline = self.now + Span(wait);
+    }
+
+    pub(super) fn send(&mut self, to: Identity, body: Body) {
+        self.send_in(self.ballot.term, to, body);
+    }
+
+    pub(super) fn send_in(&mut self, term: u64, to: Identity, body: Body) {
+        let from = self.setup.identity;
+        self.outbox.send(Message { from, to, term, body });
+    }
+
+    /// Adds an entry to the log in memory.
+    pub(super) fn add(&mut self, entry: Entry) {
+        if let Payload::Configuration(configuration) = &entry.payload {
+            self.configurations.push((entry.position.index, configuration.clone()));
+        }
+        self.log.push(entry);
+    }
+
+    /// Asks to join while this replica has no vote and no leader sends it anything.
+    pub(super) fn consider_join(&mut self) {
+        let own = self.setup.identity;
+        let served = self.now < self.heard + self.setup.timing.election_max;
+        let learns = self.configuration().contains(own) && served;
+        if self.now < self.next_join || learns || self.configuration().is_voter(own) {
+            return;
+        }
+        self.next_join = self.now + Span(self.setup.timing.heartbeat.0 * JOIN_BEATS);
+        for host in self.setup.seeds.clone() {
+            self.send(Identity::any(host), Body::Join);
+        }
+    }
+
+    fn check_next(&self, entry: &Entry) -> Result<()> {
+        let last = self.log.last();
+        let next = entry.position;
+        if next.index == last.index + 1 && next.term >= last.term {
+            return Ok(());
+        }
+        let detail = format!(
+            "entry {} of term {} follows entry {} of term {}",
+            next.index, next.term, last.index, last.term
+        );
+        Err(Error::new(Kind::StorageCorrupt, detail))
+    }
+
+    fn check_leads(&self) -> Result<()> {
+        if self.leads() { Ok(()) } else { Err(self.not_leader()) }
+    }
+
+    pub(super) fn not_leader(&self) -> Error {
+        let detail = match self.leader {
+            Some(leader) => format!("{} leads", leader.host),
+            None => "no leader is known".into(),
+        };
+        Error::new(Kind::NotLeader, detail)
+    }
+}
+
+pub(super) fn unknown() -> Error {
+    Error::new(Kind::Unknown, "the leader stepped down before the entry was known to be committed")
+}
+
+fn is_answer(action: &Action) -> bool {
+    matches!(action, Action::Applied { .. } | Action::Rejected { .. })
+}
--- /dev/null
+++ b/lagoongauge/src/replica/election.rs
@@ -0,0 +1,198 @@
+//! Elections: pre-vote, vote, and stepping down.
+
+use super::Machine;
+use super::configuration::Identity;
+use super::core::{Core, Role, unknown};
+use super::entry::Position;
+use super::message::{Body, Message};
+use super::outbox::Action;
+use super::store::{Ballot, Record};
+
+impl<M: Machine> Core<M> {
+    pub(super) fn dispatch(&mut self, message: Message) {
+        let Message { from, term, body, .. } = message;
+        match body {
+            Body::PreVote { last } => return self.on_pre_vote(from, term, last),
+            Body::PreVoteAnswer { granted: true } => return self.on_pre_vote_granted(from, term),
+            Body::Vote { .. } if self.follows() => return,
+            _ => {}
+        }
+        if term > self.ballot.term {
+            self.enter_term(term);
+        }
+        let leads = matches!(body, Body::Append { .. } | Body::Chunk(_));
+        if leads && !self.accept_leader(from, term) {
+            return;
+        }
+        match body {
+            Body::Vote { last } => self.on_vote(from, term, last),
+            Body::VoteAnswer { granted } => self.on_vote_answer(from, term, granted),
+            Body::Append { previous, commit, round, entries } => {
+                self.on_append(from, previous, commit, round, entries);
+            }
+            Body::AppendAnswer { round, matched, index } if term == self.ballot.term => {
+                self.on_append_answer(from, round, matched, index);
+            }
+            Body::Chunk(chunk) => self.on_chunk(from, chunk),
+            Body::ChunkAnswer { round, position, offset } if term == self.ballot.term => {
+                self.on_chunk_answer(from, round, position, offset);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn tick_follower(&mut self) {
+        self.consider_join();
+        if self.now < self.deadline {
+            return;
+        }
+        self.reset_deadline();
+        if self.configuration().is_voter(self.setup.identity) {
+            self.ask();
+        }
+    }
+
+    /// Becomes a follower in the same term; what is pending gets no answer from here.
+    pub(super) fn step_down(&mut self) {
+        let role = std::mem::replace(&mut self.role, Role::Follower);
+        self.reset_deadline();
+        let Role::Leading(lead) = role else { return };
+        self.leader = None;
+        for id in lead.pending.into_values() {
+            self.outbox.tell(Action::Rejected { id, error: unknown() });
+        }
+    }
+
+    /// Counts this host's own vote once it is durable.
+    pub(super) fn count_own_vote(&mut self) {
+        let own = self.setup.identity;
+        let durable = self.outbox.durable();
+        let Role::Standing(votes, mark) = &mut self.role else { return };
+        if *mark <= durable && !votes.contains(&own) {
+            votes.push(own);
+            self.consider_win();
+        }
+    }
+
+    /// Tells whether a leader was heard so recently that no other may be helped.
+    ///
+    /// This holds after a start as well, as the process may have forgotten a leader.
+    fn follows(&self) -> bool {
+        self.leads_with_lease() || self.now < self.heard + self.setup.timing.election_min
+    }
+
+    fn leads_with_lease(&self) -> bool {
+        self.leads() && self.lease_end().is_some_and(|end| self.now < end)
+    }
+
+    fn enter_term(&mut self, term: u64) {
+        self.set_ballot(Ballot { term, vote: None });
+        self.leader = None;
+        self.step_down();
+    }
+
+    fn set_ballot(&mut self, ballot: Ballot) {
+        self.ballot = ballot;
+        self.outbox.stage(Record::Ballot(ballot));
+    }
+
+    fn accept_leader(&mut self, from: Identity, term: u64) -> bool {
+        if term < self.ballot.term {
+            let body = Body::AppendAnswer { round: Default::default(), matched: false, index: 0 };
+            self.send(from, body);
+            return false;
+        }
+        if self.leads() {
+            return false;
+        }
+        self.role = Role::Follower;
+        self.leader = Some(from);
+        self.heard = self.now;
+        self.reset_deadline();
+        true
+    }
+
+    fn ask(&mut self) {
+        self.leader = None;
+        self.role = Role::Asking(vec![self.setup.identity]);
+        let body = Body::PreVote { last: self.log.last() };
+        self.send_to_voters(self.ballot.term + 1, &body);
+        self.consider_standing();
+    }
+
+    fn stand(&mut self) {
+        let own = self.setup.identity;
+        self.set_ballot(Ballot { term: self.ballot.term + 1, vote: Some(own) });
+        self.role = Role::Standing(Vec::new(), self.outbox.mark());
+        self.reset_deadline();
+        let body = Body::Vote { last: self.log.last() };
+        self.send_to_voters(self.ballot.term, &body);
+    }
+
+    fn send_to_voters(&mut self, term: u64, body: &Body) {
+        let own = self.setup.identity;
+        for voter in self.configuration().voters.clone() {
+            if voter != own {
+                self.send_in(term, voter, body.clone());
+            }
+        }
+    }
+
+    fn on_pre_vote(&mut self, from: Identity, term: u64, last: Position) {
+        let granted = !self.follows() && term > self.ballot.term && last >= self.log.last();
+        let answer = if granted { term } else { self.ballot.term };
+        self.send_in(answer, from, Body::PreVoteAnswer { granted });
+    }
+
+    fn on_pre_vote_granted(&mut self, from: Identity, term: u64) {
+        if term != self.ballot.term + 1 {
+            return;
+        }
+        let Role::Asking(votes) = &mut self.role else { return };
+        if !votes.contains(&from) {
+            votes.push(from);
+        }
+        self.consider_standing();
+    }
+
+    fn consider_standing(&mut self) {
+        let Role::Asking(votes) = &self.role else { return };
+        if self.is_quorum(votes) {
+            self.stand();
+        }
+    }
+
+    fn on_vote(&mut self, from: Identity, term: u64, last: Position) {
+        let free = self.ballot.vote.is_none_or(|vote| vote == from);
+        let granted = term == self.ballot.term && free && last >= self.log.last();
+        if granted && self.ballot.vote.is_none() {
+            self.set_ballot(Ballot { term, vote: Some(from) });
+            self.reset_deadline();
+        }
+        self.send(from, Body::VoteAnswer { granted });
+    }
+
+    fn on_vote_answer(&mut self, from: Identity, term: u64, granted: bool) {
+        if !granted || term != self.ballot.term {
+            return;
+        }
+        let Role::Standing(votes, _) = &mut self.role else { return };
+        if !votes.contains(&from) {
+            votes.push(from);
+        }
+        self.consider_win();
+    }
+
+    fn consider_win(&mut self) {
+        let Role::Standing(votes, _) = &self.role else { return };
+        if self.is_quorum(votes) {
+            self.lead();
+        }
+    }
+
+    fn is_quorum(&self, votes: &[Identity]) -> bool {
+        let configuration = self.configuration();
+        let count = votes.iter().filter(|vote| configuration.is_voter(**vote)).count();
+        count >= configuration.quorum()
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/replica/follow.rs
@@ -0,0 +1,74 @@
+//! The follower: entries from the leader.
+
+use super::Machine;
+use super::configuration::Identity;
+use super::core::Core;
+use super::entry::{Entry, Position};
+use super::message::Body;
+use super::store::Record;
+use crate::time::Instant;
+
+impl<M: Machine> Core<M> {
+    pub(super) fn on_append(
+        &mut self,
+        from: Identity,
+        previous: Position,
+        commit: u64,
+        round: Instant,
+        entries: Vec<Entry>,
+    ) {
+        if !is_run(previous, &entries) {
+            return;
+        }
+        let end = previous.index + entries.len() as u64;
+        if !self.matches(previous) {
+            let index = self.resend_from(previous.index);
+            self.send(from, Body::AppendAnswer { round, matched: false, index });
+            return;
+        }
+        self.store_entries(entries);
+        self.commit_to(commit.min(end));
+        self.send(from, Body::AppendAnswer { round, matched: true, index: end });
+    }
+
+    /// Tells whether this log holds what precedes the leader's entries; all committed ones match.
+    fn matches(&self, previous: Position) -> bool {
+        previous.index <= self.commit || self.log.term(previous.index) == Some(previous.term)
+    }
+
+    fn resend_from(&self, index: u64) -> u64 {
+        let last = self.log.last().index;
+        if index > last {
+            return last + 1;
+        }
+        self.log.run_start(index).max(self.commit + 1)
+    }
+
+    fn store_entries(&mut self, entries: Vec<Entry>) {
+        let known = |entry: &Entry| {
+            let Position { term, index } = entry.position;
+            index <= self.commit || self.log.term(index) == Some(term)
+        };
+        let fresh: Vec<_> = entries.into_iter().skip_while(known).collect();
+        let Some(first) = fresh.first() else { return };
+        let index = first.position.index;
+        self.log.truncate(index);
+        self.configurations.retain(|(at, _)| *at < index);
+        self.outbox.stage(Record::Entries(fresh.clone()));
+        for entry in fresh {
+            self.add(entry);
+        }
+    }
+}
+
+fn is_run(previous: Position, entries: &[Entry]) -> bool {
+    let mut last = previous;
+    for entry in entries {
+        let next = entry.position;
+        if next.index != last.index + 1 || next.term < last.term {
+            return false;
+        }
+        last = next;
+    }
+    true
+}
--- /dev/null
+++ b/lagoongauge/src/replica/lead.rs
@@ -0,0 +1,256 @@
+//! The leader: entries to the others, the commit rule and the lease.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+
+use super::Machine;
+use super::configuration::Identity;
+use super::core::{Core, Lead, Role};
+use super::entry::{Entry, Payload, Position};
+use super::message::Body;
+use super::outbox::ProposalId;
+use super::store::Record;
+use crate::error::{Error, Kind, Result};
+use crate::time::Instant;
+
+/// What a leader knows of another member.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// Index up to which its durable log is known to match.
+    pub(super) matched: u64,
+    /// Index of the next entry to send.
+    pub(super) next: u64,
+    /// Whether nothing but heartbeats is sent until an answer comes.
+    pub(super) probing: bool,
+    /// How many bytes of the current snapshot have arrived, while one is being sent.
+    pub(super) offset: Option<u64>,
+    /// Latest round that it answered.
+    pub(super) answered: Option<Instant>,
+}
+
+impl Peer {
+    fn new(next: u64) -> Self {
+        Self { matched: 0, next, probing: true, offset: None, answered: None }
+    }
+
+    pub(super) fn note(&mut self, round: Instant) {
+        self.answered = self.answered.max(Some(round));
+    }
+}
+
+impl<M: Machine> Core<M> {
+    /// Returns when the lease ends, or nothing before a quorum answered.
+    pub(super) fn lease_end(&self) -> Option<Instant> {
+        let start = self.quorum_round(None)?;
+        Some(start + self.setup.timing.lease())
+    }
+
+    pub(super) fn check_current(&self, now: Instant) -> Result<()> {
+        let Role::Leading(lead) = &self.role else { return Err(self.not_leader()) };
+        if self.commit < lead.first {
+            return Err(not_current("the new leader has not committed an entry yet"));
+        }
+        if self.lease_end().is_none_or(|end| now.max(self.now) >= end) {
+            return Err(not_current("no quorum has answered within the lease"));
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_lease(&self) -> Result<()> {
+        if self.lease_end().is_some_and(|end| self.now < end) {
+            return Ok(());
+        }
+        Err(Error::new(Kind::NoQuorum, "no quorum has answered within the lease"))
+    }
+
+    pub(super) fn check_settled(&self) -> Result<()> {
+        let Role::Leading(lead) = &self.role else { return Ok(()) };
+        let latest = self.configurations.last().expect("there is always one").0;
+        if self.commit >= lead.first && self.commit >= latest {
+            return Ok(());
+        }
+        Err(Error::new(Kind::NoQuorum, "an earlier configuration is not committed yet"))
+    }
+
+    pub(super) fn lead(&mut self) {
+        let own = self.setup.identity;
+        self.leader = Some(own);
+        self.role = Role::Leading(Lead {
+            peers: IndexMap::new(),
+            elected: self.now,
+            first: self.log.last().index + 1,
+            next_beat: self.now,
+            pending: BTreeMap::new(),
+        });
+        self.sync_peers();
+        self.append_entry(Payload::Noop);
+        self.tick_leader();
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        if !self.reaches_quorum() {
+            self.step_down();
+            return;
+        }
+        self.tend_members();
+        let now = self.now;
+        let heartbeat = self.setup.timing.heartbeat;
+        let Role::Leading(lead) = &mut self.role else { return };
+        if now < lead.next_beat {
+            return;
+        }
+        lead.next_beat = now + heartbeat;
+        let peers: Vec<_> = lead.peers.keys().copied().collect();
+        for peer in peers {
+            self.send_beat(peer);
+        }
+    }
+
+    /// Adds an entry whose answer is awaited.
+    pub(super) fn append(&mut self, payload: Payload) -> ProposalId {
+        let position = self.append_entry(payload);
+        let id = ProposalId { term: position.term, index: position.index };
+        if let Role::Leading(lead) = &mut self.role {
+            lead.pending.insert(id.index, id);
+        }
+        id
+    }
+
+    /// Keeps the list of peers equal to the latest configuration.
+    pub(super) fn sync_peers(&mut self) {
+        let own = self.setup.identity;
+        let next = self.log.last().index + 1;
+        let members: Vec<_> = self.configuration().members().filter(|it| *it != own).collect();
+        let Role::Leading(lead) = &mut self.role else { return };
+        lead.peers.retain(|identity, _| members.contains(identity));
+        for member in members {
+            lead.peers.entry(member).or_insert_with(|| Peer::new(next));
+        }
+    }
+
+    /// Sends new entries to all peers that have room for them.
+    pub(super) fn send_entries(&mut self) {
+        let last = self.log.last().index;
+        let window = self.setup.limits.window;
+        let Role::Leading(lead) = &self.role else { return };
+        let ready: Vec<_> = lead
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.probing && peer.offset.is_none() && peer.next <= last)
+            .filter(|(_, peer)| peer.next <= peer.matched + window)
+            .map(|(identity, _)| *identity)
+            .collect();
+        for identity in ready {
+            self.send_append(identity, window);
+        }
+    }
+
+    pub(super) fn on_append_answer(
+        &mut self,
+        from: Identity,
+        round: Instant,
+        matched: bool,
+        index: u64,
+    ) {
+        let last = self.log.last().index;
+        let Role::Leading(lead) = &mut self.role else { return };
+        let Some(peer) = lead.peers.get_mut(&from) else { return };
+        peer.note(round);
+        if matched {
+            peer.matched = peer.matched.max(index.min(last));
+            peer.next = peer.next.max(peer.matched + 1);
+            peer.probing = false;
+            peer.offset = None;
+            self.advance_commit();
+            return;
+        }
+        if index > peer.matched && index < peer.next {
+            peer.next = index;
+            peer.probing = true;
+            self.send_beat(from);
+        }
+    }
+
+    /// Commits what a quorum has stored, if it ends in an entry of this leader's own term.
+    pub(super) fn advance_commit(&mut self) {
+        let own = self.setup.identity;
+        let durable = self.durable;
+        let Role::Leading(lead) = &self.role else { return };
+        let stored = |voter: &Identity| match lead.peers.get(voter) {
+            Some(peer) => peer.matched,
+            None if *voter == own => durable,
+            None => 0,
+        };
+        let configuration = self.configuration();
+        let mut indices: Vec<_> = configuration.voters.iter().map(stored).collect();
+        indices.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = indices.get(configuration.quorum() - 1) else { return };
+        if index <= self.commit || self.log.term(index) != Some(self.ballot.term) {
+            return;
+        }
+        self.commit_to(index);
+        if !self.configuration().is_voter(own) && self.check_settled().is_ok() {
+            self.step_down();
+        }
+    }
+
+    /// Sends what a peer needs next, and at least a heartbeat.
+    pub(super) fn send_beat(&mut self, to: Identity) {
+        let Role::Leading(lead) = &self.role else { return };
+        let Some(peer) = lead.peers.get(&to) else { return };
+        if peer.offset.is_some() || peer.next <= self.log.base().index {
+            self.send_chunk(to);
+            return;
+        }
+        let room = (peer.matched + self.setup.limits.window + 1).saturating_sub(peer.next);
+        let count = if peer.probing { 0 } else { room };
+        self.send_append(to, count);
+    }
+
+    fn append_entry(&mut self, payload: Payload) -> Position {
+        let position = Position { term: self.ballot.term, index: self.log.last().index + 1 };
+        let entry = Entry { position, payload };
+        self.outbox.stage(Record::Entries(vec![entry.clone()]));
+        self.add(entry);
+        position
+    }
+
+    fn send_append(&mut self, to: Identity, count: u64) {
+        let bytes = self.setup.limits.message;
+        let (commit, round) = (self.commit, self.now);
+        let Role::Leading(lead) = &mut self.role else { return };
+        let Some(peer) = lead.peers.get_mut(&to) else { return };
+        let index = peer.next - 1;
+        let Some(term) = self.log.term(index) else { return };
+        let entries = self.log.slice(peer.next, count, bytes);
+        peer.next += entries.len() as u64;
+        let previous = Position { term, index };
+        self.send(to, Body::Append { previous, commit, round, entries });
+    }
+
+    fn reaches_quorum(&self) -> bool {
+        let Role::Leading(lead) = &self.role else { return false };
+        let round = self.quorum_round(Some(lead.elected)).unwrap_or(lead.elected);
+        self.now.since(round) < self.setup.timing.election_max
+    }
+
+    /// Returns the latest round that a quorum has answered; silent peers count with `floor`.
+    fn quorum_round(&self, floor: Option<Instant>) -> Option<Instant> {
+        let Role::Leading(lead) = &self.role else { return None };
+        let own = self.setup.identity;
+        let configuration = self.configuration();
+        let round = |voter: &Identity| match lead.peers.get(voter) {
+            Some(peer) => peer.answered.max(floor),
+            None if *voter == own => Some(self.now),
+            None => floor,
+        };
+        let mut rounds: Vec<_> = configuration.voters.iter().map(round).collect();
+        rounds.sort_unstable_by(|a, b| b.cmp(a));
+        rounds.get(configuration.quorum() - 1).copied().flatten()
+    }
+}
+
+fn not_current(detail: &str) -> Error {
+    Error::new(Kind::NotCurrent, detail)
+}
--- /dev/null
+++ b/lagoongauge/src/replica/log.rs
@@ -0,0 +1,82 @@
+//! The entries that a host holds in memory.
+
+use std::collections::VecDeque;
+
+use super::entry::{Entry, Position};
+
+/// Entries behind a base that stands for all earlier ones.
+#[derive(Debug)]
+pub(super) struct Log {
+    base: Position,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub(super) fn new(base: Position) -> Self {
+        Self { base, entries: VecDeque::new() }
+    }
+
+    pub(super) fn base(&self) -> Position {
+        self.base
+    }
+
+    pub(super) fn last(&self) -> Position {
+        self.entries.back().map_or(self.base, |entry| entry.position)
+    }
+
+    /// Returns an entry's term, or nothing if the index is outside the log.
+    pub(super) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.position.term)
+    }
+
+    pub(super) fn get(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns entries from `index` up to so many bytes, and at least one if there is any.
+    pub(super) fn slice(&self, index: u64, count: u64, bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let mut entries = Vec::new();
+        for at in index..index.saturating_add(count) {
+            let Some(entry) = self.get(at) else { break };
+            size += entry.size();
+            if size > bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
+    /// Returns the first index of the run of entries with the same term as the one at `index`.
+    pub(super) fn run_start(&self, index: u64) -> u64 {
+        let term = self.term(index);
+        let mut start = index;
+        while start > self.base.index + 1 && self.term(start - 1) == term {
+            start -= 1;
+        }
+        start
+    }
+
+    pub(super) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.position.index, self.last().index + 1);
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from `index` on.
+    pub(super) fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.base.index + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Drops all entries up to and with `index`.
+    pub(super) fn compact(&mut self, index: u64) {
+        while let Some(entry) = self.entries.pop_front_if(|entry| entry.position.index <= index) {
+            self.base = entry.position;
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/replica/member.rs
@@ -0,0 +1,60 @@
+//! Changes of the configuration that the leader makes or asks for on its own.
+
+use super::Machine;
+use super::configuration::{Change, Identity};
+use super::core::{Core, Role};
+use super::entry::Payload;
+use super::outbox::Action;
+use crate::time::Span;
+
+/// Entries that a learner may lack when it becomes a voter.
+const CLOSE_ENTRIES: u64 = 64;
+
+/// Silence, in longest election timeouts, after which a voter whose host has come back with
+/// another disk counts as gone for good.
+const GONE_TIMEOUTS: u64 = 2;
+
+impl<M: Machine> Core<M> {
+    /// Passes a host's request to join to the driver, which knows whom the operators allow.
+    pub(super) fn on_join(&mut self, from: Identity) {
+        if self.leads() && from.incarnation != 0 && !self.configuration().contains(from) {
+            self.outbox.tell(Action::Joining(from));
+        }
+    }
+
+    /// Makes the next step for a learner that has caught up, if nothing else is under way.
+    pub(super) fn tend_members(&mut self) {
+        if self.check_settled().is_err() || self.check_lease().is_err() {
+            return;
+        }
+        let learners = self.configuration().learners.clone();
+        let step = learners.into_iter().find_map(|learner| self.next_step(learner));
+        let Some(change) = step else { return };
+        if let Ok(next) = self.configuration().with(change) {
+            self.append(Payload::Configuration(next));
+            self.sync_peers();
+        }
+    }
+
+    fn next_step(&self, learner: Identity) -> Option<Change> {
+        let Role::Leading(lead) = &self.role else { return None };
+        let peer = lead.peers.get(&learner)?;
+        let close = peer.matched + CLOSE_ENTRIES >= self.log.last().index;
+        let caught_up = close && peer.matched >= lead.first;
+        if !caught_up || self.silence(learner) >= self.setup.timing.election_min {
+            return None;
+        }
+        let Some(former) = self.configuration().voter(learner.host) else {
+            return Some(Change::Promote(learner));
+        };
+        let gone = Span(self.setup.timing.election_max.0 * GONE_TIMEOUTS);
+        (self.silence(former) >= gone).then_some(Change::Remove(former))
+    }
+
+    /// Returns since when a peer has not answered, at most since the election.
+    fn silence(&self, identity: Identity) -> Span {
+        let Role::Leading(lead) = &self.role else { return Span(0) };
+        let answered = lead.peers.get(&identity).and_then(|peer| peer.answered);
+        self.now.since(answered.unwrap_or(lead.elected))
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/replica/outbox.rs
@@ -0,0 +1,130 @@
+//! Actions on their way to the driver; what depends on a write waits until it is synced.
+
+use std::collections::VecDeque;
+
+use super::configuration::Identity;
+use super::message::Message;
+use super::store::Record;
+use crate::error::Error;
+
+/// Number of a batch of records; batches are synced in this order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark(pub u64);
+
+/// Names a proposal from its acceptance by the leader to its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ProposalId {
+    /// Term of the leader.
+    pub term: u64,
+    /// Index of the entry.
+    pub index: u64,
+}
+
+/// What the driver has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Write and sync these records, then call [`super::Core::persisted`] with the mark.
+    Persist {
+        /// Number of the batch.
+        mark: Mark,
+        /// The records, to be stored in this order.
+        records: Vec<Record>,
+    },
+    /// Send a message; all that it depends on is synced.
+    Send(Message),
+    /// A proposal was committed and applied.
+    Applied {
+        /// The proposal.
+        id: ProposalId,
+        /// The machine's answer.
+        answer: Vec<u8>,
+    },
+    /// A proposal got no answer from the machine.
+    Rejected {
+        /// The proposal.
+        id: ProposalId,
+        /// Why; `Unknown` if it may be committed yet.
+        error: Error,
+    },
+    /// A host asks this leader to be added.
+    Joining(Identity),
+}
+
+/// Actions that are ready or held back.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    staged: Vec<Record>,
+    written: VecDeque<(Mark, u64)>,
+    issued: Mark,
+    durable: Mark,
+    ready: Vec<Action>,
+    held: VecDeque<(Mark, Action)>,
+}
+
+impl Outbox {
+    /// Returns the mark that has to be durable before what is decided now may be told.
+    pub(super) fn mark(&self) -> Mark {
+        if self.staged.is_empty() { self.issued } else { Mark(self.issued.0 + 1) }
+    }
+
+    /// Returns the mark up to which all is synced.
+    pub(super) fn durable(&self) -> Mark {
+        self.durable
+    }
+
+    /// Tells whether all that was decided is synced.
+    pub(super) fn settled(&self) -> bool {
+        self.mark() == self.durable
+    }
+
+    /// Adds a record to the next batch.
+    pub(super) fn stage(&mut self, record: Record) {
+        self.staged.push(record);
+    }
+
+    /// Adds a message, held back until all records before it are synced.
+    pub(super) fn send(&mut self, message: Message) {
+        let mark = self.mark();
+        let action = Action::Send(message);
+        if mark <= self.durable {
+            self.ready.push(action);
+        } else {
+            self.held.push_back((mark, action));
+        }
+    }
+
+    /// Adds an action that depends on no write of this host.
+    pub(super) fn tell(&mut self, action: Action) {
+        self.ready.push(action);
+    }
+
+    /// Takes what may be done now; `last` is the log's last index with all staged records.
+    pub(super) fn take(&mut self, last: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.staged.is_empty() {
+            self.issued = self.mark();
+            self.written.push_back((self.issued, last));
+            let records = std::mem::take(&mut self.staged);
+            actions.push(Action::Persist { mark: self.issued, records });
+        }
+        actions.append(&mut self.ready);
+        actions
+    }
+
+    /// Notes that all batches up to `mark` are synced; returns the last durable index if known.
+    pub(super) fn persisted(&mut self, mark: Mark) -> Option<u64> {
+        let mark = mark.min(self.issued);
+        if mark <= self.durable {
+            return None;
+        }
+        self.durable = mark;
+        let mut index = None;
+        while let Some((_, last)) = self.written.pop_front_if(|(written, _)| *written <= mark) {
+            index = Some(last);
+        }
+        while let Some((_, action)) = self.held.pop_front_if(|(held, _)| *held <= mark) {
+            self.ready.push(action);
+        }
+        index
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/replica/snapshot.rs
@@ -0,0 +1,79 @@
+//! Snapshots, which stand for all entries up to a position.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::configuration::Configuration;
+use super::entry::Position;
+use crate::error::{Error, Kind, Result};
+
+/// The state after an entry, in the form in which it is stored and sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    position: Position,
+    configuration: Configuration,
+    bytes: Arc<Vec<u8>>,
+    start: usize,
+    checksum: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Head {
+    position: Position,
+    configuration: Configuration,
+}
+
+impl Snapshot {
+    /// Builds the snapshot of a state.
+    pub fn new(position: Position, configuration: Configuration, state: &[u8]) -> Self {
+        let head = Head { position, configuration };
+        let mut bytes = postcard::to_stdvec(&head).expect("a head is plain data");
+        let start = bytes.len();
+        bytes.extend_from_slice(state);
+        Self::built(head, bytes, start)
+    }
+
+    fn built(head: Head, bytes: Vec<u8>, start: usize) -> Self {
+        let Head { position, configuration } = head;
+        let checksum = crc32fast::hash(&bytes);
+        Self { position, configuration, bytes: Arc::new(bytes), start, checksum }
+    }
+
+    /// Returns the position of the last entry that the snapshot stands for.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Returns the configuration at that position.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the machine's state; empty before the first entry.
+    pub fn state(&self) -> &[u8] {
+        &self.bytes[self.start..]
+    }
+
+    /// Returns the CRC-32 of the whole snapshot.
+    pub fn checksum(&self) -> u32 {
+        self.checksum
+    }
+
+    /// Returns the whole snapshot as it is stored and sent.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl TryFrom<Vec<u8>> for Snapshot {
+    type Error = Error;
+
+    fn try_from(bytes: Vec<u8>) -> Result<Self> {
+        let (head, rest) = postcard::take_from_bytes::<Head>(&bytes).map_err(|error| {
+            Error::new(Kind::Malformed, format!("head of a snapshot does not parse: {error}"))
+        })?;
+        let start = bytes.len() - rest.len();
+        Ok(Self::built(head, bytes, start))
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/replica/transfer.rs
@@ -0,0 +1,158 @@
+//! Snapshots: taken after many entries, and sent in chunks to members that lag far behind.
+
+use super::Machine;
+use super::configuration::{Configuration, Identity};
+use super::core::{Core, Role};
+use super::entry::Position;
+use super::log::Log;
+use super::message::{Body, Chunk};
+use super::snapshot::Snapshot;
+use super::store::Record;
+use crate::time::Instant;
+
+/// A snapshot that is arriving.
+#[derive(Debug, Clone)]
+pub(super) struct Incoming {
+    position: Position,
+    total: u64,
+    checksum: u32,
+    bytes: Vec<u8>,
+}
+
+impl Incoming {
+    fn is_same(&self, other: &Self) -> bool {
+        self.position == other.position
+            && self.total == other.total
+            && self.checksum == other.checksum
+    }
+}
+
+impl<M: Machine> Core<M> {
+    /// Takes a snapshot if enough entries were applied since the last one.
+    pub(super) fn consider_snapshot(&mut self) {
+        let limits = self.setup.limits;
+        if self.applied < self.snapshot.position().index + limits.interval {
+            return;
+        }
+        let Some(term) = self.log.term(self.applied) else { return };
+        let position = Position { term, index: self.applied };
+        let configuration = self.configuration_at(self.applied).clone();
+        self.snapshot = Snapshot::new(position, configuration, &self.machine.snapshot());
+        self.outbox.stage(Record::Snapshot(self.snapshot.clone()));
+        self.log.compact(self.applied.saturating_sub(limits.keep));
+    }
+
+    /// Sends the next chunk of the latest snapshot.
+    pub(super) fn send_chunk(&mut self, to: Identity) {
+        let position = self.snapshot.position();
+        let total = self.snapshot.bytes().len() as u64;
+        let round = self.now;
+        let Role::Leading(lead) = &mut self.role else { return };
+        let Some(peer) = lead.peers.get_mut(&to) else { return };
+        let offset = (*peer.offset.get_or_insert(0)).min(total);
+        let end = (offset as usize + self.setup.limits.chunk).min(total as usize);
+        let data = self.snapshot.bytes()[offset as usize..end].to_vec();
+        let checksum = self.snapshot.checksum();
+        let chunk = Chunk { position, round, total, checksum, offset, data };
+        self.send(to, Body::Chunk(chunk));
+    }
+
+    pub(super) fn on_chunk_answer(
+        &mut self,
+        from: Identity,
+        round: Instant,
+        position: Position,
+        offset: u64,
+    ) {
+        let current = self.snapshot.position();
+        let total = self.snapshot.bytes().len() as u64;
+        let Role::Leading(lead) = &mut self.role else { return };
+        let Some(peer) = lead.peers.get_mut(&from) else { return };
+        peer.note(round);
+        if peer.offset.is_none() {
+            return;
+        }
+        if position != current || offset > total {
+            peer.offset = Some(0);
+            self.send_chunk(from);
+            return;
+        }
+        if peer.offset == Some(offset) && offset < total {
+            return;
+        }
+        peer.offset = Some(offset);
+        if offset < total {
+            self.send_chunk(from);
+            return;
+        }
+        peer.offset = None;
+        peer.next = current.index + 1;
+        peer.probing = true;
+        self.send_beat(from);
+    }
+
+    pub(super) fn on_chunk(&mut self, from: Identity, chunk: Chunk) {
+        let (position, round, total) = (chunk.position, chunk.round, chunk.total);
+        if position.index <= self.commit {
+            let body = Body::AppendAnswer { round, matched: true, index: position.index };
+            self.send(from, body);
+            return;
+        }
+        if total > self.setup.limits.snapshot {
+            return;
+        }
+        let offset = self.collect(chunk);
+        if offset == total {
+            self.install();
+        }
+        self.send(from, Body::ChunkAnswer { round, position, offset });
+    }
+
+    fn configuration_at(&self, index: u64) -> &Configuration {
+        let found = self.configurations.iter().rfind(|(at, _)| *at <= index);
+        &found.unwrap_or(&self.configurations[0]).1
+    }
+
+    /// Adds a chunk and returns how many bytes have arrived in all.
+    fn collect(&mut self, chunk: Chunk) -> u64 {
+        let Chunk { position, total, checksum, offset, data, .. } = chunk;
+        let fresh = Incoming { position, total, checksum, bytes: Vec::new() };
+        let incoming = self.incoming.get_or_insert_with(|| fresh.clone());
+        if !incoming.is_same(&fresh) {
+            *incoming = fresh;
+        }
+        let have = incoming.bytes.len() as u64;
+        if offset == have && have + data.len() as u64 <= total {
+            incoming.bytes.extend_from_slice(&data);
+        }
+        let have = incoming.bytes.len() as u64;
+        if have == total && crc32fast::hash(&incoming.bytes) != checksum {
+            incoming.bytes.clear();
+            return 0;
+        }
+        have
+    }
+
+    /// Replaces machine and log by the snapshot that has arrived whole.
+    fn install(&mut self) {
+        let Some(incoming) = self.incoming.take() else { return };
+        let Ok(snapshot) = Snapshot::try_from(incoming.bytes) else { return };
+        let position = snapshot.position();
+        if position != incoming.position || self.machine.restore(snapshot.state()).is_err() {
+            return;
+        }
+        self.outbox.stage(Record::Snapshot(snapshot.clone()));
+        if self.log.term(position.index) == Some(position.term) {
+            self.log.compact(position.index);
+        } else {
+            self.log = Log::new(position);
+            self.configurations.clear();
+            self.outbox.stage(Record::Reset(position));
+        }
+        self.configurations.retain(|(at, _)| *at > position.index);
+        self.configurations.insert(0, (position.index, snapshot.configuration().clone()));
+        self.snapshot = snapshot;
+        self.commit = position.index;
+        self.applied = position.index;
+    }
+}
--- /dev/null
+++ b/lagoongauge/tests/replica/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the replicated log over a network and disks that fail; see `world`.
+
+mod codec;
+mod model;
+mod paths;
+mod world;
--- /dev/null
+++ b/lagoongauge/tests/replica/paths.rs
@@ -0,0 +1,189 @@
+//! The usual paths, one by one.
+
+use lagoongauge::error::Kind;
+use lagoongauge::replica::{Change, Limits};
+
+use crate::world::{World, identity};
+
+fn leader(world: &mut World) -> usize {
+    world.run(100);
+    world.current().expect("one host leads")
+}
+
+fn others(world: &World, at: usize) -> Vec<usize> {
+    (0..world.hosts.len()).filter(|other| *other != at).collect()
+}
+
+#[test]
+fn one_host_accepts_and_comes_back() {
+    let mut world = World::new(1);
+    let at = leader(&mut world);
+    for number in 0..20_u8 {
+        world.propose(at, &[number]).unwrap().unwrap();
+    }
+    world.run(1);
+    assert_eq!(world.accepted.len(), 20);
+    world.crash(at, 0);
+    world.settle();
+}
+
+#[test]
+fn three_hosts_accept_and_agree() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    for number in 0..50_u8 {
+        world.propose(at, &[number]).unwrap().unwrap();
+    }
+    world.run(40);
+    assert_eq!(world.accepted.len(), 50);
+    world.settle();
+}
+
+#[test]
+fn follower_names_the_leader() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    let other = others(&world, at)[0];
+    let error = world.propose(other, b"x").unwrap().unwrap_err();
+    assert_eq!(error.kind, Kind::NotLeader);
+    assert_eq!(error.detail, format!("{} leads", world.hosts[at].identity.host));
+}
+
+#[test]
+fn oversized_command_is_refused() {
+    let mut world = World::new(1);
+    let at = leader(&mut world);
+    let command = vec![0; Limits::default().command + 1];
+    assert_eq!(world.propose(at, &command).unwrap().unwrap_err().kind, Kind::Oversized);
+}
+
+#[test]
+fn silently_isolated_leader_stops_serving_before_another_leads() {
+    let mut world = World::new(5);
+    let at = leader(&mut world);
+    world.hosts[at].isolated = true;
+    let id = world.propose(at, b"lost").unwrap().unwrap();
+    let mut refused = false;
+    for _ in 0..200 {
+        world.run(1);
+        let next = others(&world, at).into_iter().any(|other| world.reads(other));
+        assert!(!(next && world.reads(at)), "two hosts serve reads as current");
+        if !world.reads(at) {
+            let error = world.propose(at, b"late").unwrap().unwrap_err();
+            assert!(matches!(error.kind, Kind::NoQuorum | Kind::NotLeader));
+            refused = true;
+        }
+    }
+    assert!(refused);
+    assert!(world.rejected.contains(&(id, Kind::Unknown)));
+    let next = world.current().expect("the others elect a leader");
+    world.propose(next, b"kept").unwrap().unwrap();
+    world.settle();
+    assert!(world.accepted.values().all(|command| command != b"lost"));
+}
+
+#[test]
+fn lost_disk_joins_anew_and_a_second_loss_right_then_loses_nothing() {
+    for count in [3, 5, 7] {
+        let mut world = World::new(count);
+        let at = leader(&mut world);
+        for number in 0..30_u8 {
+            world.propose(at, &[number]).unwrap().unwrap();
+        }
+        world.run(20);
+        assert_eq!(world.accepted.len(), 30);
+        let first = others(&world, at)[0];
+        world.lose_disk(first);
+        world.start(first);
+        let repaired = world.hosts[first].identity;
+        for _ in 0..1000 {
+            world.run(1);
+            let status = world.hosts[at].core.as_ref().unwrap().status();
+            if status.configuration.is_voter(repaired) && status.commit == status.last {
+                break;
+            }
+        }
+        assert!(world.can_lose(at), "{count} hosts: the repaired one counts again");
+        world.lose_disk(at);
+        world.run(200);
+        assert!(world.current().is_some(), "{count} hosts: the rest goes on");
+        world.settle();
+    }
+}
+
+#[test]
+fn lost_disk_does_not_vote_as_before() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    let [first, second] = others(&world, at)[..] else { panic!("three hosts") };
+    world.hosts[second].isolated = true;
+    world.propose(at, b"kept").unwrap().unwrap();
+    world.run(10);
+    assert_eq!(world.accepted.len(), 1);
+    world.lose_disk(first);
+    world.start(first);
+    world.crash(at, 0);
+    world.hosts[second].isolated = false;
+    world.run(400);
+    assert!(world.current().is_none(), "two hosts that lack the entry don't make a quorum");
+    world.settle();
+}
+
+#[test]
+fn member_is_added_promoted_and_removed() {
+    let mut world = World::new(4);
+    let at = leader(&mut world);
+    let gone = others(&world, at)[0];
+    let gone_identity = world.hosts[gone].identity;
+    world.change(at, Change::Remove(gone_identity)).unwrap();
+    let busy = world.change(at, Change::Remove(gone_identity)).unwrap_err();
+    assert_eq!(busy.kind, Kind::NoQuorum);
+    world.run(10);
+    let status = world.hosts[at].core.as_ref().unwrap().status();
+    assert_eq!(status.configuration.voters.len(), 3);
+    let refused = world.change(at, Change::Promote(identity(9, 1))).unwrap_err();
+    assert_eq!(refused.kind, Kind::InvalidValue);
+    world.change(at, Change::Add(gone_identity)).unwrap();
+    world.settle();
+}
+
+#[test]
+fn removed_leader_steps_down_and_the_rest_goes_on() {
+    let mut world = World::new(4);
+    let at = leader(&mut world);
+    let own = world.hosts[at].identity;
+    world.barred.push(own.host);
+    world.change(at, Change::Remove(own)).unwrap();
+    world.run(150);
+    let next = world.current().expect("the rest elects a leader");
+    assert_ne!(next, at);
+    assert!(!world.hosts[next].core.as_ref().unwrap().configuration().is_voter(own));
+}
+
+#[test]
+fn far_behind_host_catches_up_by_snapshot_chunks() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    let behind = others(&world, at)[0];
+    world.hosts[behind].isolated = true;
+    for number in 0..200_u8 {
+        world.propose(at, &[number; 20]).unwrap().unwrap();
+        world.run(1);
+    }
+    assert_eq!(world.accepted.len(), 200);
+    world.settle();
+}
+
+#[test]
+fn hundred_changes_a_second_go_through() {
+    let mut world = World::with_limits(7, Limits::default());
+    let at = leader(&mut world);
+    for number in 0..500_u32 {
+        world.propose(at, &number.to_le_bytes()).unwrap().unwrap();
+        if number % 5 == 4 {
+            world.run(1);
+        }
+    }
+    world.run(1);
+    assert_eq!(world.accepted.len(), 500);
+}
--- /dev/null
+++ b/lagoongauge/tests/replica/world.rs
@@ -0,0 +1,337 @@
+//! Hosts of a replicated log with disks, clocks and a network that the tests control.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::HostId;
+use lagoongauge::replica::{
+    Action, Change, Core, Identity, Limits, Machine, Mark, Memory, Message, ProposalId, Record,
+    Recovered, Setup, Store,
+};
+use lagoongauge::time::Instant;
+
+/// Length of one round of [`World::run`] in milliseconds.
+const ROUND: u64 = 50;
+
+/// A machine that remembers all its commands.
+#[derive(Debug, Default)]
+pub struct Journal {
+    pub commands: Vec<(u64, Vec<u8>)>,
+}
+
+impl Machine for Journal {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        self.commands.push((index, command.to_vec()));
+        (self.commands.len() as u64).to_le_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.commands).unwrap()
+    }
+
+    fn restore(&mut self, state: &[u8]) -> Result<()> {
+        self.commands = postcard::from_bytes(state)
+            .map_err(|error| Error::new(Kind::StorageCorrupt, error.to_string()))?;
+        Ok(())
+    }
+}
+
+/// One host with its disk.
+#[derive(Debug)]
+pub struct Host {
+    pub identity: Identity,
+    pub core: Option<Core<Journal>>,
+    pub isolated: bool,
+    disk: Memory,
+    batches: VecDeque<(Mark, Vec<Record>)>,
+    started: u64,
+    starts: u64,
+    rate: u64,
+}
+
+/// All hosts, the network and what has been accepted.
+#[derive(Debug)]
+pub struct World {
+    pub hosts: Vec<Host>,
+    pub network: Vec<Vec<u8>>,
+    pub accepted: BTreeMap<ProposalId, Vec<u8>>,
+    pub rejected: Vec<(ProposalId, Kind)>,
+    pub limits: Limits,
+    pub barred: Vec<HostId>,
+    pub time: u64,
+    truth: BTreeMap<u64, Vec<u8>>,
+    checked: Vec<usize>,
+    leaders: BTreeMap<u64, Identity>,
+    proposed: BTreeMap<ProposalId, Vec<u8>>,
+    newest: u64,
+}
+
+impl World {
+    pub fn new(count: usize) -> Self {
+        let limits = Limits { interval: 8, keep: 3, chunk: 64, window: 4, ..Limits::default() };
+        Self::with_limits(count, limits)
+    }
+
+    pub fn with_limits(count: usize, limits: Limits) -> Self {
+        let identities: Vec<_> = (1..=count as u32).map(|host| identity(host, 1)).collect();
+        let host = |identity: &Identity| Host {
+            identity: *identity,
+            core: None,
+            isolated: false,
+            disk: Memory::new(Recovered::bootstrap(identities.clone())),
+            batches: VecDeque::new(),
+            started: 0,
+            starts: 0,
+            rate: 990 + 20 * u64::from(identity.host.0 % 2),
+        };
+        let mut world = Self {
+            hosts: identities.iter().map(host).collect(),
+            network: Vec::new(),
+            accepted: BTreeMap::new(),
+            rejected: Vec::new(),
+            limits,
+            barred: Vec::new(),
+            time: 0,
+            truth: BTreeMap::new(),
+            checked: vec![0; count],
+            leaders: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            newest: 0,
+        };
+        for at in 0..count {
+            world.start(at);
+        }
+        world
+    }
+
+    /// The host's own clock, which runs up to one percent fast or slow.
+    pub fn now(&self, at: usize) -> Instant {
+        let host = &self.hosts[at];
+        Instant((self.time - host.started) * host.rate / 1000)
+    }
+
+    /// The host that serves current reads, if there is one.
+    pub fn current(&self) -> Option<usize> {
+        (0..self.hosts.len()).find(|&at| self.reads(at))
+    }
+
+    pub fn reads(&self, at: usize) -> bool {
+        self.hosts[at].core.as_ref().is_some_and(|core| core.read(self.now(at)).is_ok())
+    }
+
+    /// Whether a disk may be lost without losing what a quorum has stored.
+    pub fn can_lose(&self, at: usize) -> bool {
+        let Some(leader) = self.current() else { return false };
+        let status = self.hosts[leader].core.as_ref().unwrap().status();
+        let lost = self.hosts[at].identity;
+        let voters = &status.configuration.voters;
+        let intact = |voter: &&Identity| {
+            **voter != lost && self.hosts.iter().any(|host| host.identity == **voter)
+        };
+        let left = voters.iter().filter(intact).count();
+        status.commit == status.last && left >= status.configuration.quorum()
+    }
+
+    pub fn start(&mut self, at: usize) {
+        if self.hosts[at].core.is_some() {
+            return;
+        }
+        self.hosts[at].starts += 1;
+        self.hosts[at].started = self.time;
+        let host = &self.hosts[at];
+        let mut setup = Setup::new(host.identity, at as u64 * 1000 + host.starts);
+        setup.limits = self.limits;
+        setup.seeds = self.hosts.iter().map(|host| host.identity.host).collect();
+        let recovered = host.disk.recover().unwrap();
+        let core = Core::new(setup, recovered, Journal::default(), Instant(0)).unwrap();
+        self.hosts[at].core = Some(core);
+        self.checked[at] = 0;
+        self.drain(at);
+    }
+
+    /// Stops a host; only the first `kept` unsynced batches reach its disk.
+    pub fn crash(&mut self, at: usize, kept: usize) {
+        let host = &mut self.hosts[at];
+        host.core = None;
+        for (_, records) in host.batches.drain(..).take(kept) {
+            host.disk.write(&records).unwrap();
+        }
+    }
+
+    pub fn lose_disk(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        host.core = None;
+        host.batches.clear();
+        host.disk = Memory::default();
+        host.identity = identity(host.identity.host.0, host.identity.incarnation + 1);
+    }
+
+    pub fn sync(&mut self, at: usize) {
+        while let Some((mark, records)) = self.hosts[at].batches.pop_front() {
+            let host = &mut self.hosts[at];
+            host.disk.write(&records).unwrap();
+            host.core.as_mut().unwrap().persisted(mark);
+            self.drain(at);
+        }
+    }
+
+    pub fn propose(&mut self, at: usize, command: &[u8]) -> Option<Result<ProposalId>> {
+        let now = self.now(at);
+        let core = self.hosts[at].core.as_mut()?;
+        let result = core.propose(now, command.to_vec());
+        if let Ok(id) = result {
+            self.proposed.insert(id, command.to_vec());
+        }
+        self.drain(at);
+        Some(result)
+    }
+
+    pub fn change(&mut self, at: usize, change: Change) -> Result<ProposalId> {
+        let now = self.now(at);
+        let result = self.hosts[at].core.as_mut().unwrap().change(now, change);
+        self.drain(at);
+        result
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        self.time += millis;
+        for at in 0..self.hosts.len() {
+            let now = self.now(at);
+            if let Some(core) = &mut self.hosts[at].core {
+                core.tick(now);
+                self.drain(at);
+            }
+        }
+    }
+
+    /// Delivers a message of the network, or drops it if an end is isolated or down.
+    pub fn deliver(&mut self, place: usize) {
+        let bytes = self.network.remove(place);
+        self.receive(&bytes);
+    }
+
+    pub fn receive(&mut self, bytes: &[u8]) {
+        let message = Message::from_bytes(bytes).unwrap();
+        let to = message.to.host.0 as usize - 1;
+        let from = message.from.host.0 as usize - 1;
+        if self.hosts[to].isolated || self.hosts[from].isolated {
+            return;
+        }
+        let now = self.now(to);
+        if let Some(core) = &mut self.hosts[to].core {
+            core.message(now, message);
+            self.drain(to);
+        }
+    }
+
+    pub fn deliver_all(&mut self) {
+        for bytes in std::mem::take(&mut self.network) {
+            self.receive(&bytes);
+        }
+    }
+
+    /// Lets time pass with prompt disks and a network that loses nothing between reachable hosts.
+    pub fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.advance(ROUND);
+            for _ in 0..4 {
+                for at in 0..self.hosts.len() {
+                    self.sync(at);
+                }
+                self.deliver_all();
+            }
+            self.check();
+        }
+    }
+
+    /// Ends all faults and checks that the hosts come to one state that holds all accepted.
+    pub fn settle(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.hosts[at].isolated = false;
+            self.start(at);
+        }
+        self.run(600);
+        let leader = self.current().expect("a quorum is there, so one host leads");
+        let command = format!("settled at {}", self.time).into_bytes();
+        self.propose(leader, &command).unwrap().unwrap();
+        self.run(60);
+        assert!(self.accepted.values().any(|accepted| *accepted == command));
+        let expected: Vec<_> = self.truth.iter().map(|(at, it)| (*at, it.clone())).collect();
+        for host in &self.hosts {
+            let core = host.core.as_ref().unwrap();
+            let member = core.configuration().is_voter(host.identity);
+            assert!(member, "{} votes in the end: {:?}", host.identity, core.status());
+            assert_eq!(core.machine().commands, expected, "{} lacks nothing", host.identity);
+        }
+    }
+
+    /// Checks all that must hold at any moment.
+    pub fn check(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.check_host(at);
+        }
+        for (id, command) in &self.accepted {
+            assert_eq!(self.truth.get(&id.index), Some(command), "{id:?} was accepted");
+        }
+    }
+
+    fn check_host(&mut self, at: usize) {
+        let now = self.now(at);
+        let Some(core) = &self.hosts[at].core else { return };
+        let commands = &core.machine().commands;
+        let start = self.checked[at].min(commands.len());
+        for (index, command) in &commands[start..] {
+            let known = self.truth.entry(*index).or_insert_with(|| command.clone());
+            assert_eq!(known, command, "one winner at index {index}");
+        }
+        let last = commands.last().map_or(0, |(index, _)| *index);
+        let before = self.truth.range(..=last).count();
+        assert_eq!(commands.len(), before, "host {at} applied all in order up to {last}");
+        self.checked[at] = commands.len();
+        if core.leads() {
+            let status = core.status();
+            let leader = *self.leaders.entry(status.term).or_insert(status.identity);
+            assert_eq!(leader, status.identity, "one leader in term {}", status.term);
+        }
+        if let Ok(journal) = core.read(now) {
+            let seen = journal.commands.last().map_or(0, |(index, _)| *index);
+            assert!(seen >= self.newest, "host {at} reads {seen} as current, not {}", self.newest);
+        }
+    }
+
+    fn drain(&mut self, at: usize) {
+        let Some(core) = &mut self.hosts[at].core else { return };
+        let mut joining = Vec::new();
+        for action in core.take_actions() {
+            match action {
+                Action::Persist { mark, records } => {
+                    self.hosts[at].batches.push_back((mark, records));
+                }
+                Action::Send(message) => self.network.push(message.to_bytes()),
+                Action::Applied { id, .. } => {
+                    if let Some(command) = self.proposed.get(&id) {
+                        self.accepted.insert(id, command.clone());
+                        self.newest = self.newest.max(id.index);
+                    }
+                }
+                Action::Rejected { id, error } => self.rejected.push((id, error.kind)),
+                Action::Joining(identity) => joining.push(identity),
+            }
+        }
+        for identity in joining {
+            self.admit(at, identity);
+        }
+        self.check_host(at);
+    }
+
+    fn admit(&mut self, at: usize, identity: Identity) {
+        let allowed = !self.barred.contains(&identity.host);
+        if allowed && self.hosts.iter().any(|host| host.identity == identity) {
+            let _ = self.change(at, Change::Add(identity));
+        }
+    }
+}
+
+pub fn identity(host: u32, incarnation: u64) -> Identity {
+    Identity { host: HostId(host), incarnation }
+}
