--- /dev/null
+++ b/lagoongauge/src/settings/path.rs
@@ -0,0 +1,208 @@
+//! Paths that name the nodes of the settings tree.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Kind, Result};
+use crate::id::HostId;
+
+/// Longest name of a member, service or operator, in bytes.
+const NAME_BYTES: usize = 32;
+
+/// Name below which hosts stand; no member may bear it.
+const HOSTS: &str = "hosts";
+
+/// Name below which operators stand; no member and no service may bear it.
+const OPERATORS: &str = "operators";
+
+/// Kind of node that a path names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Level {
+    /// The consortium, at the root.
+    Consortium,
+    /// A member.
+    Member,
+    /// A service of a member.
+    Service,
+    /// An operator of the consortium or of a member.
+    Operator,
+    /// An entry host.
+    Host,
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Consortium => "consortium",
+            Self::Member => "member",
+            Self::Service => "service",
+            Self::Operator => "operator",
+            Self::Host => "host",
+        })
+    }
+}
+
+/// Path of a node in the settings tree.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum Path {
+    /// `/`, the consortium.
+    Root,
+    /// `/hosts/ID`, an entry host.
+    Host(HostId),
+    /// `/MEMBER`, a member.
+    Member(String),
+    /// `/operators/NAME` or `/MEMBER/operators/NAME`, an operator.
+    Operator(Option<String>, String),
+    /// `/MEMBER/SERVICE`, a service.
+    Service(String, String),
+}
+
+impl Path {
+    /// Returns the kind of node that the path names.
+    pub const fn level(&self) -> Level {
+        match self {
+            Self::Root => Level::Consortium,
+            Self::Host(_) => Level::Host,
+            Self::Member(_) => Level::Member,
+            Self::Operator(..) => Level::Operator,
+            Self::Service(..) => Level::Service,
+        }
+    }
+
+    /// Returns the path one level up, or nothing for the root.
+    pub fn parent(&self) -> Option<Self> {
+        match self {
+            Self::Root => None,
+            Self::Host(_) | Self::Member(_) | Self::Operator(None, _) => Some(Self::Root),
+            Self::Operator(Some(member), _) | Self::Service(member, _) => {
+                Some(Self::Member(member.clone()))
+            }
+        }
+    }
+
+    /// Returns the name of the member that the node belongs to, or nothing for the consortium's.
+    pub fn member(&self) -> Option<&str> {
+        match self {
+            Self::Root | Self::Host(_) | Self::Operator(None, _) => None,
+            Self::Member(member) | Self::Operator(Some(member), _) | Self::Service(member, _) => {
+                Some(member)
+            }
+        }
+    }
+
+    /// Tells whether `other` is this node or stands below it.
+    pub fn contains(&self, other: &Self) -> bool {
+        match self {
+            Self::Root => true,
+            Self::Member(member) => other.member() == Some(member),
+            _ => self == other,
+        }
+    }
+}
+
+impl TryFrom<&str> for Path {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        let rest = text.strip_prefix('/').ok_or_else(|| invalid(text, "does not begin with /"))?;
+        if rest.is_empty() {
+            return Ok(Self::Root);
+        }
+        let parts: Vec<&str> = rest.split('/').collect();
+        match parts.as_slice() {
+            [HOSTS, id] => Ok(Self::Host(HostId(host_id(text, id)?))),
+            [OPERATORS, name] => Ok(Self::Operator(None, checked(text, name)?)),
+            [member] => Ok(Self::Member(checked(text, member)?)),
+            [member, OPERATORS, name] => {
+                Ok(Self::Operator(Some(checked(text, member)?), checked(text, name)?))
+            }
+            [member, service] => Ok(Self::Service(checked(text, member)?, checked(text, service)?)),
+            _ => Err(invalid(text, "names no level of the tree")),
+        }
+    }
+}
+
+impl TryFrom<String> for Path {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        Self::try_from(text.as_str())
+    }
+}
+
+impl From<Path> for String {
+    fn from(path: Path) -> Self {
+        path.to_string()
+    }
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Root => f.write_str("/"),
+            Self::Host(id) => write!(f, "/{HOSTS}/{}", id.0),
+            Self::Member(member) => write!(f, "/{member}"),
+            Self::Operator(None, name) => write!(f, "/{OPERATORS}/{name}"),
+            Self::Operator(Some(member), name) => write!(f, "/{member}/{OPERATORS}/{name}"),
+            Self::Service(member, service) => write!(f, "/{member}/{service}"),
+        }
+    }
+}
+
+fn invalid(text: &str, reason: &str) -> Error {
+    let short: String = text.chars().take(2 * NAME_BYTES).collect();
+    Error::new(Kind::InvalidValue, format!("path {short:?} {reason}"))
+}
+
+fn host_id(text: &str, id: &str) -> Result<u32> {
+    let number = id.parse().map_err(|_| invalid(text, "needs a host number after /hosts/"))?;
+    if id != u32::to_string(&number) {
+        return Err(invalid(text, "spells its host number with needless characters"));
+    }
+    Ok(number)
+}
+
+fn checked(text: &str, name: &str) -> Result<String> {
+    if name == HOSTS || name == OPERATORS {
+        return Err(invalid(text, "uses a reserved name"));
+    }
+    let starts = name.starts_with(|c: char| c.is_ascii_lowercase());
+    let letters = name.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-');
+    if !starts || !letters || name.len() > NAME_BYTES {
+        return Err(invalid(text, "needs names of at most 32 of a-z, 0-9 and -, a letter first"));
+    }
+    Ok(name.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn paths_come_back_as_written() {
+        for text in ["/", "/hosts/7", "/a", "/a/b-2", "/operators/root", "/a/operators/ann"] {
+            assert_eq!(Path::try_from(text).unwrap().to_string(), text);
+        }
+    }
+
+    #[test]
+    fn other_texts_are_refused() {
+        let long = format!("/{}", "a".repeat(33));
+        let texts = ["", "a", "//", "/a/", "/hosts", "/hosts/x", "/hosts/07", "/operators", "/A"];
+        for text in texts.iter().chain(&["/a/operators", "/a/b/c", "/a/hosts", long.as_str()]) {
+            assert_eq!(Path::try_from(*text).unwrap_err().kind, Kind::InvalidValue, "{text}");
+        }
+    }
+
+    #[test]
+    fn a_member_contains_only_its_own() {
+        let member = Path::try_from("/a").unwrap();
+        for (text, within) in
+            [("/a", true), ("/a/b", true), ("/a/operators/x", true), ("/ab", false), ("/", false)]
+        {
+            assert_eq!(member.contains(&Path::try_from(text).unwrap()), within, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/settings/schema.rs
@@ -0,0 +1,240 @@
+//! The one table of settings: type, unit, range and default of each key; see docs/SETTINGS.md.
+
+use std::fmt::Write;
+
+use serde::{Deserialize, Serialize};
+
+use super::path::Level;
+use super::value::{Type, Value};
+use crate::error::{Error, Kind, Result};
+
+/// Who may set a key at a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Authority {
+    /// An operator of the node or of a level above.
+    Own,
+    /// Only an operator of the consortium.
+    Consortium,
+}
+
+/// A key of the settings with what it accepts.
+#[derive(Debug)]
+pub struct Key {
+    /// Name of the key.
+    pub name: &'static str,
+    /// Type of its values.
+    pub kind: Type,
+    /// Levels at which it may be set; the nearest one that sets it wins.
+    pub levels: &'static [Level],
+    /// Who may set it.
+    pub authority: Authority,
+    /// Smallest number or shortest list, in the unit of the type.
+    pub min: u64,
+    /// Largest number or longest list, in the unit of the type.
+    pub max: u64,
+    /// Value where no level sets the key; empty where it has to be set or a list is empty.
+    pub default: &'static str,
+    /// What the key does.
+    pub help: &'static str,
+}
+
+const ALL: &[Level] = &[Level::Consortium, Level::Member, Level::Service];
+const UPPER: &[Level] = &[Level::Consortium, Level::Member];
+const MEMBER: &[Level] = &[Level::Member];
+const SERVICE: &[Level] = &[Level::Service];
+const OPERATOR: &[Level] = &[Level::Operator];
+const HOST: &[Level] = &[Level::Host];
+
+const MS_PER_DAY: u64 = 86_400_000;
+const MILLION: u64 = 1_000_000;
+
+macro_rules! table {
+    ($($name:literal $kind:ident $levels:ident $by:ident $min:tt..$max:tt $default:literal
+       $help:literal;)*) => {
+        /// Every key of the settings.
+        pub const KEYS: &[Key] = &[$(Key {
+            name: $name,
+            kind: Type::$kind,
+            levels: $levels,
+            authority: Authority::$by,
+            min: $min,
+            max: $max,
+            default: $default,
+            help: $help,
+        },)*];
+    };
+}
+
+table! {
+    "address" Address SERVICE Own 1..1 "" "Address and port that callers use; no two services share one with the same protocol.";
+    "protocol" Protocol ALL Own 1..1 "tcp" "Transport protocol of the service.";
+    "group" Count ALL Own 0..65535 "0" "Group of entry hosts that serves the service.";
+    "bucket_bits" Count ALL Own 4..20 "14" "Logarithm to base 2 of the number of buckets.";
+    "max_flows" Count ALL Own 1..100000000 "500000" "Open flows that the service may hold in its group.";
+    "max_rate" Count ALL Own 1..10000000 "20000" "New flows a second that the service may open in its group.";
+    "idle_limit" Span ALL Own 1000..MS_PER_DAY "1h" "How long a flow may stay silent before it counts as ended.";
+    "drain_limit" Span ALL Own 1000..MS_PER_DAY "12h" "How long a draining target's flows may go on when its announcement names no deadline.";
+    "slow_start" Span ALL Own 0..3600000 "30s" "How long a new target takes to reach its full share of new flows.";
+    "established_goal" Share ALL Own 0..MILLION "99.9%" "Share of flows that must be established.";
+    "unbroken_goal" Share ALL Own 0..MILLION "99.99%" "Share of flows that must not break.";
+    "answer_goal" Span ALL Own 1..60000 "100ms" "Time to the target's first answer that the objective allows.";
+    "imbalance_goal" Ratio ALL Own 1000..100000 "1.25" "Highest allowed ratio of the fullest target's flows to the mean.";
+    "lock" Keys UPPER Own 0..64 "" "Keys that no level below may set.";
+    "target_tokens" Tokens MEMBER Own 0..2 "" "Salted hashes of the tokens that the member's targets announce with.";
+    "networks" Networks MEMBER Consortium 0..64 "" "Networks of the member's targets; no two members share any.";
+    "fronts" Networks UPPER Consortium 0..64 "0.0.0.0/0,::/0" "Networks that the addresses of the member's services lie in.";
+    "member_flows" Count UPPER Consortium 1..100000000 "2000000" "Open flows that the member may hold in its group.";
+    "member_rate" Count UPPER Consortium 1..10000000 "40000" "New flows a second that the member may open in its group.";
+    "member_targets" Count UPPER Consortium 1..65536 "1024" "Targets that the member may announce.";
+    "member_services" Count UPPER Consortium 1..4096 "256" "Services that the member may have.";
+    "member_keys" Count UPPER Consortium 1..65536 "4096" "Keys that the member's part of the tree may set.";
+    "member_changes" Count UPPER Consortium 1..60000 "600" "Changes a minute that the member's operators may ask for.";
+    "subtree" Path OPERATOR Own 1..1 "" "Path below which the operator may read and change.";
+    "tokens" Tokens OPERATOR Own 0..2 "" "Salted hashes of the operator's tokens; two for rotation without a gap.";
+    "centre" Count HOST Consortium 0..255 "0" "Data centre of the entry host.";
+    "host_group" Count HOST Consortium 0..65535 "0" "Group that the entry host belongs to.";
+    "peer" Address HOST Consortium 1..1 "" "Address for messages between entry hosts, over UDP.";
+    "drain" Flag HOST Consortium 1..1 "false" "Takes the entry host out of its group's view, so that it hands over its flows.";
+}
+
+/// Place of a key in [`KEYS`]; serialized by name, so that the table may grow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyId(u8);
+
+impl KeyId {
+    /// Returns all keys, in the order of the table.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..KEYS.len()).filter_map(|place| u8::try_from(place).ok()).map(Self)
+    }
+
+    /// Returns the key's entry of the table.
+    pub fn key(self) -> &'static Key {
+        &KEYS[usize::from(self.0)]
+    }
+
+    /// Returns the value where no level sets the key, or nothing where it has to be set.
+    pub fn default(self) -> Option<Value> {
+        self.key().kind.parse(self.key().default)
+    }
+}
+
+impl TryFrom<&str> for KeyId {
+    type Error = Error;
+
+    fn try_from(name: &str) -> Result<Self> {
+        let place = KEYS.iter().position(|key| key.name == name);
+        let short: String = name.chars().take(64).collect();
+        place
+            .and_then(|place| u8::try_from(place).ok())
+            .map(Self)
+            .ok_or_else(|| Error::new(Kind::NotFound, format!("no key is named {short:?}")))
+    }
+}
+
+impl TryFrom<String> for KeyId {
+    type Error = Error;
+
+    fn try_from(name: String) -> Result<Self> {
+        Self::try_from(name.as_str())
+    }
+}
+
+impl From<KeyId> for String {
+    fn from(id: KeyId) -> Self {
+        id.key().name.to_string()
+    }
+}
+
+impl Key {
+    /// Parses and checks a value as a person writes it.
+    ///
+    /// Returns `InvalidValue` with what is accepted for a wrong type, unit or range.
+    pub fn parse(&self, text: &str) -> Result<Value> {
+        let value = self.kind.parse(text).ok_or_else(|| self.refuse(text))?;
+        if value.size() < self.min || value.size() > self.max {
+            return Err(self.refuse(text));
+        }
+        if let Value::Keys(names) = &value {
+            for name in names {
+                KeyId::try_from(name.as_str())?;
+            }
+        }
+        Ok(value)
+    }
+
+    /// Says which numbers or lengths are accepted, or nothing where the type says it all.
+    pub fn range(&self) -> String {
+        match self.kind {
+            Type::Count => format!("{} to {}", self.min, self.max),
+            Type::Span => format!("{} to {}", Value::Span(self.min), Value::Span(self.max)),
+            Type::Share => format!("{} to {}", Value::Share(self.min), Value::Share(self.max)),
+            Type::Ratio => format!("{} to {}", Value::Ratio(self.min), Value::Ratio(self.max)),
+            Type::Networks | Type::Tokens | Type::Keys => format!("at most {}", self.max),
+            Type::Address | Type::Protocol | Type::Path | Type::Flag => String::new(),
+        }
+    }
+
+    fn refuse(&self, text: &str) -> Error {
+        let short: String = text.chars().take(64).collect();
+        let comma = if self.range().is_empty() { "" } else { ", " };
+        Error::new(
+            Kind::InvalidValue,
+            format!(
+                "key {:?} has the value {short:?}, but accepts {}{comma}{}",
+                self.name,
+                self.kind.accepts(),
+                self.range()
+            ),
+        )
+    }
+}
+
+/// Writes the table as the page docs/SETTINGS.md shows it.
+pub fn page() -> String {
+    let mut page = String::from(
+        "| key | set at | set by | accepts | range | default | meaning |\n\
+         | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for key in KEYS {
+        let levels: Vec<String> = key.levels.iter().map(ToString::to_string).collect();
+        let by = match key.authority {
+            Authority::Own => "operators of the level or above",
+            Authority::Consortium => "the consortium",
+        };
+        let default = if key.default.is_empty() { "none" } else { key.default };
+        let _ = writeln!(
+            page,
+            "| `{}` | {} | {by} | {} | {} | {default} | {} |",
+            key.name,
+            levels.join(", "),
+            key.kind.accepts(),
+            key.range(),
+            key.help
+        );
+    }
+    page
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_default_is_accepted_by_its_own_key() {
+        for key in KEYS.iter().filter(|key| !key.default.is_empty()) {
+            assert_eq!(key.parse(key.default).unwrap().to_string(), key.default, "{}", key.name);
+        }
+    }
+
+    #[test]
+    fn names_are_unique_and_values_outside_the_range_are_refused() {
+        for (place, key) in KEYS.iter().enumerate() {
+            assert_eq!(KeyId::try_from(key.name).unwrap().0 as usize, place);
+        }
+        let limit = KeyId::try_from("idle_limit").unwrap().key();
+        let error = limit.parse("2d").unwrap_err();
+        assert_eq!(error.kind, Kind::InvalidValue);
+        assert!(error.detail.contains("1s to 1d"), "{}", error.detail);
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/settings/token.rs
@@ -0,0 +1,156 @@
+//! Secret tokens, of which only salted hashes are kept.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::path::Path;
+use crate::error::{Error, Kind, Result};
+
+/// Length of a salt in bytes.
+const SALT_BYTES: usize = 16;
+
+/// Length of a secret in bytes.
+const SECRET_BYTES: usize = 32;
+
+/// Salted SHA-256 hash of a secret, written as `salt:hash` in hexadecimal.
+///
+/// A plain hash is enough, as secrets are 32 random bytes that nobody can try through.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Hash {
+    salt: [u8; SALT_BYTES],
+    hash: [u8; 32],
+}
+
+impl Hash {
+    /// Hashes a secret with a random salt.
+    pub fn new(salt: [u8; SALT_BYTES], secret: &str) -> Self {
+        let mut digest = Sha256::new();
+        digest.update(salt);
+        digest.update(secret.as_bytes());
+        Self { salt, hash: digest.finalize().into() }
+    }
+
+    /// Tells in constant time whether the hash is that of `secret`.
+    pub fn matches(&self, secret: &str) -> bool {
+        Self::new(self.salt, secret).hash.ct_eq(&self.hash).into()
+    }
+
+    /// Tells whether one of the hashes is that of `secret`; always compares all of them.
+    pub fn any(hashes: &[Self], secret: &str) -> bool {
+        hashes.iter().fold(false, |found, hash| found | hash.matches(secret))
+    }
+}
+
+impl TryFrom<&str> for Hash {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        let parts = text
+            .split_once(':')
+            .and_then(|(salt, hash)| Some(Self { salt: unhex(salt)?, hash: unhex(hash)? }));
+        parts.ok_or_else(|| Error::new(Kind::InvalidValue, "a token's hash is not salt:hash"))
+    }
+}
+
+impl TryFrom<String> for Hash {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        Self::try_from(text.as_str())
+    }
+}
+
+impl From<Hash> for String {
+    fn from(hash: Hash) -> Self {
+        hash.to_string()
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", hex(&self.salt), hex(&self.hash))
+    }
+}
+
+/// Token of an operator, written as `PATH:SECRET` with the operator's path.
+#[derive(Clone)]
+pub struct Token {
+    /// The operator's path in the tree.
+    pub operator: Path,
+    /// What only the operator holds.
+    pub secret: String,
+}
+
+impl Token {
+    /// Builds a token from random bytes.
+    pub fn new(operator: Path, secret: [u8; SECRET_BYTES]) -> Self {
+        Self { operator, secret: hex(&secret) }
+    }
+
+    /// Writes the token as the operator keeps it.
+    pub fn reveal(&self) -> String {
+        format!("{}:{}", self.operator, self.secret)
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Token({})", self.operator)
+    }
+}
+
+impl TryFrom<&str> for Token {
+    type Error = Error;
+
+    fn try_from(text: &str) -> Result<Self> {
+        let refuse = || Error::new(Kind::Unauthenticated, "the token is not PATH:SECRET");
+        let (path, secret) = text.split_once(':').ok_or_else(refuse)?;
+        let operator = Path::try_from(path).map_err(|_| refuse())?;
+        if secret.is_empty() || secret.len() > 4 * SECRET_BYTES {
+            return Err(refuse());
+        }
+        Ok(Self { operator, secret: secret.to_string() })
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn unhex<const N: usize>(text: &str) -> Option<[u8; N]> {
+    if text.len() != 2 * N || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; N];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_secret_matches_its_hash() {
+        let hash = Hash::new([7; SALT_BYTES], "secret");
+        let read = Hash::try_from(hash.to_string()).unwrap();
+        assert!(read.matches("secret"));
+        assert!(!read.matches("secreu"));
+        assert!(Hash::any(&[Hash::new([8; SALT_BYTES], "other"), read], "secret"));
+        assert!(!Hash::any(&[], "secret"));
+    }
+
+    #[test]
+    fn tokens_come_back_as_written_and_stay_out_of_logs() {
+        let token = Token::new(Path::try_from("/a/operators/ann").unwrap(), [3; SECRET_BYTES]);
+        let read = Token::try_from(token.reveal().as_str()).unwrap();
+        assert_eq!(read.secret, token.secret);
+        assert!(!format!("{token:?}").contains(&token.secret));
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/settings/tree.rs
@@ -0,0 +1,261 @@
+//! The settings tree: nodes with their own keys, inheritance and atomic edits.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::change::{Edit, Refusal};
+use super::check;
+use super::path::{Level, Path};
+use super::schema::{Authority, KeyId};
+use super::token::Hash;
+use super::value::Value;
+use crate::error::Kind;
+
+/// Node of the tree.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    /// Number of a member or service, never used again; zero for other nodes.
+    pub id: u32,
+    /// Keys that are set at this node itself.
+    pub keys: BTreeMap<KeyId, Value>,
+}
+
+/// Where an effective value comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// The node at this path sets it.
+    Set(Path),
+    /// No level sets it.
+    Default,
+}
+
+/// The settings tree.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tree {
+    nodes: BTreeMap<Path, Node>,
+    last_member: u16,
+    last_service: u32,
+}
+
+impl Default for Tree {
+    fn default() -> Self {
+        let nodes = BTreeMap::from([(Path::Root, Node::default())]);
+        Self { nodes, last_member: 0, last_service: 0 }
+    }
+}
+
+impl Tree {
+    /// Returns the node at a path.
+    pub fn get(&self, path: &Path) -> Option<&Node> {
+        self.nodes.get(path)
+    }
+
+    /// Returns all nodes, in the order of their paths.
+    pub fn nodes(&self) -> impl Iterator<Item = (&Path, &Node)> {
+        self.nodes.iter()
+    }
+
+    /// Returns a key's value at a path, from the nearest level that sets it.
+    pub fn effective(&self, path: &Path, key: KeyId) -> Option<(Value, Origin)> {
+        let mut place = Some(path.clone());
+        while let Some(here) = place {
+            let own = self.nodes.get(&here).and_then(|node| node.keys.get(&key));
+            if let Some(value) = own {
+                return Some((value.clone(), Origin::Set(here)));
+            }
+            place = here.parent();
+        }
+        key.default().map(|value| (value, Origin::Default))
+    }
+
+    /// Returns a key's value by the key's name.
+    pub fn value(&self, path: &Path, name: &str) -> Option<Value> {
+        let key = KeyId::try_from(name).ok()?;
+        self.effective(path, key).map(|(value, _)| value)
+    }
+
+    /// Returns a number by its key's name, or zero for a key without one.
+    pub fn number(&self, path: &Path, name: &str) -> u64 {
+        self.value(path, name).map_or(0, |value| value.size())
+    }
+
+    /// Applies all edits for an operator of `subtree`, or leaves the tree as it was.
+    ///
+    /// Returns the refusal with the path and the reason; see docs/SETTINGS.md.
+    pub fn change(&mut self, subtree: &Path, edits: &[Edit]) -> Result<(), Refusal> {
+        let mut undo = Undo { nodes: Vec::new(), counters: (self.last_member, self.last_service) };
+        let outcome = self.edit_all(subtree, edits, &mut undo);
+        if outcome.is_err() {
+            self.restore(undo);
+        }
+        outcome
+    }
+
+    /// Puts the first operator, who holds the root, into an empty tree.
+    pub(super) fn seed(&mut self, operator: &Path, hash: &Hash) {
+        let mut node = Node::default();
+        let values =
+            [("subtree", Value::Path(Path::Root)), ("tokens", Value::Tokens(vec![hash.clone()]))];
+        for (name, value) in values {
+            if let Ok(key) = KeyId::try_from(name) {
+                node.keys.insert(key, value);
+            }
+        }
+        self.nodes.insert(operator.clone(), node);
+    }
+
+    fn edit_all(&mut self, subtree: &Path, edits: &[Edit], undo: &mut Undo) -> Result<(), Refusal> {
+        let mut touched = Vec::new();
+        for edit in edits {
+            let path = Path::try_from(edit.path())
+                .map_err(|error| Refusal { path: edit.path().to_string(), error })?;
+            if !subtree.contains(&path) {
+                let detail = format!("path {path} lies outside the operator's subtree {subtree}");
+                return Err(Refusal::new(path, Kind::Forbidden, detail));
+            }
+            match edit {
+                Edit::Set { key, value, .. } => self.set(subtree, &path, key, value, undo)?,
+                Edit::Unset { key, .. } => self.unset(subtree, &path, key, undo)?,
+                Edit::Remove { .. } => self.remove(subtree, &path, undo)?,
+            }
+            touched.push(path);
+        }
+        check::tree(self, &touched)
+    }
+
+    fn set(
+        &mut self,
+        subtree: &Path,
+        path: &Path,
+        name: &str,
+        text: &str,
+        undo: &mut Undo,
+    ) -> Result<(), Refusal> {
+        let id = permitted(subtree, path, name)?;
+        let value = id.key().parse(text).map_err(|error| refuse(path, error))?;
+        self.create(subtree, path, undo)?;
+        undo.keep(path, self.nodes.get(path));
+        if let Some(node) = self.nodes.get_mut(path) {
+            node.keys.insert(id, value);
+        }
+        Ok(())
+    }
+
+    fn unset(
+        &mut self,
+        subtree: &Path,
+        path: &Path,
+        name: &str,
+        undo: &mut Undo,
+    ) -> Result<(), Refusal> {
+        let id = permitted(subtree, path, name)?;
+        undo.keep(path, self.nodes.get(path));
+        let node = self.nodes.get_mut(path).ok_or_else(|| missing(path))?;
+        node.keys.remove(&id);
+        Ok(())
+    }
+
+    fn remove(&mut self, subtree: &Path, path: &Path, undo: &mut Undo) -> Result<(), Refusal> {
+        if *path == Path::Root {
+            let detail = "the root can't be removed";
+            return Err(Refusal::new(path, Kind::InvalidValue, detail));
+        }
+        let upper = matches!(path.level(), Level::Member | Level::Host);
+        if upper && *subtree != Path::Root {
+            return Err(consortium_only(path, "remove"));
+        }
+        if !self.nodes.contains_key(path) {
+            return Err(missing(path));
+        }
+        let below: Vec<Path> =
+            self.nodes.keys().filter(|other| path.contains(other)).cloned().collect();
+        for place in below {
+            undo.keep(&place, self.nodes.get(&place));
+            self.nodes.remove(&place);
+        }
+        Ok(())
+    }
+
+    fn create(&mut self, subtree: &Path, path: &Path, undo: &mut Undo) -> Result<(), Refusal> {
+        if self.nodes.contains_key(path) {
+            return Ok(());
+        }
+        let upper = matches!(path.level(), Level::Member | Level::Host);
+        if upper && *subtree != Path::Root {
+            return Err(consortium_only(path, "create"));
+        }
+        if let Some(parent) = path.parent().filter(|parent| !self.nodes.contains_key(parent)) {
+            let detail = format!("path {parent} does not exist");
+            return Err(Refusal::new(path, Kind::NotFound, detail));
+        }
+        let id = self.next_id(path)?;
+        undo.keep(path, None);
+        self.nodes.insert(path.clone(), Node { id, keys: BTreeMap::new() });
+        Ok(())
+    }
+
+    fn next_id(&mut self, path: &Path) -> Result<u32, Refusal> {
+        let spent = || Refusal::new(path, Kind::QuotaExceeded, "all numbers of nodes are used up");
+        match path.level() {
+            Level::Member => {
+                self.last_member = self.last_member.checked_add(1).ok_or_else(spent)?;
+                Ok(u32::from(self.last_member))
+            }
+            Level::Service => {
+                self.last_service = self.last_service.checked_add(1).ok_or_else(spent)?;
+                Ok(self.last_service)
+            }
+            Level::Consortium | Level::Operator | Level::Host => Ok(0),
+        }
+    }
+
+    fn restore(&mut self, undo: Undo) {
+        for (path, node) in undo.nodes.into_iter().rev() {
+            match node {
+                Some(node) => self.nodes.insert(path, node),
+                None => self.nodes.remove(&path),
+            };
+        }
+        (self.last_member, self.last_service) = undo.counters;
+    }
+}
+
+/// What the edits of one change replaced.
+struct Undo {
+    nodes: Vec<(Path, Option<Node>)>,
+    counters: (u16, u32),
+}
+
+impl Undo {
+    fn keep(&mut self, path: &Path, node: Option<&Node>) {
+        self.nodes.push((path.clone(), node.cloned()));
+    }
+}
+
+fn permitted(subtree: &Path, path: &Path, name: &str) -> Result<KeyId, Refusal> {
+    let id = KeyId::try_from(name).map_err(|error| refuse(path, error))?;
+    let level = path.level();
+    if !id.key().levels.contains(&level) {
+        let detail = format!("key {name:?} can't be set at the level of a {level}");
+        return Err(Refusal::new(path, Kind::InvalidValue, detail));
+    }
+    if id.key().authority == Authority::Consortium && *subtree != Path::Root {
+        let detail = format!("key {name:?} is set by the consortium");
+        return Err(Refusal::new(path, Kind::Forbidden, detail));
+    }
+    Ok(id)
+}
+
+fn refuse(path: &Path, error: crate::error::Error) -> Refusal {
+    Refusal { path: path.to_string(), error }
+}
+
+fn missing(path: &Path) -> Refusal {
+    Refusal::new(path, Kind::NotFound, format!("path {path} does not exist"))
+}
+
+fn consortium_only(path: &Path, verb: &str) -> Refusal {
+    let detail = format!("only the consortium may {verb} a {}", path.level());
+    Refusal::new(path, Kind::Forbidden, detail)
+}
