Keep a registry of targets on every entry host

Cause: targets announce themselves to any host, and an address may serve one service only. Change: announcements checked from raw input and by token, network and quota; the address's home decides; changes and a digest spread with each beat; leases, generations and a quarantine longer than any host trusts an old entry.

--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod id;
 pub mod route;
 pub mod settings;
+pub mod target;
 pub mod time;
--- /dev/null
+++ b/lagoongauge/src/target/decide.rs
@@ -0,0 +1,238 @@
+//! Decisions of an address's home on announcements, and what other hosts do with them.
+
+use super::announce::{Announcement, State};
+use super::entry::{Entry, Spot, Stamp};
+use super::gossip::{Decision, Forward, Gossip};
+use super::registry::{Event, Outcome, QUARANTINE, Registry, Send};
+use super::token;
+use crate::error::{Error, Kind, Result};
+use crate::id::{CentreId, HostId, MemberId, ServiceId, TargetId};
+use crate::time::{Instant, Span};
+
+/// How long a new home waits for the decisions of the one before it.
+pub(super) const SETTLE: Span = Span::seconds(2);
+/// How long a refusal by a home is told to the target that announces itself again.
+const KEEP_REFUSAL: Span = Span::seconds(10);
+/// Most refusals that are kept.
+const MAX_REFUSALS: usize = 256;
+
+/// A home's refusal, kept for the target that announces itself again.
+#[derive(Debug, Clone)]
+pub(super) struct Refusal {
+    service: ServiceId,
+    generation: u64,
+    error: Error,
+    /// When the refusal is forgotten.
+    pub(super) until: Instant,
+}
+
+impl Registry {
+    pub(super) fn check(&self, from: &Announcement, token: &str) -> Result<MemberId> {
+        let member = self.check_service(from)?;
+        let entries = &self.members[&member].tokens;
+        if !token::matches(entries, token) {
+            return Err(Error::new(Kind::Unauthenticated, format!("no token of {member}")));
+        }
+        Ok(member)
+    }
+
+    fn check_service(&self, from: &Announcement) -> Result<MemberId> {
+        let service = from.service;
+        let missing = || Error::new(Kind::NotFound, format!("no service {service}"));
+        let owner = self.services.get(&service).ok_or_else(missing)?;
+        let member = self.members.get(&owner.member).ok_or_else(missing)?;
+        if owner.protocol != from.protocol {
+            return Err(Error::new(
+                Kind::InvalidValue,
+                format!("service {service} uses another protocol"),
+            ));
+        }
+        let ip = from.address.ip();
+        if !member.networks.iter().any(|network| network.contains(&ip)) {
+            let detail = format!("address {ip} lies in no network of {}", owner.member);
+            return Err(Error::new(Kind::Forbidden, detail));
+        }
+        Ok(owner.member)
+    }
+
+    pub(super) fn decide(
+        &mut self,
+        now: Instant,
+        from: &Announcement,
+        member: MemberId,
+        centre: CentreId,
+    ) -> Result<TargetId> {
+        let spot = Spot { address: from.address, protocol: from.protocol };
+        if !self.synced {
+            return Err(not_current(&spot));
+        }
+        let held = self.entries.get(&spot).copied();
+        let stamp = held.map_or_else(Stamp::default, |entry| entry.stamp).next(self.epoch);
+        let entry = Entry::new(now, &self.setup.key, from, member, centre, stamp);
+        match held {
+            Some(held) if held.service == from.service => {
+                self.renew(now, spot, held, entry)?;
+            }
+            Some(held) => {
+                self.contest(now, spot, &held, from.service)?;
+                self.admit(now, spot, entry)?;
+            }
+            None => self.admit(now, spot, entry)?,
+        }
+        Ok(entry.target)
+    }
+
+    fn renew(&mut self, now: Instant, spot: Spot, held: Entry, mut entry: Entry) -> Result<()> {
+        if entry.generation < held.generation {
+            let detail = format!("{} is known with generation {}", spot.address, held.generation);
+            return Err(Error::new(Kind::StaleGeneration, detail));
+        }
+        entry.centre = if held.is_live(now) { held.centre } else { entry.centre };
+        if entry.says_same(&held) {
+            self.entries[&spot].heard = now;
+            return Ok(());
+        }
+        if held.state == State::Freed {
+            self.check_quota(now, &spot, entry.member)?;
+        }
+        self.put(spot, entry);
+        self.changed.insert(spot);
+        Ok(())
+    }
+
+    fn contest(
+        &mut self,
+        now: Instant,
+        spot: Spot,
+        held: &Entry,
+        claimer: ServiceId,
+    ) -> Result<()> {
+        if held.state != State::Freed {
+            let holder = held.service;
+            self.report(Event::AddressTaken { spot, holder, claimer });
+            let detail = format!("{} belongs to another service", spot.address);
+            return Err(Error::new(Kind::AddressTaken, detail));
+        }
+        if now < held.since + QUARANTINE {
+            let detail = format!("{} was freed a short time ago", spot.address);
+            return Err(Error::new(Kind::Quarantined, detail));
+        }
+        Ok(())
+    }
+
+    fn admit(&mut self, now: Instant, spot: Spot, entry: Entry) -> Result<()> {
+        if now < self.viewed + SETTLE {
+            return Err(not_current(&spot));
+        }
+        self.check_quota(now, &spot, entry.member)?;
+        self.put(spot, entry);
+        self.changed.insert(spot);
+        Ok(())
+    }
+
+    fn check_quota(&self, now: Instant, spot: &Spot, member: MemberId) -> Result<()> {
+        let held = self.entries.iter().filter(|(at, _)| *at != spot);
+        let held = held.filter(|(_, entry)| entry.member == member && entry.is_live(now)).count();
+        let limit = self.members.get(&member).map_or(0, |member| member.max_targets);
+        if held >= limit as usize {
+            let detail = format!("{member} may announce {limit} targets");
+            return Err(Error::new(Kind::QuotaExceeded, detail));
+        }
+        Ok(())
+    }
+
+    /// Takes an announcement that only says that a known target lives on, while no home is known.
+    pub(super) fn refresh_alone(
+        &mut self,
+        now: Instant,
+        from: &Announcement,
+        spot: Spot,
+    ) -> Outcome {
+        let Some(entry) = self.entries.get_mut(&spot) else {
+            return Outcome::Refused(not_current(&spot));
+        };
+        let known = entry.service == from.service && entry.generation == from.generation;
+        if !known || entry.state == State::Freed {
+            return Outcome::Refused(not_current(&spot));
+        }
+        entry.heard = now;
+        if from.state != State::Ready {
+            entry.state = from.state;
+        }
+        let target = entry.target;
+        let forward = Forward { announcement: from.clone(), centre: self.setup.centre };
+        let peers = self.peers().collect::<Vec<_>>();
+        for to in peers {
+            self.outbox.push(Send { to, gossip: Gossip::Forward(forward.clone()) });
+        }
+        Outcome::Accepted(target)
+    }
+
+    pub(super) fn known_outcome(
+        &self,
+        now: Instant,
+        from: &Announcement,
+        spot: Spot,
+        home: HostId,
+    ) -> Outcome {
+        let target = spot.target(&self.setup.key, from.service, from.generation);
+        if let Some(refusal) = self.refusals.get(&spot)
+            && (refusal.service, refusal.generation) == (from.service, from.generation)
+        {
+            return Outcome::Refused(refusal.error.clone());
+        }
+        match self.entries.get(&spot) {
+            Some(entry) if entry.target == target && entry.is_live(now) => {
+                Outcome::Accepted(target)
+            }
+            _ => Outcome::Forwarded(home),
+        }
+    }
+
+    pub(super) fn take_forward(&mut self, now: Instant, from: HostId, forward: &Forward) {
+        let announcement = &forward.announcement;
+        let spot = Spot { address: announcement.address, protocol: announcement.protocol };
+        let member = match self.check_service(announcement) {
+            Ok(member) => member,
+            Err(error) => return self.refuse(from, announcement, spot, error),
+        };
+        if !self.leads {
+            self.refresh_from_peer(now, announcement, spot);
+            return;
+        }
+        if !self.is_own(&spot) {
+            return;
+        }
+        if let Err(error) = self.decide(now, announcement, member, forward.centre) {
+            self.refuse(from, announcement, spot, error);
+        }
+    }
+
+    fn refresh_from_peer(&mut self, now: Instant, from: &Announcement, spot: Spot) {
+        let Some(entry) = self.entries.get_mut(&spot) else { return };
+        let known = entry.service == from.service && entry.generation == from.generation;
+        if known && entry.state != State::Freed {
+            entry.heard = now;
+        }
+    }
+
+    fn refuse(&mut self, to: HostId, from: &Announcement, spot: Spot, error: Error) {
+        let (service, generation) = (from.service, from.generation);
+        let decision = Decision { spot, service, generation, error };
+        self.outbox.push(Send { to, gossip: Gossip::Decision(decision) });
+    }
+
+    pub(super) fn take_decision(&mut self, now: Instant, decision: Decision) {
+        if self.refusals.len() >= MAX_REFUSALS {
+            self.refusals.swap_remove_index(0);
+        }
+        let Decision { spot, service, generation, error } = decision;
+        let until = now + KEEP_REFUSAL;
+        self.refusals.insert(spot, Refusal { service, generation, error, until });
+    }
+}
+
+pub(super) fn not_current(spot: &Spot) -> Error {
+    let detail = format!("no host can decide on {} now", spot.address);
+    Error::new(Kind::NotCurrent, detail)
+}
--- /dev/null
+++ b/lagoongauge/src/target/gossip.rs
@@ -0,0 +1,266 @@
+//! What the registries of a group tell each other.
+
+use std::net::{IpAddr, Ipv6Addr, SocketAddr};
+
+use lagoongauge_schema::target_capnp as schema;
+
+use super::announce::{Announcement, State};
+use super::entry::{Entry, Spot, Stamp};
+use crate::error::{Error, Kind, Result};
+use crate::flow::Protocol;
+use crate::id::{CentreId, MemberId, ServiceId, TargetId};
+use crate::time::{Instant, Span};
+
+/// Most entries in one beat, so that it fits into a datagram.
+pub const MAX_ENTRIES: usize = 16;
+
+/// Says which of a home's entries hold; see "Target registry" in docs/DESIGN.md.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// Epoch of the sender's view.
+    pub epoch: u64,
+    /// Digest of all entries that the sender is home of, or nothing where it decides nothing.
+    pub digest: Option<u64>,
+    /// Whether the sender has heard from the group since it started.
+    pub synced: bool,
+    /// Whether this answers a question of the receiver for all entries, as the last part of it.
+    pub last: bool,
+    /// Entries that changed, or all that the receiver asked for.
+    pub entries: Vec<(Spot, Entry)>,
+}
+
+/// An announcement that another host took and the receiver decides on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Forward {
+    /// The announcement, whose token the sender has checked.
+    pub announcement: Announcement,
+    /// Data centre of the sender.
+    pub centre: CentreId,
+}
+
+/// Tells the host that took an announcement why its home refused it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decision {
+    /// The address that was announced.
+    pub spot: Spot,
+    /// The service that it was announced for.
+    pub service: ServiceId,
+    /// The generation that it was announced with.
+    pub generation: u64,
+    /// Why it was refused.
+    pub error: Error,
+}
+
+/// A message between the registries of a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Gossip {
+    /// Says which entries hold.
+    Beat(Beat),
+    /// Asks for the entries that the receiver is home of, or for all that it holds.
+    Ask {
+        /// Whether to send all entries.
+        all: bool,
+    },
+    /// Hands an announcement to its home.
+    Forward(Forward),
+    /// Answers a forwarded announcement that was refused.
+    Decision(Decision),
+}
+
+impl Gossip {
+    /// Writes the message.
+    pub fn write(&self, mut to: schema::gossip::Builder<'_>) {
+        match self {
+            Self::Beat(beat) => write_beat(beat, to.init_beat()),
+            Self::Ask { all } => to.set_ask(*all),
+            Self::Forward(forward) => write_forward(forward, to.init_forward()),
+            Self::Decision(decision) => write_decision(decision, to.init_decision()),
+        }
+    }
+
+    /// Reads a message, checking every value.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` where the bytes do not follow the schema, `Oversized` where a list is too long.
+    pub fn read(from: schema::gossip::Reader<'_>) -> Result<Self> {
+        use schema::gossip::Which;
+        match from.which().map_err(malformed)? {
+            Which::Beat(beat) => Ok(Self::Beat(read_beat(beat.map_err(malformed)?)?)),
+            Which::Ask(all) => Ok(Self::Ask { all }),
+            Which::Forward(one) => Ok(Self::Forward(read_forward(one.map_err(malformed)?)?)),
+            Which::Decision(one) => Ok(Self::Decision(read_decision(one.map_err(malformed)?)?)),
+        }
+    }
+}
+
+fn write_beat(beat: &Beat, mut to: schema::beat::Builder<'_>) {
+    to.set_epoch(beat.epoch);
+    to.set_decides(beat.digest.is_some());
+    to.set_digest(beat.digest.unwrap_or(0));
+    to.set_synced(beat.synced);
+    to.set_last(beat.last);
+    let mut list = to.init_entries(beat.entries.len() as u32);
+    for (at, (spot, entry)) in beat.entries.iter().enumerate() {
+        write_entry(spot, entry, list.reborrow().get(at as u32));
+    }
+}
+
+fn read_beat(from: schema::beat::Reader<'_>) -> Result<Beat> {
+    let list = from.get_entries().map_err(malformed)?;
+    if list.len() as usize > MAX_ENTRIES {
+        return Err(Error::new(Kind::Oversized, "a beat has too many entries"));
+    }
+    Ok(Beat {
+        epoch: from.get_epoch(),
+        digest: from.get_decides().then_some(from.get_digest()),
+        synced: from.get_synced(),
+        last: from.get_last(),
+        entries: list.iter().map(read_entry).collect::<Result<_>>()?,
+    })
+}
+
+fn write_entry(spot: &Spot, entry: &Entry, mut to: schema::entry::Builder<'_>) {
+    write_spot(spot, to.reborrow().init_spot());
+    to.set_target(entry.target.0);
+    to.set_service(entry.service.0);
+    to.set_member(entry.member.0);
+    to.set_centre(entry.centre.0);
+    to.set_state(state_number(entry.state));
+    to.set_generation(entry.generation);
+    to.set_slots(entry.slots);
+    to.set_lease(entry.lease.0 as u32);
+    to.set_deadline(entry.deadline.map_or(0, |span| span.0 as u32 + 1));
+    to.set_epoch(entry.stamp.epoch);
+    to.set_count(entry.stamp.count);
+}
+
+fn read_entry(from: schema::entry::Reader<'_>) -> Result<(Spot, Entry)> {
+    let spot = read_spot(from.get_spot().map_err(malformed)?)?;
+    let entry = Entry {
+        target: TargetId(from.get_target()),
+        service: ServiceId(from.get_service()),
+        member: MemberId(from.get_member()),
+        centre: CentreId(from.get_centre()),
+        state: state(from.get_state())?,
+        generation: from.get_generation(),
+        slots: from.get_slots(),
+        lease: Span(u64::from(from.get_lease())),
+        deadline: deadline(from.get_deadline()),
+        stamp: Stamp { epoch: from.get_epoch(), count: from.get_count() },
+        heard: Instant::default(),
+        since: Instant::default(),
+    };
+    Ok((spot, entry))
+}
+
+fn write_forward(forward: &Forward, mut to: schema::forward::Builder<'_>) {
+    let from = &forward.announcement;
+    let spot = Spot { address: from.address, protocol: from.protocol };
+    write_spot(&spot, to.reborrow().init_spot());
+    to.set_service(from.service.0);
+    to.set_state(state_number(from.state));
+    to.set_generation(from.generation);
+    to.set_slots(from.slots);
+    to.set_connections(from.connections);
+    to.set_load(from.load);
+    to.set_lease(from.lease.0 as u32);
+    to.set_deadline(from.deadline.map_or(0, |span| span.0 as u32 + 1));
+    to.set_centre(forward.centre.0);
+}
+
+fn read_forward(from: schema::forward::Reader<'_>) -> Result<Forward> {
+    let spot = read_spot(from.get_spot().map_err(malformed)?)?;
+    Ok(Forward {
+        announcement: Announcement {
+            service: ServiceId(from.get_service()),
+            address: spot.address,
+            protocol: spot.protocol,
+            state: state(from.get_state())?,
+            generation: from.get_generation(),
+            slots: from.get_slots(),
+            connections: from.get_connections(),
+            load: from.get_load(),
+            lease: Span(u64::from(from.get_lease())),
+            deadline: deadline(from.get_deadline()),
+        },
+        centre: CentreId(from.get_centre()),
+    })
+}
+
+fn write_decision(decision: &Decision, mut to: schema::decision::Builder<'_>) {
+    write_spot(&decision.spot, to.reborrow().init_spot());
+    to.set_service(decision.service.0);
+    to.set_generation(decision.generation);
+    to.set_kind(decision.error.kind as u8);
+    to.set_detail(decision.error.detail.as_str());
+}
+
+fn read_decision(from: schema::decision::Reader<'_>) -> Result<Decision> {
+    let number = usize::from(from.get_kind());
+    let kind = Kind::ALL.get(number).copied();
+    let kind = kind.ok_or_else(|| Error::new(Kind::Malformed, "unknown error kind"))?;
+    let detail = from.get_detail().map_err(malformed)?;
+    let detail =
+        detail.to_string().map_err(|_| Error::new(Kind::Malformed, "detail is no text"))?;
+    Ok(Decision {
+        spot: read_spot(from.get_spot().map_err(malformed)?)?,
+        service: ServiceId(from.get_service()),
+        generation: from.get_generation(),
+        error: Error::new(kind, detail),
+    })
+}
+
+fn write_spot(spot: &Spot, mut to: schema::spot::Builder<'_>) {
+    let (high, low) = match spot.address.ip() {
+        IpAddr::V4(ip) => (0, u64::from(u32::from(ip))),
+        IpAddr::V6(ip) => {
+            let bits = u128::from(ip);
+            ((bits >> 64) as u64, bits as u64)
+        }
+    };
+    to.set_four(spot.address.is_ipv4());
+    to.set_high(high);
+    to.set_low(low);
+    to.set_port(spot.address.port());
+    to.set_udp(spot.protocol == Protocol::Udp);
+}
+
+fn read_spot(from: schema::spot::Reader<'_>) -> Result<Spot> {
+    let ip = if from.get_four() {
+        let bits = u32::try_from(from.get_low());
+        IpAddr::V4(bits.map_err(|_| Error::new(Kind::Malformed, "address is too long"))?.into())
+    } else {
+        let bits = u128::from(from.get_high()) << 64 | u128::from(from.get_low());
+        IpAddr::V6(Ipv6Addr::from(bits))
+    };
+    let protocol = if from.get_udp() { Protocol::Udp } else { Protocol::Tcp };
+    Ok(Spot { address: SocketAddr::new(ip, from.get_port()), protocol })
+}
+
+fn state_number(state: State) -> u8 {
+    match state {
+        State::Ready => 0,
+        State::Draining => 1,
+        State::Leaving => 2,
+        State::Freed => 3,
+    }
+}
+
+fn state(number: u8) -> Result<State> {
+    match number {
+        0 => Ok(State::Ready),
+        1 => Ok(State::Draining),
+        2 => Ok(State::Leaving),
+        3 => Ok(State::Freed),
+        _ => Err(Error::new(Kind::Malformed, "unknown state of a target")),
+    }
+}
+
+fn deadline(number: u32) -> Option<Span> {
+    number.checked_sub(1).map(|span| Span(u64::from(span)))
+}
+
+fn malformed(error: impl std::fmt::Display) -> Error {
+    Error::new(Kind::Malformed, format!("a registry message can't be read: {error}"))
+}
--- /dev/null
+++ b/lagoongauge/src/target/mod.rs
@@ -0,0 +1,18 @@
+//! Targets: what they announce, who may announce it and which address belongs to which service.
+//!
+//! Announcements are refused with `NotFound`, `Unauthenticated`, `Forbidden`, `InvalidValue`,
+//! `AddressTaken`, `Quarantined`, `StaleGeneration`, `QuotaExceeded` or `NotCurrent`; see
+//! "Target registry" in docs/DESIGN.md.
+
+mod announce;
+mod decide;
+mod entry;
+mod gossip;
+mod registry;
+mod spread;
+pub mod token;
+
+pub use announce::{Announcement, MAX_LEASE, RawAnnouncement, State};
+pub use entry::{Entry, Spot, Stamp};
+pub use gossip::{Beat, Decision, Forward, Gossip};
+pub use registry::{Event, Outcome, QUARANTINE, Registry, Send, Setup};
--- /dev/null
+++ b/lagoongauge/src/target/spread.rs
@@ -0,0 +1,125 @@
+//! How the registries of a group spread decisions: changes and a digest with each beat.
+
+use super::announce::State;
+use super::entry::{Entry, Spot};
+use super::gossip::{Beat, Gossip, MAX_ENTRIES};
+use super::registry::{Registry, Send};
+use crate::id::HostId;
+use crate::time::Instant;
+
+/// Beats in a row with a foreign digest after which a host also sends what it holds.
+const MAX_MISMATCHES: u8 = 2;
+
+impl Registry {
+    pub(super) fn take_beat(&mut self, now: Instant, from: HostId, beat: Beat) {
+        for (spot, mut entry) in beat.entries {
+            entry.heard = now;
+            entry.since = now;
+            self.merge(spot, entry);
+        }
+        if !self.synced && (beat.synced || beat.last) {
+            self.answers.insert(from);
+            let all = self.peers().all(|host| self.answers.contains(&host));
+            self.synced = (beat.synced && beat.last) || all;
+        }
+        let Some(digest) = beat.digest else { return };
+        if beat.epoch != self.epoch || !self.live.contains(&from) {
+            return;
+        }
+        if digest == self.digest_of(from) {
+            self.mismatches.swap_remove(&from);
+            self.refresh_homed(now, from);
+            return;
+        }
+        self.outbox.push(Send { to: from, gossip: Gossip::Ask { all: false } });
+        let count = self.mismatches.entry(from).or_insert(0);
+        *count = count.saturating_add(1);
+        if *count >= MAX_MISMATCHES {
+            self.mismatches.swap_remove(&from);
+            self.send_homed(from);
+        }
+    }
+
+    /// Sends a home what this host holds of the home's addresses, which the home may have missed.
+    fn send_homed(&mut self, home: HostId) {
+        let entries = self.homed(home).map(|(spot, entry)| (*spot, *entry)).collect::<Vec<_>>();
+        for part in entries.chunks(MAX_ENTRIES) {
+            let beat = self.empty_beat(part.to_vec());
+            self.outbox.push(Send { to: home, gossip: Gossip::Beat(beat) });
+        }
+    }
+
+    fn merge(&mut self, spot: Spot, entry: Entry) {
+        let Some(held) = self.entries.get_mut(&spot) else {
+            self.put(spot, entry);
+            return;
+        };
+        if (entry.stamp, entry.target) > (held.stamp, held.target) {
+            self.put(spot, entry);
+        }
+    }
+
+    fn refresh_homed(&mut self, now: Instant, home: HostId) {
+        let (key, live) = (self.setup.key, &self.live);
+        let homed = self.entries.iter_mut().filter(|(_, entry)| entry.state != State::Freed);
+        for (_, entry) in homed.filter(|(spot, _)| spot.home(&key, live) == Some(home)) {
+            entry.heard = now;
+        }
+    }
+
+    fn homed(&self, home: HostId) -> impl Iterator<Item = (&Spot, &Entry)> {
+        let key = self.setup.key;
+        self.entries.iter().filter(move |(spot, _)| spot.home(&key, &self.live) == Some(home))
+    }
+
+    fn digest_of(&self, home: HostId) -> u64 {
+        let live = self.homed(home).filter(|(_, entry)| entry.state != State::Freed);
+        live.fold(0, |sum, (spot, entry)| sum ^ entry.digest(&self.setup.key, spot))
+    }
+
+    pub(super) fn ask_all(&mut self) {
+        if self.live.len() <= 1 {
+            self.synced = self.live.contains(&self.setup.own);
+            return;
+        }
+        let peers = self.peers().collect::<Vec<_>>();
+        for to in peers {
+            self.outbox.push(Send { to, gossip: Gossip::Ask { all: true } });
+        }
+    }
+
+    pub(super) fn answer(&mut self, to: HostId, all: bool) {
+        let own = self.setup.own;
+        let entries = if all {
+            self.entries.iter().map(|(spot, entry)| (*spot, *entry)).collect::<Vec<_>>()
+        } else {
+            self.homed(own).map(|(spot, entry)| (*spot, *entry)).collect()
+        };
+        let parts = entries.chunks(MAX_ENTRIES).map(<[_]>::to_vec).collect::<Vec<_>>();
+        let count = parts.len();
+        for (at, part) in parts.into_iter().enumerate() {
+            let beat = Beat { last: all && at + 1 == count, ..self.empty_beat(part) };
+            self.outbox.push(Send { to, gossip: Gossip::Beat(beat) });
+        }
+        if count == 0 {
+            let beat = Beat { last: all, ..self.empty_beat(Vec::new()) };
+            self.outbox.push(Send { to, gossip: Gossip::Beat(beat) });
+        }
+    }
+
+    fn empty_beat(&self, entries: Vec<(Spot, Entry)>) -> Beat {
+        Beat { epoch: self.epoch, digest: None, synced: self.synced, last: false, entries }
+    }
+
+    pub(super) fn send_beats(&mut self) {
+        let rest = self.changed.split_off(self.changed.len().min(MAX_ENTRIES));
+        let changed = std::mem::replace(&mut self.changed, rest);
+        let entries = changed.iter().filter_map(|spot| Some((*spot, *self.entries.get(spot)?)));
+        let digest = self.leads.then(|| self.digest_of(self.setup.own));
+        let beat = Beat { digest, ..self.empty_beat(entries.collect()) };
+        let peers = self.peers().collect::<Vec<_>>();
+        for to in peers {
+            self.outbox.push(Send { to, gossip: Gossip::Beat(beat.clone()) });
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/target/token.rs
@@ -0,0 +1,68 @@
+//! Check of a member's announcement token against the salted hashes in the settings.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Longest token that is hashed, in bytes; a longer one is refused unread.
+const MAX_TOKEN: usize = 256;
+
+/// Tells whether `token` belongs to one of the `salt:hash` entries.
+///
+/// Every entry is compared in constant time, also after a match, so that the time taken tells
+/// nothing of the hashes.
+pub fn matches(entries: &[String], token: &str) -> bool {
+    if token.is_empty() || token.len() > MAX_TOKEN {
+        return false;
+    }
+    let mut found = subtle::Choice::from(0);
+    for entry in entries {
+        let Some((salt, hash)) = split(entry) else { continue };
+        found |= digest(&salt, token).ct_eq(&hash);
+    }
+    found.into()
+}
+
+/// Builds the `salt:hash` entry of a token, in hexadecimal.
+pub fn entry(salt: &[u8], token: &str) -> String {
+    format!("{}:{}", hex(salt), hex(&digest(salt, token)))
+}
+
+fn digest(salt: &[u8], token: &str) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    hasher.update(salt);
+    hasher.update(token.as_bytes());
+    hasher.finalize().into()
+}
+
+fn split(entry: &str) -> Option<(Vec<u8>, Vec<u8>)> {
+    let (salt, hash) = entry.split_once(':')?;
+    let hash = unhex(hash)?;
+    (hash.len() == 32).then_some(())?;
+    Some((unhex(salt)?, hash))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
+        return None;
+    }
+    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_right_token_matches() {
+        let entries = vec![entry(b"salt", "first"), entry(b"pepper", "second")];
+        assert!(matches(&entries, "first"));
+        assert!(matches(&entries, "second"));
+        assert!(!matches(&entries, "third"));
+        assert!(!matches(&entries, ""));
+        assert!(!matches(&["zz:00".to_string(), "nothing".to_string()], "first"));
+    }
+}
--- a/lagoongauge_schema/src/bin/regenerate.rs
+++ b/lagoongauge_schema/src/bin/regenerate.rs
@@ -7,7 +7,7 @@
     let mut command = capnpc::CompilerCommand::new();
     command.src_prefix(root.join("schema")).output_path(root.join("src/generated"));
     command.default_parent_module(vec!["generated".to_string()]);
-    for name in ["peer", "replica", "control"] {
+    for name in ["peer", "replica", "control", "target"] {
         command.file(root.join(format!("schema/{name}.capnp")));
     }
     command.run().expect("the Cap'n Proto compiler could not turn the schema into code");
--- a/lagoongauge_schema/src/lib.rs
+++ b/lagoongauge_schema/src/lib.rs
@@ -6,6 +6,7 @@
     pub mod control_capnp;
     pub mod peer_capnp;
     pub mod replica_capnp;
+    pub mod target_capnp;
 }
 
-pub use generated::{control_capnp, peer_capnp, replica_capnp};
+pub use generated::{control_capnp, peer_capnp, replica_capnp, target_capnp};
