--- /dev/null
+++ b/lagoongauge/src/group/lease.rs
@@ -0,0 +1,345 @@
+//! A lease that a majority of a group's hosts grants to one of them, without any disk.
+//!
+//! Ballots follow Paxos; grants end by themselves. A host that has just started remembers no grant,
+//! so it grants nothing for one lease span. See "The planner's lease" in docs/DESIGN.md.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::HostId;
+use crate::time::{Instant, Span};
+
+/// How long a grant lasts.
+const LEASE: Span = Span::millis(2_000);
+
+/// Part of a grant that its holder leaves unused, so that clocks may differ in rate by a twentieth.
+const MARGIN: Span = Span::millis(100);
+
+/// How long before the next renewal the holder waits.
+const RENEWAL: Span = Span::millis(600);
+
+/// How long a candidate waits for the answers of a majority.
+const ROUND: Span = Span::millis(400);
+
+/// Longest random wait before a host stands for the lease.
+const JITTER_MS: u64 = 600;
+
+/// Number that orders the successive holders of a group's lease.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// Returns the lowest epoch of a process that started at this calendar time in milliseconds.
+    ///
+    /// It keeps epochs rising although a host that starts remembers none of them.
+    pub const fn at(calendar: u64) -> Self {
+        Self(calendar << 16)
+    }
+}
+
+/// Message between the hosts of a group about its lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseMessage {
+    /// A candidate asks for a promise to grant nothing under lower ballots.
+    Prepare {
+        /// The candidate's ballot.
+        ballot: Epoch,
+    },
+    /// A host gives that promise; none of its grants to others is in force.
+    Promise {
+        /// The ballot that was asked for.
+        ballot: Epoch,
+    },
+    /// A host refuses, as it has promised more or another's grant is in force.
+    Refuse {
+        /// The ballot that was asked for.
+        ballot: Epoch,
+        /// The highest ballot that the host knows of.
+        highest: Epoch,
+    },
+    /// A candidate or holder asks for a grant.
+    Propose {
+        /// The ballot that a majority has promised.
+        ballot: Epoch,
+        /// Number of this request under the ballot.
+        renewal: u32,
+    },
+    /// A host grants the lease from the moment on at which it heard the request.
+    Grant {
+        /// The ballot that was proposed.
+        ballot: Epoch,
+        /// The request that is granted.
+        renewal: u32,
+    },
+}
+
+/// One host's part in its group's lease.
+#[derive(Debug)]
+pub struct Lease {
+    own: HostId,
+    hosts: Vec<HostId>,
+    silent_until: Instant,
+    promised: Epoch,
+    learned: Epoch,
+    granted: Option<Granted>,
+    role: Role,
+    stand_at: Instant,
+    random: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Granted {
+    ballot: Epoch,
+    holder: HostId,
+    until: Instant,
+}
+
+#[derive(Debug)]
+enum Role {
+    Waiting,
+    Candidate { ballot: Epoch, since: Instant, promises: Vec<HostId> },
+    Holder(Holder),
+}
+
+#[derive(Debug)]
+struct Holder {
+    ballot: Epoch,
+    renewal: u32,
+    asked: Instant,
+    grants: Vec<HostId>,
+    until: Option<Instant>,
+}
+
+impl Holder {
+    /// Returns when the host stops asking for grants under its ballot.
+    fn ends(&self) -> Instant {
+        self.until.unwrap_or(self.asked + ROUND)
+    }
+}
+
+/// Messages to send, each with its receiver.
+type Outbox = Vec<(HostId, LeaseMessage)>;
+
+impl Lease {
+    /// Builds the part of a host that has just started, in a group of `hosts`.
+    ///
+    /// `floor` is the epoch of the process's start, see [`Epoch::at`].
+    pub fn new(now: Instant, own: HostId, hosts: &[HostId], seed: u64, floor: Epoch) -> Self {
+        let mut lease = Self {
+            own,
+            hosts: hosts.to_vec(),
+            silent_until: now + LEASE,
+            promised: floor,
+            learned: floor,
+            granted: None,
+            role: Role::Waiting,
+            stand_at: now + LEASE,
+            random: seed ^ u64::from(own.0).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        };
+        lease.stand_at = lease.stand_at + lease.jitter();
+        lease
+    }
+
+    /// Returns the epoch under which this host holds the lease now.
+    pub fn holds(&self, now: Instant) -> Option<Epoch> {
+        match &self.role {
+            Role::Holder(holder) if holder.until? > now => Some(holder.ballot),
+            _ => None,
+        }
+    }
+
+    /// Returns the holder that this host has granted the lease to, where the grant is in force.
+    pub fn holder(&self, now: Instant) -> Option<(HostId, Epoch)> {
+        if let Some(epoch) = self.holds(now) {
+            return Some((self.own, epoch));
+        }
+        let granted = self.granted.filter(|granted| granted.until > now)?;
+        Some((granted.holder, granted.ballot))
+    }
+
+    /// Puts another list of hosts in force; nothing is granted or held for one lease span.
+    pub fn set_hosts(&mut self, now: Instant, hosts: &[HostId]) {
+        if self.hosts == hosts {
+            return;
+        }
+        self.hosts = hosts.to_vec();
+        self.role = Role::Waiting;
+        self.silent_until = now + LEASE;
+        self.stand_at = self.silent_until + self.jitter();
+    }
+
+    /// Gives the lease up, so that another host can hold it as soon as the grants have ended.
+    pub fn resign(&mut self, now: Instant) {
+        self.role = Role::Waiting;
+        self.stand_at = now + LEASE + LEASE;
+    }
+
+    /// Takes a message in.
+    pub fn message(&mut self, now: Instant, from: HostId, message: LeaseMessage) -> Outbox {
+        if !self.hosts.contains(&from) {
+            return Vec::new();
+        }
+        match message {
+            LeaseMessage::Prepare { ballot } => self.prepare(now, from, ballot),
+            LeaseMessage::Propose { ballot, renewal } => self.propose(now, from, ballot, renewal),
+            LeaseMessage::Promise { ballot } => self.promise(now, from, ballot),
+            LeaseMessage::Grant { ballot, renewal } => self.grant(now, from, ballot, renewal),
+            LeaseMessage::Refuse { highest, .. } => self.refuse(highest),
+        }
+    }
+
+    /// Lets time pass: stands for the lease where nobody holds it, renews it where this host does.
+    pub fn tick(&mut self, now: Instant) -> Outbox {
+        match &self.role {
+            Role::Holder(holder) => {
+                if holder.ends() <= now {
+                    return self.step_back(now);
+                }
+                if now.since(holder.asked) < RENEWAL {
+                    return Vec::new();
+                }
+                self.renew(now)
+            }
+            Role::Candidate { since, .. } if now.since(*since) < ROUND => Vec::new(),
+            Role::Candidate { .. } => self.step_back(now),
+            Role::Waiting => self.stand(now),
+        }
+    }
+
+    fn majority(&self) -> usize {
+        self.hosts.len() / 2 + 1
+    }
+
+    fn jitter(&mut self) -> Span {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        Span((self.random >> 33) % JITTER_MS)
+    }
+
+    fn step_back(&mut self, now: Instant) -> Outbox {
+        self.role = Role::Waiting;
+        self.stand_at = now + self.jitter();
+        Vec::new()
+    }
+
+    fn stand(&mut self, now: Instant) -> Outbox {
+        if now < self.stand_at || now < self.silent_until || !self.hosts.contains(&self.own) {
+            return Vec::new();
+        }
+        if let Some(granted) = self.granted.filter(|granted| granted.until > now) {
+            self.stand_at = granted.until + self.jitter();
+            return Vec::new();
+        }
+        let ballot = self.next_ballot();
+        self.promised = ballot;
+        self.role = Role::Candidate { ballot, since: now, promises: Vec::new() };
+        let mut out = self.to_others(LeaseMessage::Prepare { ballot });
+        out.extend(self.promise(now, self.own, ballot));
+        out
+    }
+
+    /// Returns a ballot above all known ones, which no other host of the group can choose.
+    fn next_ballot(&self) -> Epoch {
+        let place = self.hosts.iter().position(|host| *host == self.own).unwrap_or_default();
+        let highest = self.promised.max(self.learned);
+        Epoch(((highest.0 >> 16) + 1) << 16 | place as u64)
+    }
+
+    fn renew(&mut self, now: Instant) -> Outbox {
+        let Role::Holder(holder) = &mut self.role else {
+            return Vec::new();
+        };
+        holder.renewal += 1;
+        holder.asked = now;
+        holder.grants.clear();
+        let (ballot, renewal) = (holder.ballot, holder.renewal);
+        let mut out = self.to_others(LeaseMessage::Propose { ballot, renewal });
+        if self.accept(now, self.own, ballot) {
+            out.extend(self.grant(now, self.own, ballot, renewal));
+        }
+        out
+    }
+
+    fn to_others(&self, message: LeaseMessage) -> Outbox {
+        self.hosts.iter().filter(|host| **host != self.own).map(|host| (*host, message)).collect()
+    }
+
+    fn prepare(&mut self, now: Instant, from: HostId, ballot: Epoch) -> Outbox {
+        if now < self.silent_until {
+            return Vec::new();
+        }
+        let taken =
+            self.granted.is_some_and(|granted| granted.until > now && granted.holder != from);
+        if taken || ballot <= self.promised {
+            return vec![(from, LeaseMessage::Refuse { ballot, highest: self.promised })];
+        }
+        self.promised = ballot;
+        self.stand_at = now + ROUND + ROUND + self.jitter();
+        vec![(from, LeaseMessage::Promise { ballot })]
+    }
+
+    fn propose(&mut self, now: Instant, from: HostId, ballot: Epoch, renewal: u32) -> Outbox {
+        if now < self.silent_until {
+            return Vec::new();
+        }
+        if !self.accept(now, from, ballot) {
+            return vec![(from, LeaseMessage::Refuse { ballot, highest: self.promised })];
+        }
+        vec![(from, LeaseMessage::Grant { ballot, renewal })]
+    }
+
+    fn accept(&mut self, now: Instant, holder: HostId, ballot: Epoch) -> bool {
+        let taken =
+            self.granted.is_some_and(|granted| granted.until > now && granted.holder != holder);
+        if taken || ballot < self.promised {
+            return false;
+        }
+        self.promised = ballot;
+        self.granted = Some(Granted { ballot, holder, until: now + LEASE });
+        true
+    }
+
+    fn promise(&mut self, now: Instant, from: HostId, ballot: Epoch) -> Outbox {
+        let majority = self.majority();
+        let Role::Candidate { ballot: own, promises, .. } = &mut self.role else {
+            return Vec::new();
+        };
+        if *own != ballot || promises.contains(&from) {
+            return Vec::new();
+        }
+        promises.push(from);
+        if promises.len() < majority {
+            return Vec::new();
+        }
+        self.role = Role::Holder(Holder {
+            ballot,
+            renewal: 0,
+            asked: now,
+            grants: Vec::new(),
+            until: None,
+        });
+        self.renew(now)
+    }
+
+    fn grant(&mut self, now: Instant, from: HostId, ballot: Epoch, renewal: u32) -> Outbox {
+        let majority = self.majority();
+        let Role::Holder(holder) = &mut self.role else {
+            return Vec::new();
+        };
+        let current = holder.ballot == ballot && holder.renewal == renewal;
+        if !current || holder.grants.contains(&from) || now.since(holder.asked) >= LEASE {
+            return Vec::new();
+        }
+        holder.grants.push(from);
+        if holder.grants.len() >= majority {
+            holder.until = Some(holder.asked + LEASE - MARGIN);
+        }
+        Vec::new()
+    }
+
+    /// Notes the highest ballot, so that the next one of this host lies above it.
+    fn refuse(&mut self, highest: Epoch) -> Outbox {
+        self.learned = self.learned.max(highest);
+        Vec::new()
+    }
+}
--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod error;
 pub mod flow;
+pub mod group;
 pub mod id;
 pub mod route;
 pub mod settings;
 pub mod time;
+pub mod wire;
--- /dev/null
+++ b/lagoongauge/src/wire/channel.rs
@@ -0,0 +1,288 @@
+//! Sealing and opening of datagrams between the hosts of one system.
+
+use indexmap::IndexMap;
+
+use super::key::{ClusterKey, PROOF_LEN};
+use super::window::Window;
+use crate::error::{Error, Kind, Result};
+use crate::id::HostId;
+
+/// Bytes that sealing adds to a payload.
+pub const OVERHEAD: usize = HEADER_LEN + PROOF_LEN;
+
+/// Bytes before the payload: frame, sender, session, echo, sequence number.
+const HEADER_LEN: usize = 1 + 4 + 6 + 6 + 6;
+
+/// Hosts whose state a channel keeps at most.
+const MAX_PEERS: usize = 4096;
+
+/// A process's life on one host: calendar milliseconds at its start, 48 bits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Session(pub u64);
+
+/// What a datagram's payload is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Frame {
+    /// Nothing; the datagram tells its sender's session.
+    Hello,
+    /// A message of the protocols between entry hosts.
+    Message,
+    /// A caller's or target's packet that the receiver shall decide on.
+    Relay,
+}
+
+/// A datagram that was found to be genuine.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Opened<'a> {
+    /// The payload is new and was made for this process.
+    Fresh {
+        /// The host that sealed the datagram.
+        sender: HostId,
+        /// What the payload is.
+        frame: Frame,
+        /// The payload.
+        payload: &'a [u8],
+    },
+    /// The sender does not know this process yet; it has to be sent [`Frame::Hello`].
+    Greet(HostId),
+}
+
+/// Authenticated exchange of one host with all others; the owner puts it behind a lock.
+#[derive(Debug)]
+pub struct Channel {
+    own: HostId,
+    session: Session,
+    key: ClusterKey,
+    peers: IndexMap<HostId, Peer>,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    session: Session,
+    window: Window,
+    sent: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Header {
+    frame: Frame,
+    sender: HostId,
+    session: Session,
+    echo: Session,
+    number: u64,
+}
+
+impl Channel {
+    /// Opens a host's channel; `session` has to be later than that of the host's last process.
+    pub fn new(own: HostId, session: Session, key: ClusterKey) -> Self {
+        Self { own, session, key, peers: IndexMap::new() }
+    }
+
+    /// Tells whether a host has answered this process, so that it takes its datagrams.
+    pub fn knows(&self, host: HostId) -> bool {
+        self.peers.get(&host).is_some_and(|peer| peer.session != Session::default())
+    }
+
+    /// Writes a datagram for a host into `out`, which is cleared first.
+    pub fn seal(&mut self, to: HostId, frame: Frame, payload: &[u8], out: &mut Vec<u8>) {
+        let peer = self.peers.entry(to).or_default();
+        peer.sent += 1;
+        let header = Header {
+            frame,
+            sender: self.own,
+            session: self.session,
+            echo: peer.session,
+            number: peer.sent,
+        };
+        out.clear();
+        out.extend_from_slice(&header.to_bytes());
+        out.extend_from_slice(payload);
+        let proof = self.key.prove(&[&to.0.to_be_bytes(), out]);
+        out.extend_from_slice(&proof);
+    }
+
+    /// Checks a datagram and returns what it carries.
+    pub fn open<'a>(&mut self, datagram: &'a [u8]) -> Result<Opened<'a>> {
+        if datagram.len() < OVERHEAD {
+            let detail = format!("datagram has {} bytes, fewer than {OVERHEAD}", datagram.len());
+            return Err(Error::new(Kind::Malformed, detail));
+        }
+        let (sealed, proof) = datagram.split_at(datagram.len() - PROOF_LEN);
+        if !self.key.verify(&[&self.own.0.to_be_bytes(), sealed], proof) {
+            return Err(Error::new(Kind::Unauthenticated, "datagram carries a wrong proof"));
+        }
+        let (head, payload) = sealed.split_at(HEADER_LEN);
+        let header = Header::try_from(head)?;
+        self.accept(header, payload)
+    }
+
+    fn accept<'a>(&mut self, header: Header, payload: &'a [u8]) -> Result<Opened<'a>> {
+        let sender = header.sender;
+        if !self.peers.contains_key(&sender) && self.peers.len() >= MAX_PEERS {
+            let detail = format!("{sender} is one host more than the {MAX_PEERS} that are kept");
+            return Err(Error::new(Kind::Oversized, detail));
+        }
+        let peer = self.peers.entry(sender).or_default();
+        if header.session < peer.session {
+            let detail = format!("{sender} sent the datagram in an earlier process");
+            return Err(Error::new(Kind::Replayed, detail));
+        }
+        if header.session > peer.session {
+            peer.session = header.session;
+            peer.window = Window::default();
+        }
+        if header.echo != self.session {
+            return Ok(Opened::Greet(sender));
+        }
+        if !peer.window.insert(header.number) {
+            let detail = format!("datagram {} of {sender} was seen before", header.number);
+            return Err(Error::new(Kind::Replayed, detail));
+        }
+        Ok(Opened::Fresh { sender, frame: header.frame, payload })
+    }
+}
+
+impl Header {
+    fn to_bytes(self) -> [u8; HEADER_LEN] {
+        let mut bytes = [0; HEADER_LEN];
+        bytes[0] = self.frame.number();
+        bytes[1..5].copy_from_slice(&self.sender.0.to_be_bytes());
+        bytes[5..11].copy_from_slice(&self.session.0.to_be_bytes()[2..]);
+        bytes[11..17].copy_from_slice(&self.echo.0.to_be_bytes()[2..]);
+        bytes[17..23].copy_from_slice(&self.number.to_be_bytes()[2..]);
+        bytes
+    }
+}
+
+impl TryFrom<&[u8]> for Header {
+    type Error = Error;
+
+    fn try_from(bytes: &[u8]) -> Result<Self> {
+        let mut sender = [0; 4];
+        sender.copy_from_slice(&bytes[1..5]);
+        Ok(Self {
+            frame: Frame::try_from(bytes[0])?,
+            sender: HostId(u32::from_be_bytes(sender)),
+            session: Session(six_bytes(&bytes[5..11])),
+            echo: Session(six_bytes(&bytes[11..17])),
+            number: six_bytes(&bytes[17..23]),
+        })
+    }
+}
+
+impl Frame {
+    const fn number(self) -> u8 {
+        match self {
+            Self::Hello => 0x10,
+            Self::Message => 0x11,
+            Self::Relay => 0x12,
+        }
+    }
+}
+
+impl TryFrom<u8> for Frame {
+    type Error = Error;
+
+    fn try_from(number: u8) -> Result<Self> {
+        match number {
+            0x10 => Ok(Self::Hello),
+            0x11 => Ok(Self::Message),
+            0x12 => Ok(Self::Relay),
+            _ => Err(Error::new(Kind::Malformed, format!("frame {number:#04x} is not known"))),
+        }
+    }
+}
+
+fn six_bytes(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const A: HostId = HostId(1);
+    const B: HostId = HostId(2);
+
+    fn channel(own: HostId, session: u64) -> Channel {
+        Channel::new(own, Session(session), ClusterKey::new([7; 32]))
+    }
+
+    fn sealed(from: &mut Channel, to: HostId, frame: Frame, payload: &[u8]) -> Vec<u8> {
+        let mut out = Vec::new();
+        from.seal(to, frame, payload, &mut out);
+        out
+    }
+
+    /// Lets two channels learn each other's session.
+    fn greet(a: &mut Channel, b: &mut Channel) {
+        let first = sealed(a, B, Frame::Hello, &[]);
+        assert_eq!(b.open(&first).unwrap(), Opened::Greet(A));
+        let answer = sealed(b, A, Frame::Hello, &[]);
+        assert!(matches!(a.open(&answer).unwrap(), Opened::Fresh { frame: Frame::Hello, .. }));
+    }
+
+    fn kind(result: Result<Opened<'_>>) -> Kind {
+        result.expect_err("the datagram has to be refused").kind
+    }
+
+    #[test]
+    fn carries_a_payload_once() {
+        let (mut a, mut b) = (channel(A, 10), channel(B, 20));
+        greet(&mut a, &mut b);
+        let datagram = sealed(&mut a, B, Frame::Message, b"table");
+        let fresh = Opened::Fresh { sender: A, frame: Frame::Message, payload: b"table" };
+        assert_eq!(b.open(&datagram).unwrap(), fresh);
+        assert_eq!(kind(b.open(&datagram)), Kind::Replayed);
+    }
+
+    #[test]
+    fn refuses_what_was_made_for_another_host_or_under_another_key() {
+        let (mut a, mut b) = (channel(A, 10), channel(B, 20));
+        let mut c = channel(HostId(3), 30);
+        greet(&mut a, &mut b);
+        let datagram = sealed(&mut a, B, Frame::Message, b"table");
+        assert_eq!(kind(c.open(&datagram)), Kind::Unauthenticated);
+        let mut other = Channel::new(B, Session(20), ClusterKey::new([8; 32]));
+        assert_eq!(kind(other.open(&datagram)), Kind::Unauthenticated);
+    }
+
+    #[test]
+    fn a_restarted_receiver_takes_nothing_made_for_its_former_process() {
+        let (mut a, mut b) = (channel(A, 10), channel(B, 20));
+        greet(&mut a, &mut b);
+        let datagram = sealed(&mut a, B, Frame::Message, b"table");
+        let mut b = channel(B, 21);
+        assert_eq!(b.open(&datagram).unwrap(), Opened::Greet(A));
+    }
+
+    #[test]
+    fn refuses_a_senders_former_process() {
+        let (mut a, mut b) = (channel(A, 10), channel(B, 20));
+        greet(&mut a, &mut b);
+        let old = sealed(&mut a, B, Frame::Message, b"old");
+        let mut a = channel(A, 11);
+        greet(&mut a, &mut b);
+        assert_eq!(kind(b.open(&old)), Kind::Replayed);
+    }
+
+    proptest! {
+        #[test]
+        fn arbitrary_bytes_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+            let mut channel = channel(A, 10);
+            prop_assert!(channel.open(&bytes).is_err());
+        }
+
+        #[test]
+        fn one_changed_byte_is_noticed(at in 0usize..40, change in 1u8..=255) {
+            let (mut a, mut b) = (channel(A, 10), channel(B, 20));
+            greet(&mut a, &mut b);
+            let mut datagram = sealed(&mut a, B, Frame::Message, b"tables");
+            let at = at % datagram.len();
+            datagram[at] ^= change;
+            prop_assert_eq!(kind(b.open(&datagram)), Kind::Unauthenticated);
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/wire/key.rs
@@ -0,0 +1,95 @@
+//! The key that hosts of one system share.
+
+use std::fmt;
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::error::{Error, Kind, Result};
+use crate::flow::HashKey;
+
+/// Length of a cluster key in bytes.
+const KEY_LEN: usize = 32;
+
+/// Length of a datagram's proof in bytes.
+pub const PROOF_LEN: usize = 12;
+
+/// Secret that every host of the system holds; it proves that a datagram comes from one of them.
+#[derive(Clone, PartialEq, Eq)]
+pub struct ClusterKey([u8; KEY_LEN]);
+
+impl TryFrom<&str> for ClusterKey {
+    type Error = Error;
+
+    /// Reads a key of 64 hexadecimal digits; blanks around it are skipped.
+    fn try_from(text: &str) -> Result<Self> {
+        let digits = text.trim().as_bytes();
+        if digits.len() != 2 * KEY_LEN {
+            let detail =
+                format!("cluster key has {} characters in place of {}", digits.len(), 2 * KEY_LEN);
+            return Err(Error::new(Kind::InvalidValue, detail));
+        }
+        let mut key = [0; KEY_LEN];
+        for (byte, pair) in key.iter_mut().zip(digits.chunks_exact(2)) {
+            *byte = nibble(pair[0])? << 4 | nibble(pair[1])?;
+        }
+        Ok(Self(key))
+    }
+}
+
+impl ClusterKey {
+    /// Builds a key from its bytes.
+    pub const fn new(key: [u8; KEY_LEN]) -> Self {
+        Self(key)
+    }
+
+    /// Derives the key of the flow hash, which all entry hosts share.
+    pub fn hash_key(&self) -> HashKey {
+        let derived = self.derive(b"flow hash");
+        let mut key = [0; 16];
+        key.copy_from_slice(&derived[..16]);
+        HashKey(key)
+    }
+
+    /// Derives a secret for one use, so that no two uses share a key.
+    pub fn derive(&self, label: &[u8]) -> [u8; 32] {
+        let mut mac = self.mac();
+        mac.update(b"lagoongauge derive ");
+        mac.update(label);
+        mac.finalize().into_bytes().into()
+    }
+
+    /// Computes the proof of some byte strings.
+    pub fn prove(&self, parts: &[&[u8]]) -> [u8; PROOF_LEN] {
+        let mut mac = self.mac();
+        for part in parts {
+            mac.update(part);
+        }
+        let full = mac.finalize().into_bytes();
+        let mut proof = [0; PROOF_LEN];
+        proof.copy_from_slice(&full[..PROOF_LEN]);
+        proof
+    }
+
+    /// Compares a proof with the right one in constant time.
+    pub fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        self.prove(parts).ct_eq(proof).into()
+    }
+
+    fn mac(&self) -> Hmac<Sha256> {
+        Hmac::new_from_slice(&self.0).expect("HMAC takes keys of any length")
+    }
+}
+
+impl fmt::Debug for ClusterKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ClusterKey(..)")
+    }
+}
+
+fn nibble(digit: u8) -> Result<u8> {
+    char::from(digit).to_digit(16).map(|value| value as u8).ok_or_else(|| {
+        Error::new(Kind::InvalidValue, "cluster key holds a character that is no hexadecimal digit")
+    })
+}
--- /dev/null
+++ b/lagoongauge/src/wire/window.rs
@@ -0,0 +1,74 @@
+//! Replay window over sequence numbers.
+
+/// Sequence numbers that a window looks back over.
+pub const WINDOW_LEN: u64 = 1024;
+
+/// Words that hold the window's bits.
+const WORDS: usize = (WINDOW_LEN / 64) as usize;
+
+/// Remembers which of the latest sequence numbers were seen.
+#[derive(Debug, Clone, Default)]
+pub struct Window {
+    highest: u64,
+    seen: [u64; WORDS],
+}
+
+impl Window {
+    /// Notes a sequence number and tells whether it is new; numbers start at 1.
+    pub fn insert(&mut self, number: u64) -> bool {
+        if number == 0 || number + WINDOW_LEN <= self.highest {
+            return false;
+        }
+        self.advance(number);
+        let (word, bit) = place(number);
+        let fresh = self.seen[word] & bit == 0;
+        self.seen[word] |= bit;
+        fresh
+    }
+
+    fn advance(&mut self, number: u64) {
+        if number <= self.highest {
+            return;
+        }
+        if number - self.highest >= WINDOW_LEN {
+            self.seen = [0; WORDS];
+        } else {
+            for passed in self.highest + 1..=number {
+                let (word, bit) = place(passed);
+                self.seen[word] &= !bit;
+            }
+        }
+        self.highest = number;
+    }
+}
+
+fn place(number: u64) -> (usize, u64) {
+    let slot = number % WINDOW_LEN;
+    ((slot / 64) as usize, 1 << (slot % 64))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::HashSet;
+
+    use proptest::prelude::*;
+
+    use super::*;
+
+    proptest! {
+        #[test]
+        fn accepts_a_number_once(numbers in prop::collection::vec(1u64..4096, 1..600)) {
+            let mut window = Window::default();
+            let mut seen = HashSet::new();
+            let mut highest = 0;
+            for number in numbers {
+                let fresh = window.insert(number);
+                prop_assert!(!fresh || seen.insert(number), "{number} was accepted twice");
+                if number + WINDOW_LEN > highest && !fresh {
+                    prop_assert!(seen.contains(&number), "{number} was new but refused");
+                }
+                highest = highest.max(number);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/daemon/exit.rs
@@ -0,0 +1,23 @@
+//! How a program ends: one line on standard error and the exit code of the error's kind.
+
+use std::process::ExitCode;
+
+use lagoongauge::error::{Error, Kind};
+
+/// Prints an error for a person and returns its exit code; see docs/ERRORS.md.
+pub fn fail(program: &str, error: &Error) -> ExitCode {
+    eprintln!("{program}: {error}");
+    ExitCode::from(error.kind.answer().exit)
+}
+
+/// Turns a program's result into its exit code; errors without a kind count as internal.
+pub fn exit(program: &str, result: eyre::Result<()>) -> ExitCode {
+    let Err(report) = result else {
+        return ExitCode::SUCCESS;
+    };
+    if let Some(error) = report.downcast_ref::<Error>() {
+        return fail(program, error);
+    }
+    eprintln!("{program}: {report:#}");
+    ExitCode::from(Kind::Internal.answer().exit)
+}
--- /dev/null
+++ b/lagoongauged/src/daemon/log.rs
@@ -0,0 +1,68 @@
+//! Logs as JSON lines on standard error, each with the host and its data centre.
+
+use std::str::FromStr;
+
+use eyre::Context;
+use log::LevelFilter;
+use log4rs::Config;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Root};
+use log4rs::encode::json::JsonEncoder;
+
+use lagoongauge::error::{Error, Kind};
+use lagoongauge::id::{CentreId, HostId};
+
+/// Name under which log4rs keeps the only appender.
+const APPENDER: &str = "lines";
+
+/// Least severe level that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogLevel(pub LevelFilter);
+
+impl FromStr for LogLevel {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        LevelFilter::from_str(text).map(Self).map_err(|_| {
+            let detail =
+                format!("log level {text:?} is not one of off, error, warn, info, debug and trace");
+            Error::new(Kind::Usage, detail)
+        })
+    }
+}
+
+/// What the logs of one process carry on every line.
+#[derive(Debug, Clone, Copy)]
+pub struct LogSetup {
+    /// The host that logs.
+    pub host: HostId,
+    /// The host's data centre.
+    pub centre: CentreId,
+    /// Least severe level that is logged.
+    pub level: LogLevel,
+}
+
+/// Starts logging; the mapped context `host` and `centre` stands on every line of this thread.
+///
+/// A thread started later calls [`LogSetup::enter`] to carry the same context.
+pub fn init_log(setup: LogSetup) -> eyre::Result<()> {
+    let appender = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(JsonEncoder::new()))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        .build(Root::builder().appender(APPENDER).build(setup.level.0))
+        .wrap_err("the log could not be configured")?;
+    log4rs::init_config(config).wrap_err("the log could not be started")?;
+    setup.enter();
+    Ok(())
+}
+
+impl LogSetup {
+    /// Puts host and data centre into the calling thread's log context.
+    pub fn enter(&self) {
+        log_mdc::insert("host", self.host.to_string());
+        log_mdc::insert("centre", self.centre.to_string());
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/daemon/mod.rs
@@ -0,0 +1,11 @@
+//! What every program of the system does alike: logs, clock, signals and the way it ends.
+
+mod clock;
+mod exit;
+mod log;
+mod signal;
+
+pub use self::clock::Clock;
+pub use self::exit::{exit, fail};
+pub use self::log::{LogLevel, LogSetup, init_log};
+pub use self::signal::Stop;
--- /dev/null
+++ b/lagoongauged/src/daemon/signal.rs
@@ -0,0 +1,34 @@
+//! The request to end, as SIGTERM and SIGINT give it.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::flag;
+
+/// A flag that is raised once and shared by the threads of a process.
+#[derive(Debug, Clone, Default)]
+pub struct Stop(Arc<AtomicBool>);
+
+impl Stop {
+    /// Builds a flag that SIGTERM and SIGINT raise; a second SIGINT or SIGTERM ends the process.
+    pub fn on_signals() -> io::Result<Self> {
+        let stop = Self::default();
+        for signal in [SIGTERM, SIGINT] {
+            flag::register_conditional_shutdown(signal, 1, Arc::clone(&stop.0))?;
+            flag::register(signal, Arc::clone(&stop.0))?;
+        }
+        Ok(stop)
+    }
+
+    /// Tells whether the flag is raised.
+    pub fn is_raised(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+
+    /// Raises the flag.
+    pub fn raise(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+}
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,3 +1,4 @@
 //! Shared parts of the programs.
 
+pub mod daemon;
 pub mod measure;
