Show the table of error kinds in docs/ERRORS.md

Cause: the README names the page, and page and code must not part. Change: an expect-test writes and compares the page; names are unique, no exit code is zero. Conclusion: the page follows the code.

--- /dev/null
+++ b/lagoongauge/tests/errors_page.rs
@@ -0,0 +1,57 @@
+//! docs/ERRORS.md shows the table of the code, so that page and code can't part.
+//!
+//! `UPDATE_EXPECT=1 cargo test -p lagoongauge --test errors_page` writes the page anew.
+
+use std::collections::HashSet;
+use std::fmt::Write;
+
+use expect_test::expect_file;
+
+use lagoongauge::error::{Kind, Ran, Retry};
+
+const HEAD: &str = "# Errors
+
+Every error that the system answers with is of one of these kinds. `ran` tells whether the work that
+was asked for ran; a change whose outcome is unknown is asked again with the same request id, which
+gives the true answer and never runs it twice. RPC errors carry the name of the kind, a colon and
+what went wrong with which thing; programs print the same line and end with the exit code.
+
+| kind | HTTP status | exit code | ran | ask again | meaning |
+| --- | --- | --- | --- | --- | --- |
+";
+
+#[test]
+fn the_page_shows_the_table() {
+    let mut page = HEAD.to_string();
+    for kind in Kind::ALL {
+        let answer = kind.answer();
+        let ran = match answer.ran {
+            Ran::No => "no",
+            Ran::Yes => "yes",
+            Ran::Unknown => "unknown",
+        };
+        let retry = match answer.retry {
+            Retry::Never => "no",
+            Retry::Now => "at once",
+            Retry::Later => "later",
+        };
+        writeln!(
+            page,
+            "| `{}` | {} | {} | {ran} | {retry} | {} |",
+            answer.name, answer.status, answer.exit, answer.meaning
+        )
+        .expect("writing to a string does not fail");
+    }
+    expect_file!["../../docs/ERRORS.md"].assert_eq(&page);
+}
+
+#[test]
+fn names_are_unique_and_statuses_are_errors() {
+    let mut names = HashSet::new();
+    for kind in Kind::ALL {
+        let answer = kind.answer();
+        assert!(names.insert(answer.name), "{} names two kinds", answer.name);
+        assert!((400..600).contains(&answer.status), "{} answers {}", answer.name, answer.status);
+        assert_ne!(answer.exit, 0, "{} would end a program as a success", answer.name);
+    }
+}
