--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod id;
 pub mod route;
 pub mod settings;
+pub mod target;
 pub mod time;
 pub mod wire;
