--- /dev/null
+++ b/lagoongauge/src/burn/ledger.rs
@@ -0,0 +1,97 @@
+//! What one entry host counts for its services' objectives.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::objective::Objective;
+use super::series::{FINE_SLOTS, Sample, Series, Window};
+use crate::id::{HostId, ServiceId};
+use crate::time::{Instant, Span};
+
+/// Minutes that one point of a reported curve spans.
+const POINT_MINUTES: usize = 5;
+
+/// Counts of one entry host; bounded by the number of services.
+#[derive(Debug)]
+pub struct Ledger {
+    start: Instant,
+    services: IndexMap<ServiceId, [Series; Objective::ALL.len()]>,
+}
+
+/// One host's counts, as it hands them to a report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostBurn {
+    /// The host that counted.
+    pub host: HostId,
+    /// How long the host has been counting.
+    pub covered: Span,
+    /// Counts per service and objective.
+    pub services: Vec<ServiceBurn>,
+}
+
+/// One host's counts for one objective of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceBurn {
+    /// The service.
+    pub service: ServiceId,
+    /// The objective.
+    pub objective: Objective,
+    /// Counts per window, in the order of [`Window::ALL`].
+    pub windows: [Sample; Window::ALL.len()],
+    /// Counts of the last 6 hours in steps of 5 minutes, the latest first.
+    pub curve: Vec<Sample>,
+}
+
+impl Ledger {
+    /// Builds an empty ledger that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self { start: now, services: IndexMap::new() }
+    }
+
+    /// Returns the counts of the services that `shown` lets through.
+    pub fn report(
+        &self,
+        now: Instant,
+        host: HostId,
+        shown: impl Fn(ServiceId) -> bool,
+    ) -> HostBurn {
+        let mut services = Vec::new();
+        for (service, series) in self.services.iter().filter(|(service, _)| shown(**service)) {
+            for objective in Objective::ALL {
+                services.push(ServiceBurn {
+                    service: *service,
+                    objective,
+                    windows: Window::ALL
+                        .map(|window| series[objective as usize].window(now, window)),
+                    curve: curve(&series[objective as usize], now),
+                });
+            }
+        }
+        HostBurn { host, covered: now.since(self.start), services }
+    }
+
+    /// Counts one event of a service.
+    pub fn count(&mut self, now: Instant, service: ServiceId, objective: Objective, good: bool) {
+        let series = self
+            .services
+            .entry(service)
+            .or_insert_with(|| Objective::ALL.map(|_| Series::new(now)));
+        let events = Sample { good: u64::from(good), total: 1 };
+        series[objective as usize].count(now, events);
+    }
+
+    /// Forgets the services that are no longer among the settings.
+    pub fn retain(&mut self, kept: impl Fn(ServiceId) -> bool) {
+        self.services.retain(|service, _| kept(*service));
+    }
+}
+
+fn curve(series: &Series, now: Instant) -> Vec<Sample> {
+    let minutes = series.minutes(now, FINE_SLOTS);
+    let sum = |chunk: &[Sample]| {
+        let mut sum = Sample::default();
+        chunk.iter().for_each(|sample| sum.add(*sample));
+        sum
+    };
+    minutes.chunks(POINT_MINUTES).map(sum).collect()
+}
--- /dev/null
+++ b/lagoongauge/src/burn/report.rs
@@ -0,0 +1,300 @@
+//! The sum over hosts: error budgets, burn rates and alerts, with every gap named.
+
+use serde::{Deserialize, Serialize};
+
+use super::ledger::{HostBurn, ServiceBurn};
+use super::objective::{Goal, Objective};
+use super::series::{Sample, Window};
+use crate::id::{HostId, ServiceId};
+use crate::settings::Resolved;
+use crate::time::Span;
+
+/// Burn rate at which a 3-day budget is gone within 5 hours.
+const PAGE_RATE: f64 = 14.4;
+
+/// Burn rate at which a 3-day budget is gone within half a day.
+const WARN_RATE: f64 = 6.0;
+
+/// Burn rate at which the budget is used up exactly at the end of its window.
+const SPEND_RATE: f64 = 1.0;
+
+/// What the person on call has to do; a report shows no service as healthy while figures of a host
+/// of its group are missing or reach back less than an hour.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Alert {
+    /// Nothing; every host was heard and the budget lasts.
+    Healthy,
+    /// Nothing can be said: no host has counted anything.
+    NoData,
+    /// The budget lasts as far as is known, but figures are missing.
+    Partial,
+    /// The budget won't last; look at it this week.
+    Notice,
+    /// The budget is gone within half a day; look at it today.
+    Warn,
+    /// The budget is gone within hours; look at it now.
+    Page,
+}
+
+/// Burn of one window.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Rate {
+    /// The window.
+    pub window: Window,
+    /// Events of all hosts that were heard.
+    pub events: Sample,
+    /// Share of bad events over the share that the goal allows; `None` where nothing happened.
+    pub burn: Option<f64>,
+    /// Shortest share of the window that any of the hosts has counted, from 0 to 1.
+    pub covered: f64,
+}
+
+/// One objective of one service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// The service.
+    pub service: ServiceId,
+    /// Path of the service in the settings tree.
+    pub name: String,
+    /// The objective.
+    pub objective: Objective,
+    /// The share promised.
+    pub goal: Goal,
+    /// Burn per window, in the order of [`Window::ALL`].
+    pub rates: Vec<Rate>,
+    /// Share of the 3-day error budget that is left; below 0 it is overspent.
+    pub budget: Option<f64>,
+    /// What to do.
+    pub alert: Alert,
+    /// Events of the last 6 hours in steps of 5 minutes, the latest first.
+    pub curve: Vec<Sample>,
+}
+
+/// Burn of all services that the reader may see.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Version of the settings that the goals are taken from.
+    pub version: u64,
+    /// Hosts whose figures are summed.
+    pub heard: Vec<HostId>,
+    /// Hosts that should have counted, but gave no figures.
+    pub missing: Vec<HostId>,
+    /// The services' objectives, the worst alert first.
+    pub lines: Vec<Line>,
+}
+
+impl Report {
+    /// Sums hosts' counts over the services of the settings that `shown` lets through.
+    pub fn new(settings: &Resolved, heard: &[HostBurn], shown: impl Fn(ServiceId) -> bool) -> Self {
+        let hosts: Vec<_> = heard.iter().map(|burn| burn.host).collect();
+        let missing: Vec<_> =
+            settings.hosts.keys().filter(|host| !hosts.contains(host)).copied().collect();
+        let mut lines = Vec::new();
+        for service in settings.services.keys().copied().filter(|service| shown(*service)) {
+            let group = settings.groups.get(&service);
+            let gap = missing.iter().any(|host| Some(&settings.hosts[host].group) == group);
+            let objectives = Objective::ALL.iter();
+            lines.extend(
+                objectives.map(|objective| line(settings, heard, service, *objective, gap)),
+            );
+        }
+        lines.sort_by_key(|line| (std::cmp::Reverse(line.alert), line.service, line.objective));
+        Self { version: settings.version, heard: hosts, missing, lines }
+    }
+
+    /// Returns the gravest alert of the report.
+    pub fn worst(&self) -> Alert {
+        self.lines.iter().map(|line| line.alert).max().unwrap_or(Alert::NoData)
+    }
+}
+
+impl Alert {
+    /// Returns the alert's name in tables.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Healthy => "healthy",
+            Self::NoData => "no data",
+            Self::Partial => "partial",
+            Self::Notice => "notice",
+            Self::Warn => "warn",
+            Self::Page => "page",
+        }
+    }
+}
+
+fn line(
+    settings: &Resolved,
+    heard: &[HostBurn],
+    service: ServiceId,
+    objective: Objective,
+    gap: bool,
+) -> Line {
+    let settled = &settings.services[&service];
+    let goal = objective.goal(settled);
+    let wanted = |burn: &&ServiceBurn| burn.service == service && burn.objective == objective;
+    let parts: Vec<_> = heard.iter().flat_map(|burn| burn.services.iter().filter(wanted)).collect();
+    let least = heard.iter().map(|burn| burn.covered).min().unwrap_or_default();
+    let rates: Vec<_> =
+        Window::ALL.iter().map(|window| rate(*window, &parts, goal, least)).collect();
+    let gap = gap || least < Window::Hour.span();
+    let spent = rates[Window::ThreeDays as usize].burn;
+    let member = settings.members.get(&settled.member);
+    let owner = member.map_or_else(|| settled.member.to_string(), |member| member.name.clone());
+    Line {
+        service,
+        name: format!("/{owner}/{}", settled.name),
+        objective,
+        goal,
+        alert: alert(&rates, gap),
+        rates,
+        budget: spent.map(|burn| 1.0 - burn),
+        curve: sum_curves(&parts),
+    }
+}
+
+fn rate(window: Window, parts: &[&ServiceBurn], goal: Goal, least: Span) -> Rate {
+    let mut events = Sample::default();
+    parts.iter().for_each(|part| events.add(part.windows[window as usize]));
+    let burn = events.errors().map(|errors| errors / goal.budget());
+    let covered = (least.0 as f64 / window.span().0 as f64).min(1.0);
+    Rate { window, events, burn, covered }
+}
+
+/// Takes two windows together, so that neither a short spike nor an old fault alone raises an alert.
+fn alert(rates: &[Rate], gap: bool) -> Alert {
+    let above =
+        |window: Window, bound| rates[window as usize].burn.is_some_and(|burn| burn >= bound);
+    let both = |short, long, bound| above(short, bound) && above(long, bound);
+    if both(Window::FiveMinutes, Window::Hour, PAGE_RATE) {
+        return Alert::Page;
+    }
+    if both(Window::Hour, Window::SixHours, WARN_RATE) {
+        return Alert::Warn;
+    }
+    if both(Window::SixHours, Window::ThreeDays, SPEND_RATE) {
+        return Alert::Notice;
+    }
+    if gap {
+        return Alert::Partial;
+    }
+    if rates.iter().all(|rate| rate.burn.is_none()) {
+        return Alert::NoData;
+    }
+    Alert::Healthy
+}
+
+fn sum_curves(parts: &[&ServiceBurn]) -> Vec<Sample> {
+    let length = parts.iter().map(|part| part.curve.len()).max().unwrap_or_default();
+    let mut sums = vec![Sample::default(); length];
+    for part in parts {
+        sums.iter_mut().zip(&part.curve).for_each(|(sum, sample)| sum.add(*sample));
+    }
+    sums
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+    use crate::burn::Ledger;
+    use crate::flow::Protocol;
+    use crate::id::{CentreId, MemberId};
+    use crate::settings::{Host, Service};
+    use crate::time::Instant;
+
+    const SERVICE: ServiceId = ServiceId(1);
+    const START: Instant = Instant(0);
+    const NOW: Instant = Instant(7 * 3_600_000);
+
+    fn settings(hosts: u32) -> Resolved {
+        let service = Service {
+            member: MemberId(1),
+            name: "booking".to_string(),
+            protocol: Protocol::Tcp,
+            address: "192.0.2.1:443".parse().expect("the address is well-formed"),
+            bucket_bits: 10,
+            max_flows: 100,
+            max_rate: 100,
+            idle_limit: Span::seconds(60),
+            drain_limit: Span::seconds(60),
+            slow_start: Span::seconds(30),
+            established_goal: 999_000,
+            unbroken_goal: 999_900,
+            answer_goal: Span::millis(100),
+            imbalance_goal: 1_100,
+        };
+        let peer = "127.0.0.1:1".parse().expect("the address is well-formed");
+        let host = Host { centre: CentreId(1), group: 1, peer };
+        let mut settings = Resolved { version: 3, ..Resolved::default() };
+        settings.services.insert(SERVICE, service);
+        settings.groups.insert(SERVICE, 1);
+        settings.hosts.extend((1..=hosts).map(|id| (HostId(id), host.clone())));
+        settings
+    }
+
+    /// Counts `bad` of every thousand flows as not established, one flow a second for 7 hours.
+    fn counts(host: u32, bad: u64) -> HostBurn {
+        let mut ledger = Ledger::new(START);
+        for second in 0..NOW.0 / 1000 {
+            let good = second % 1000 >= bad;
+            ledger.count(Instant(second * 1000), SERVICE, Objective::Established, good);
+        }
+        ledger.report(NOW, HostId(host), |_| true)
+    }
+
+    fn established(settings: &Resolved, heard: &[HostBurn]) -> Line {
+        let report = Report::new(settings, heard, |_| true);
+        let wanted = |line: &&Line| line.objective == Objective::Established;
+        report.lines.iter().find(wanted).expect("every objective has a line").clone()
+    }
+
+    #[test]
+    fn alerts_follow_the_burn() {
+        let settings = settings(2);
+        for (bad, alert) in [(0, Alert::Healthy), (2, Alert::Notice), (8, Alert::Warn)] {
+            let line = established(&settings, &[counts(1, bad), counts(2, bad)]);
+            assert_eq!(line.alert, alert, "{bad} of 1000 flows failed");
+        }
+        let line = established(&settings, &[counts(1, 250), counts(2, 250)]);
+        assert_eq!(line.alert, Alert::Page);
+        assert!(line.budget.expect("there were events") < 0.0);
+    }
+
+    #[test]
+    fn a_missing_host_is_named_and_never_healthy() {
+        let settings = settings(2);
+        let report = Report::new(&settings, &[counts(1, 0)], |_| true);
+        assert_eq!(report.missing, vec![HostId(2)]);
+        assert!(report.lines.iter().all(|line| line.alert == Alert::Partial));
+    }
+
+    #[test]
+    fn no_figures_are_no_health() {
+        let settings = settings(1);
+        let silent = Ledger::new(START).report(NOW, HostId(1), |_| true);
+        assert_eq!(established(&settings, &[silent]).alert, Alert::NoData);
+        let young = Ledger::new(NOW).report(NOW, HostId(1), |_| true);
+        assert_eq!(established(&settings, &[young]).alert, Alert::Partial);
+    }
+
+    #[test]
+    fn a_reader_sees_only_what_is_shown() {
+        let report = Report::new(&settings(1), &[counts(1, 0)], |_| false);
+        assert!(report.lines.is_empty());
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(8))]
+
+        #[test]
+        fn the_sum_does_not_depend_on_the_order_of_hosts(bad in prop::collection::vec(0u64..50, 1..4)) {
+            let settings = settings(bad.len() as u32);
+            let mut heard: Vec<_> =
+                bad.iter().enumerate().map(|(at, bad)| counts(at as u32 + 1, *bad)).collect();
+            let first = established(&settings, &heard);
+            heard.reverse();
+            prop_assert_eq!(first, established(&settings, &heard));
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/burn/series.rs
@@ -0,0 +1,203 @@
+//! Good and bad events over the last minutes and hours.
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::{Instant, Span};
+
+/// Minutes that a series keeps one by one.
+pub const FINE_SLOTS: usize = 360;
+
+/// Hours that a series keeps one by one.
+pub const COARSE_SLOTS: usize = 72;
+
+/// Milliseconds in a minute.
+const MINUTE: u64 = 60_000;
+
+/// Minutes in an hour.
+const HOUR: u64 = 60;
+
+/// Events of some span of time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// Events that met the objective.
+    pub good: u64,
+    /// All events.
+    pub total: u64,
+}
+
+impl Sample {
+    /// Adds another sample's events.
+    pub fn add(&mut self, other: Self) {
+        self.good += other.good;
+        self.total += other.total;
+    }
+
+    /// Returns the share of bad events, or `None` where nothing happened.
+    pub fn errors(self) -> Option<f64> {
+        if self.total == 0 {
+            return None;
+        }
+        Some((self.total - self.good) as f64 / self.total as f64)
+    }
+}
+
+/// Span that a burn rate looks back over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Window {
+    /// The last 5 minutes.
+    FiveMinutes,
+    /// The last hour.
+    Hour,
+    /// The last 6 hours.
+    SixHours,
+    /// The last 3 days.
+    ThreeDays,
+}
+
+impl Window {
+    /// All windows, the shortest first.
+    pub const ALL: [Self; 4] = [Self::FiveMinutes, Self::Hour, Self::SixHours, Self::ThreeDays];
+
+    /// Returns the window's length.
+    pub const fn span(self) -> Span {
+        match self {
+            Self::FiveMinutes => Span::seconds(300),
+            Self::Hour => Span::seconds(3_600),
+            Self::SixHours => Span::seconds(6 * 3_600),
+            Self::ThreeDays => Span::seconds(72 * 3_600),
+        }
+    }
+
+    /// Returns the window's name in tables.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::FiveMinutes => "5m",
+            Self::Hour => "1h",
+            Self::SixHours => "6h",
+            Self::ThreeDays => "3d",
+        }
+    }
+}
+
+/// Events of one objective; a slot is empty again once its span has passed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Series {
+    minute: u64,
+    fine: Vec<Sample>,
+    coarse: Vec<Sample>,
+}
+
+impl Series {
+    /// Builds an empty series that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            minute: now.0 / MINUTE,
+            fine: vec![Sample::default(); FINE_SLOTS],
+            coarse: vec![Sample::default(); COARSE_SLOTS],
+        }
+    }
+
+    /// Returns the events of a window that ends now; the running minute counts.
+    pub fn window(&self, now: Instant, window: Window) -> Sample {
+        let minutes = (window.span().0 / MINUTE) as usize;
+        let recent = match window {
+            Window::ThreeDays => self.hours(now),
+            _ => self.minutes(now, minutes),
+        };
+        let mut sum = Sample::default();
+        recent.into_iter().for_each(|sample| sum.add(sample));
+        sum
+    }
+
+    /// Returns the last `count` minutes one by one, the running one first.
+    pub fn minutes(&self, now: Instant, count: usize) -> Vec<Sample> {
+        latest(&self.fine, now.0 / MINUTE, self.minute, count)
+    }
+
+    /// Returns the last 72 hours one by one, the running one first.
+    pub fn hours(&self, now: Instant) -> Vec<Sample> {
+        latest(&self.coarse, now.0 / MINUTE / HOUR, self.minute / HOUR, COARSE_SLOTS)
+    }
+
+    /// Counts events.
+    pub fn count(&mut self, now: Instant, events: Sample) {
+        self.advance(now.0 / MINUTE);
+        let fine = (self.minute % FINE_SLOTS as u64) as usize;
+        let coarse = (self.minute / HOUR % COARSE_SLOTS as u64) as usize;
+        self.fine[fine].add(events);
+        self.coarse[coarse].add(events);
+    }
+
+    fn advance(&mut self, minute: u64) {
+        if minute <= self.minute {
+            return;
+        }
+        clear(&mut self.fine, self.minute, minute);
+        clear(&mut self.coarse, self.minute / HOUR, minute / HOUR);
+        self.minute = minute;
+    }
+}
+
+/// Empties the slots of the spans after `last` up to `next`.
+fn clear(slots: &mut [Sample], last: u64, next: u64) {
+    let passed = (next - last).min(slots.len() as u64);
+    for span in next - passed + 1..=next {
+        let slot = (span % slots.len() as u64) as usize;
+        slots[slot] = Sample::default();
+    }
+}
+
+/// Returns the slots of the spans from `next` back; those after `last` are empty.
+fn latest(slots: &[Sample], next: u64, last: u64, count: usize) -> Vec<Sample> {
+    let length = slots.len() as u64;
+    let slot = |age: u64| {
+        let span = next.checked_sub(age)?;
+        let kept = span <= last && span + length > last;
+        kept.then(|| slots[(span % length) as usize])
+    };
+    (0..count as u64).map(|age| slot(age).unwrap_or_default()).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn minute(count: u64) -> Instant {
+        Instant(count * MINUTE)
+    }
+
+    #[test]
+    fn a_window_forgets_what_lies_before_it() {
+        let mut series = Series::new(minute(0));
+        series.count(minute(1), Sample { good: 3, total: 4 });
+        let sample = Sample { good: 3, total: 4 };
+        assert_eq!(series.window(minute(5), Window::FiveMinutes), sample);
+        assert_eq!(series.window(minute(6), Window::FiveMinutes), Sample::default());
+        assert_eq!(series.window(minute(6), Window::Hour), sample);
+        assert_eq!(series.window(minute(400), Window::SixHours), Sample::default());
+        assert_eq!(series.window(minute(400), Window::ThreeDays), sample);
+        assert_eq!(series.window(minute(73 * HOUR), Window::ThreeDays), Sample::default());
+    }
+
+    proptest! {
+        #[test]
+        fn windows_sum_what_was_counted(gaps in prop::collection::vec(0u64..90, 1..60)) {
+            let mut series = Series::new(minute(0));
+            let mut counted = Vec::new();
+            let mut at = 0;
+            for gap in gaps {
+                at += gap;
+                counted.push(at);
+                series.count(minute(at), Sample { good: 1, total: 2 });
+            }
+            for window in [Window::FiveMinutes, Window::Hour, Window::SixHours] {
+                let length = window.span().0 / MINUTE;
+                let inside = counted.iter().filter(|minute| **minute + length > at).count() as u64;
+                let sum = series.window(minute(at), window);
+                prop_assert_eq!(sum, Sample { good: inside, total: 2 * inside });
+            }
+        }
+    }
+}
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,4 +1,5 @@
 //! Shared parts of the programs.
 
+pub mod burn;
 pub mod daemon;
 pub mod measure;
