Carry callers' connections through sprayed entry hosts, thin

Cause: nothing carried a packet yet. Change: packets are parsed, rewritten in place and refused by lagoongauge::packet, decided on by lagoongauge::forward, and carried by the data threads of lagoongauged::entry.

--- /dev/null
+++ b/lagoongauge/src/forward/mod.rs
@@ -0,0 +1,122 @@
+//! One packet's way through an entry host: parsed, decided on and rewritten in place.
+//!
+//! The routing and the addresses are handed in, so the daemon, the tests and the measurements run
+//! the same code. What can't be carried is dropped with a [`Reason`]; see "Data path" in
+//! docs/DESIGN.md.
+
+mod directory;
+
+use std::net::SocketAddr;
+
+pub use self::directory::Directory;
+use crate::flow::{FlowHash, HashKey, Protocol};
+use crate::id::{HostId, ServiceId, TargetId};
+use crate::packet::{Packet, Reason, Side, refuse, rewrite};
+use crate::route::{Direction, Facts, Route, Verdict};
+use crate::time::Instant;
+
+/// Relays after which a packet is dropped, so that hosts that disagree never pass it in a circle.
+pub const MAX_RELAYS: u8 = 3;
+
+/// A target as the source of an outward packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// The target.
+    pub target: TargetId,
+    /// The service that the target serves.
+    pub service: ServiceId,
+    /// The service's address, which callers know the target by.
+    pub address: SocketAddr,
+}
+
+/// Addresses as the data path looks them up.
+pub trait Addresses {
+    /// Returns the service that callers reach at this address.
+    fn service(&self, protocol: Protocol, address: SocketAddr) -> Option<ServiceId>;
+
+    /// Returns the target that sends from this address, also for some time after it left.
+    fn origin(&self, protocol: Protocol, address: SocketAddr) -> Option<Origin>;
+
+    /// Returns where packets to the target go; none once the target has left.
+    fn address(&self, target: TargetId) -> Option<SocketAddr>;
+}
+
+/// What to do with a packet once it was decided on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Hand the rewritten packet, the first `len` bytes, to the fabric.
+    Send {
+        /// Length of the packet.
+        len: usize,
+    },
+    /// Hand the packet unchanged, the first `len` bytes, to this entry host.
+    Relay {
+        /// The entry host.
+        host: HostId,
+        /// Length of the packet.
+        len: usize,
+    },
+    /// Hand the reply buffer to the fabric: the flow was refused.
+    Refuse(crate::error::Kind),
+    /// Drop the packet.
+    Drop(Reason),
+}
+
+/// Decides on the packet in `bytes`, which `hops` entry hosts have relayed so far.
+///
+/// The packet is rewritten in place; a refusal is built in `reply`.
+pub fn forward<R: Route, A: Addresses>(
+    now: Instant,
+    key: &HashKey,
+    (route, addresses): (&R, &A),
+    bytes: &mut [u8],
+    hops: u8,
+    reply: &mut Vec<u8>,
+) -> Step {
+    let packet = match Packet::parse(bytes) {
+        Ok(packet) => packet,
+        Err(reason) => return Step::Drop(reason),
+    };
+    let Some((facts, address)) = facts(key, addresses, &packet, hops) else {
+        return Step::Drop(Reason::Stray);
+    };
+    let (side, end) = match route.route(now, &facts) {
+        Verdict::Forward(target) => match addresses.address(target) {
+            Some(end) => (Side::Destination, end),
+            None => return Step::Drop(Reason::Stray),
+        },
+        Verdict::Answer => (Side::Source, address),
+        Verdict::Relay(_) if hops >= MAX_RELAYS => return Step::Drop(Reason::Relays),
+        Verdict::Relay(host) => return Step::Relay { host, len: packet.len },
+        Verdict::Refuse(kind) if refuse(bytes, &packet, reply) => return Step::Refuse(kind),
+        Verdict::Refuse(kind) | Verdict::Drop(kind) => return Step::Drop(Reason::Verdict(kind)),
+    };
+    let wrong = (side == Side::Source) != (facts.direction == Direction::Outward);
+    if wrong {
+        return Step::Drop(Reason::Verdict(crate::error::Kind::Internal));
+    }
+    match rewrite(bytes, &packet, side, end) {
+        Ok(()) => Step::Send { len: packet.len },
+        Err(reason) => Step::Drop(reason),
+    }
+}
+
+/// Finds what the routing needs to know, and the service's address.
+fn facts<A: Addresses>(
+    key: &HashKey,
+    addresses: &A,
+    packet: &Packet,
+    hops: u8,
+) -> Option<(Facts, SocketAddr)> {
+    let inward = addresses.service(packet.protocol, packet.destination);
+    let (direction, service, source, address) = match inward {
+        Some(service) => (Direction::Inward, service, None, packet.destination),
+        None => {
+            let origin = addresses.origin(packet.protocol, packet.source)?;
+            (Direction::Outward, origin.service, Some(origin.target), origin.address)
+        }
+    };
+    let flow = FlowHash::new(key, &packet.tuple(direction, address));
+    let signal = packet.signal;
+    Some((Facts { service, flow, signal, direction, source, hops }, address))
+}
--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod error;
 pub mod flow;
+pub mod forward;
 pub mod id;
+pub mod packet;
 pub mod route;
 pub mod settings;
 pub mod time;
--- /dev/null
+++ b/lagoongauge/src/packet/parse.rs
@@ -0,0 +1,289 @@
+//! Reads the ends, the signal and the layout of a packet.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+use etherparse::checksum::Sum16BitWords;
+use etherparse::{
+    IpNumber, Ipv4HeaderSlice, Ipv6ExtensionsSlice, Ipv6HeaderSlice, TcpHeaderSlice, UdpHeaderSlice,
+};
+
+use super::Reason;
+use crate::flow::{Protocol, Signal, Tuple};
+use crate::route::Direction;
+
+/// Shortest ICMP error: its header of 8 bytes, and an IPv4 header with 8 bytes behind it.
+const MIN_ICMP_ERROR: usize = 8 + 20 + 8;
+
+/// Bytes of the quoted transport header that an ICMP error carries at least.
+const MIN_QUOTED: usize = 8;
+
+/// A packet whose headers were checked; positions are bytes from its start.
+///
+/// An ICMP error takes the ends of the flow that it speaks of: it comes from the end that the
+/// quoted packet was sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Packet {
+    /// Transport protocol of the flow.
+    pub protocol: Protocol,
+    /// The end of the flow that the packet comes from.
+    pub source: SocketAddr,
+    /// The end of the flow that the packet goes to.
+    pub destination: SocketAddr,
+    /// What the packet says of the flow's life.
+    pub signal: Signal,
+    /// Whether this is a TCP SYN with ACK, the first answer to a new flow.
+    pub accepts: bool,
+    /// Length of the packet without any bytes behind it.
+    pub len: usize,
+    /// Position of the transport header, or of the ICMP header of an error.
+    pub(super) transport: usize,
+    /// Positions of the quoted packet where this is an ICMP error.
+    pub(super) quoted: Option<Quoted>,
+}
+
+/// Positions of the packet that an ICMP error quotes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Quoted {
+    /// Start of the IP header.
+    pub network: usize,
+    /// Start of the transport header.
+    pub transport: usize,
+}
+
+/// What an IP header says.
+struct Network {
+    source: IpAddr,
+    destination: IpAddr,
+    protocol: IpNumber,
+    transport: usize,
+    len: usize,
+}
+
+impl Packet {
+    /// Reads a packet, which starts at the first byte; bytes behind its end are left alone.
+    pub fn parse(bytes: &[u8]) -> Result<Self, Reason> {
+        let network = Network::parse(bytes, false)?;
+        let body = &bytes[network.transport..network.len];
+        match (network.protocol, network.source) {
+            (IpNumber::TCP, _) => network.tcp(body),
+            (IpNumber::UDP, _) => network.udp(body),
+            (IpNumber::ICMP, IpAddr::V4(_)) => network.icmp(bytes, body, Sum16BitWords::new()),
+            (IpNumber::IPV6_ICMP, IpAddr::V6(_)) => {
+                let pseudo = pseudo_sum(bytes, body.len());
+                network.icmp(bytes, body, pseudo)
+            }
+            _ => Err(Reason::Protocol),
+        }
+    }
+
+    /// Returns the flow's tuple as the caller sees it; `service` is the service's address.
+    pub fn tuple(&self, direction: Direction, service: SocketAddr) -> Tuple {
+        let caller = match direction {
+            Direction::Inward => self.source,
+            Direction::Outward => self.destination,
+        };
+        Tuple { protocol: self.protocol, caller, service }
+    }
+
+    /// Returns whether this is an ICMP error that speaks of the flow.
+    pub fn is_error(&self) -> bool {
+        self.quoted.is_some()
+    }
+
+    fn checked(self) -> Result<Self, Reason> {
+        let ports = self.source.port() != 0 && self.destination.port() != 0;
+        if !ports || !is_unicast(self.source.ip()) || !is_unicast(self.destination.ip()) {
+            return Err(Reason::Address);
+        }
+        Ok(self)
+    }
+}
+
+impl Network {
+    /// Reads an IP header; a quoted packet may be cut short behind it.
+    fn parse(bytes: &[u8], quoted: bool) -> Result<Self, Reason> {
+        match bytes.first().map(|byte| byte >> 4) {
+            Some(4) => Self::parse_v4(bytes, quoted),
+            Some(6) => Self::parse_v6(bytes, quoted),
+            _ => Err(Reason::Version),
+        }
+    }
+
+    fn parse_v4(bytes: &[u8], quoted: bool) -> Result<Self, Reason> {
+        let header = Ipv4HeaderSlice::from_slice(bytes).map_err(|_| Reason::Network)?;
+        let transport = header.slice().len();
+        let total = usize::from(header.total_len());
+        if total < transport || (!quoted && total > bytes.len()) {
+            return Err(Reason::Network);
+        }
+        if header.is_fragmenting_payload() {
+            return Err(Reason::Fragment);
+        }
+        Ok(Self {
+            source: header.source_addr().into(),
+            destination: header.destination_addr().into(),
+            protocol: header.protocol(),
+            transport,
+            len: total.min(bytes.len()),
+        })
+    }
+
+    fn parse_v6(bytes: &[u8], quoted: bool) -> Result<Self, Reason> {
+        let header = Ipv6HeaderSlice::from_slice(bytes).map_err(|_| Reason::Network)?;
+        let start = header.header_len();
+        let total = start + usize::from(header.payload_length());
+        if !quoted && total > bytes.len() {
+            return Err(Reason::Network);
+        }
+        let len = total.min(bytes.len());
+        let next = header.next_header();
+        let (protocol, transport) = match next {
+            IpNumber::TCP | IpNumber::UDP | IpNumber::IPV6_ICMP => (next, start),
+            _ => skip_extensions(next, &bytes[start..len], start)?,
+        };
+        Ok(Self {
+            source: header.source_addr().into(),
+            destination: header.destination_addr().into(),
+            protocol,
+            transport,
+            len,
+        })
+    }
+
+    fn tcp(self, body: &[u8]) -> Result<Packet, Reason> {
+        let header = TcpHeaderSlice::from_slice(body).map_err(|_| Reason::Transport)?;
+        let data = body.len() > header.slice().len();
+        let signal = signal(&header, data)?;
+        let accepts = header.syn() && header.ack();
+        let ports = (header.source_port(), header.destination_port());
+        self.packet(Protocol::Tcp, ports, signal, accepts).checked()
+    }
+
+    fn udp(self, body: &[u8]) -> Result<Packet, Reason> {
+        let header = UdpHeaderSlice::from_slice(body).map_err(|_| Reason::Transport)?;
+        if usize::from(header.length()) != body.len() {
+            return Err(Reason::Transport);
+        }
+        let ports = (header.source_port(), header.destination_port());
+        self.packet(Protocol::Udp, ports, Signal::Datagram, false).checked()
+    }
+
+    fn icmp(self, bytes: &[u8], body: &[u8], pseudo: Sum16BitWords) -> Result<Packet, Reason> {
+        let kind = *body.first().ok_or(Reason::Transport)?;
+        if !is_icmp_error(self.source, kind) {
+            return Err(Reason::Protocol);
+        }
+        if body.len() < MIN_ICMP_ERROR {
+            return Err(Reason::Transport);
+        }
+        if pseudo.add_slice(body).ones_complement() != 0 {
+            return Err(Reason::Checksum);
+        }
+        let start = self.transport + 8;
+        let inner = Self::parse(&bytes[start..self.len], true).map_err(quoted_reason)?;
+        if inner.source != self.destination || inner.len < inner.transport + MIN_QUOTED {
+            return Err(Reason::Quoted);
+        }
+        let protocol = match inner.protocol {
+            IpNumber::TCP => Protocol::Tcp,
+            IpNumber::UDP => Protocol::Udp,
+            _ => return Err(Reason::Quoted),
+        };
+        let transport = start + inner.transport;
+        let ports =
+            [0, 2].map(|at| u16::from_be_bytes([bytes[transport + at], bytes[transport + at + 1]]));
+        let packet = Packet {
+            protocol,
+            source: SocketAddr::new(inner.destination, ports[1]),
+            destination: SocketAddr::new(inner.source, ports[0]),
+            signal: Signal::Middle,
+            accepts: false,
+            len: self.len,
+            transport: self.transport,
+            quoted: Some(Quoted { network: start, transport }),
+        };
+        packet.checked()
+    }
+
+    fn packet(
+        self,
+        protocol: Protocol,
+        (from, to): (u16, u16),
+        signal: Signal,
+        accepts: bool,
+    ) -> Packet {
+        Packet {
+            protocol,
+            source: SocketAddr::new(self.source, from),
+            destination: SocketAddr::new(self.destination, to),
+            signal,
+            accepts,
+            len: self.len,
+            transport: self.transport,
+            quoted: None,
+        }
+    }
+}
+
+/// Sums the pseudo header of an ICMPv6 message of `len` bytes in the packet `bytes`.
+pub(super) fn pseudo_sum(bytes: &[u8], len: usize) -> Sum16BitWords {
+    Sum16BitWords::new()
+        .add_slice(&bytes[8..40])
+        .add_4bytes((len as u32).to_be_bytes())
+        .add_2bytes([0, IpNumber::IPV6_ICMP.0])
+}
+
+fn quoted_reason(reason: Reason) -> Reason {
+    match reason {
+        Reason::Fragment => Reason::Fragment,
+        _ => Reason::Quoted,
+    }
+}
+
+fn skip_extensions(next: IpNumber, rest: &[u8], start: usize) -> Result<(IpNumber, usize), Reason> {
+    let (extensions, protocol, left) =
+        Ipv6ExtensionsSlice::from_slice(next, rest).map_err(|_| Reason::Network)?;
+    if extensions.is_fragmenting_payload() {
+        return Err(Reason::Fragment);
+    }
+    // A routing header names another destination than the checksum is made for.
+    let routing = extensions
+        .clone()
+        .into_iter()
+        .any(|extension| matches!(extension, etherparse::Ipv6ExtensionSlice::Routing(_)));
+    if routing {
+        return Err(Reason::Protocol);
+    }
+    Ok((protocol, start + rest.len() - left.len()))
+}
+
+fn signal(header: &TcpHeaderSlice<'_>, data: bool) -> Result<Signal, Reason> {
+    let (syn, fin, rst) = (header.syn(), header.fin(), header.rst());
+    if syn && (fin || rst) {
+        return Err(Reason::Flags);
+    }
+    if rst {
+        return Ok(Signal::Reset);
+    }
+    if fin {
+        return Ok(Signal::Finish);
+    }
+    if !syn || header.ack() {
+        return Ok(Signal::Middle);
+    }
+    Ok(if data { Signal::OpenData } else { Signal::Open })
+}
+
+fn is_icmp_error(source: IpAddr, kind: u8) -> bool {
+    match source {
+        IpAddr::V4(_) => matches!(kind, 3 | 11 | 12),
+        IpAddr::V6(_) => matches!(kind, 1..=4),
+    }
+}
+
+fn is_unicast(ip: IpAddr) -> bool {
+    match ip {
+        IpAddr::V4(ip) => !ip.is_multicast() && !ip.is_unspecified() && ip != Ipv4Addr::BROADCAST,
+        IpAddr::V6(ip) => !ip.is_multicast() && ip != Ipv6Addr::UNSPECIFIED,
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/packet/reason.rs
@@ -0,0 +1,91 @@
+//! Why a packet was dropped: one closed list that metrics and logs share.
+
+use std::fmt;
+
+use crate::error::Kind;
+
+macro_rules! reasons {
+    ($($reason:ident, $name:literal, $kind:ident, $meaning:literal;)*) => {
+        /// Why a packet was dropped.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Reason {
+            $(#[doc = $meaning] $reason,)*
+            /// The routing decided so.
+            Verdict(Kind),
+        }
+
+        impl Reason {
+            /// All reasons that the data path itself finds, in the order of the table.
+            pub const OWN: &[Self] = &[$(Self::$reason,)*];
+
+            /// Returns the name under which the reason is counted.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$reason => $name,)*
+                    Self::Verdict(kind) => kind.answer().name,
+                }
+            }
+
+            /// Returns the kind of error that the reason stands for.
+            pub const fn kind(self) -> Kind {
+                match self {
+                    $(Self::$reason => Kind::$kind,)*
+                    Self::Verdict(kind) => kind,
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    Version, "packet_version", Malformed, "The packet is neither IPv4 nor IPv6.";
+    Network, "packet_network_header", Malformed, "The IP header or its length is wrong.";
+    Fragment, "packet_fragment", Fragment, "The packet is a fragment.";
+    Protocol, "packet_protocol", Malformed, "The packet is neither TCP, UDP nor an ICMP error.";
+    Transport, "packet_transport_header", Malformed, "The transport header or its length is wrong.";
+    Flags, "packet_flags", Malformed, "The TCP flags contradict each other.";
+    Address, "packet_address", Malformed, "An address or port can't be the end of a flow.";
+    Quoted, "packet_quoted", Malformed, "The packet that an ICMP error quotes can't be read.";
+    Checksum, "packet_checksum", Malformed, "The checksum of an ICMP error is wrong.";
+    HopLimit, "packet_hop_limit", Unroutable, "The packet's hop limit is used up.";
+    Family, "packet_family", Unroutable, "Packet and new address are not of one IP version.";
+    Stray, "packet_stray", NotFound, "Neither a service nor a target has the packet's address.";
+    Relays, "packet_relays", Unroutable, "Too many entry hosts have relayed the packet.";
+    Source, "packet_source", Forbidden, "The datagram does not come from the fabric.";
+}
+
+impl Reason {
+    /// Returns a position below [`Reason::COUNT`] for counters in an array.
+    pub fn index(self) -> usize {
+        match self {
+            Self::Verdict(kind) => Self::OWN.len() + kind as usize,
+            own => Self::OWN.iter().position(|&r| r == own).unwrap_or(0),
+        }
+    }
+
+    /// Number of distinct reasons.
+    pub const COUNT: usize = Self::OWN.len() + Kind::ALL.len();
+
+    /// Returns all reasons in the order of their positions.
+    pub fn all() -> impl Iterator<Item = Self> {
+        let verdicts = Kind::ALL.iter().map(|&kind| Self::Verdict(kind));
+        Self::OWN.iter().copied().chain(verdicts)
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn positions_follow_the_order_of_all() {
+        let positions: Vec<usize> = Reason::all().map(Reason::index).collect();
+        assert_eq!(positions, (0..Reason::COUNT).collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/packet/refuse.rs
@@ -0,0 +1,81 @@
+//! Builds the answer that tells a caller that nothing of its flow ran.
+
+use etherparse::{
+    Icmpv4Type, Icmpv6Type, IpHeaders, PacketBuilder, PacketBuilderStep, TcpHeaderSlice, icmpv4,
+    icmpv6,
+};
+
+use super::Packet;
+use crate::flow::{Protocol, Signal};
+
+/// Hop limit of the packets that the system itself sends.
+const HOP_LIMIT: u8 = 64;
+
+/// Longest quotation in an ICMP error, in bytes; the whole stays under 576 bytes.
+const MAX_QUOTED: usize = 520;
+
+/// Writes the refusal of a flow's first packet to `reply` and returns whether there is one.
+///
+/// Only a packet that opens a flow is ever refused: any other may belong to a flow of which
+/// something ran, and its caller must not be told that nothing did.
+pub fn refuse(bytes: &[u8], packet: &Packet, reply: &mut Vec<u8>) -> bool {
+    reply.clear();
+    if packet.is_error() {
+        return false;
+    }
+    let built = match packet.signal {
+        Signal::Open | Signal::OpenData => reset(bytes, packet, reply),
+        Signal::Datagram => unreachable(bytes, packet, reply),
+        Signal::Middle | Signal::Finish | Signal::Reset => false,
+    };
+    if !built {
+        reply.clear();
+    }
+    built
+}
+
+/// Answers a SYN by a RST that acknowledges it with its data (RFC 9293, 3.10.7.1).
+fn reset(bytes: &[u8], packet: &Packet, reply: &mut Vec<u8>) -> bool {
+    let body = &bytes[packet.transport..packet.len];
+    let Ok(header) = TcpHeaderSlice::from_slice(body) else {
+        return false;
+    };
+    let data = (body.len() - header.slice().len()) as u32;
+    let expected = header.sequence_number().wrapping_add(data).wrapping_add(1);
+    answer_ip(packet)
+        .tcp(packet.destination.port(), packet.source.port(), 0, 0)
+        .rst()
+        .ack(expected)
+        .write(reply, &[])
+        .is_ok()
+}
+
+fn unreachable(bytes: &[u8], packet: &Packet, reply: &mut Vec<u8>) -> bool {
+    debug_assert_eq!(packet.protocol, Protocol::Udp);
+    let quoted = &bytes[..packet.len.min(MAX_QUOTED)];
+    let ip = answer_ip(packet);
+    let step = if packet.source.is_ipv4() {
+        ip.icmpv4(Icmpv4Type::DestinationUnreachable(icmpv4::DestUnreachableHeader::Port))
+            .write(reply, quoted)
+    } else {
+        ip.icmpv6(Icmpv6Type::DestinationUnreachable(icmpv6::DestUnreachableCode::Port))
+            .write(reply, quoted)
+    };
+    step.is_ok()
+}
+
+fn answer_ip(packet: &Packet) -> PacketBuilderStep<IpHeaders> {
+    match (packet.destination.ip(), packet.source.ip()) {
+        (std::net::IpAddr::V4(from), std::net::IpAddr::V4(to)) => {
+            PacketBuilder::ipv4(from.octets(), to.octets(), HOP_LIMIT)
+        }
+        (from, to) => PacketBuilder::ipv6(mapped(from), mapped(to), HOP_LIMIT),
+    }
+}
+
+fn mapped(ip: std::net::IpAddr) -> [u8; 16] {
+    match ip {
+        std::net::IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
+        std::net::IpAddr::V6(ip) => ip.octets(),
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/packet/rewrite.rs
@@ -0,0 +1,180 @@
+//! Replaces one end of a packet in place and keeps every checksum as right or wrong as it was.
+
+use std::net::{IpAddr, SocketAddr};
+
+use etherparse::checksum::Sum16BitWords;
+
+use super::parse::{Quoted, pseudo_sum};
+use super::{Packet, Reason};
+use crate::flow::Protocol;
+
+/// Which end of a packet is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// The end that the packet comes from.
+    Source,
+    /// The end that the packet goes to.
+    Destination,
+}
+
+/// Replaces the packet's `side` by `end` and takes one from the hop limit.
+///
+/// `bytes` must be those that `packet` was parsed from. An ICMP error gets the end replaced in the
+/// packet that it quotes as well, so that its receiver finds its own flow in it. On an error the
+/// bytes are as they were.
+pub fn rewrite(
+    bytes: &mut [u8],
+    packet: &Packet,
+    side: Side,
+    end: SocketAddr,
+) -> Result<(), Reason> {
+    if packet.source.is_ipv4() != end.is_ipv4() {
+        return Err(Reason::Family);
+    }
+    lower_hop_limit(bytes)?;
+    match packet.quoted {
+        None => rewrite_plain(bytes, packet, side, end),
+        Some(quoted) => rewrite_error(bytes, packet, quoted, side, end),
+    }
+    Ok(())
+}
+
+fn rewrite_plain(bytes: &mut [u8], packet: &Packet, side: Side, end: SocketAddr) {
+    let address = replace_address(bytes, 0, side, end.ip());
+    let port = replace_port(bytes, packet.transport, side, end.port());
+    let change = address.plus(port);
+    adjust_transport(bytes, packet.transport, packet.protocol, packet.len, change);
+}
+
+/// Rewrites an ICMP error, which runs against the direction of the packet that it quotes.
+fn rewrite_error(bytes: &mut [u8], packet: &Packet, quoted: Quoted, side: Side, end: SocketAddr) {
+    let (inner, old) = match side {
+        Side::Source => (Side::Destination, packet.source),
+        Side::Destination => (Side::Source, packet.destination),
+    };
+    // A router on the way may have sent the error: its own address is left alone.
+    if address_at(bytes, 0, side, old.ip()) {
+        replace_address(bytes, 0, side, end.ip());
+    }
+    let address = replace_address(bytes, quoted.network, inner, end.ip());
+    let port = replace_port(bytes, quoted.transport, inner, end.port());
+    let change = address.plus(port);
+    adjust_transport(bytes, quoted.transport, packet.protocol, packet.len, change);
+
+    let field = packet.transport + 2;
+    bytes[field..field + 2].fill(0);
+    let sum = match end.ip() {
+        IpAddr::V4(_) => Sum16BitWords::new(),
+        IpAddr::V6(_) => pseudo_sum(bytes, packet.len - packet.transport),
+    };
+    let sum = sum.add_slice(&bytes[packet.transport..packet.len]).ones_complement();
+    bytes[field..field + 2].copy_from_slice(&sum.to_be_bytes());
+}
+
+/// What a replacement changes in a one's complement sum (RFC 1624).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Change(u64);
+
+impl Change {
+    fn new(old: &[u8], new: &[u8]) -> Self {
+        let words = old.as_chunks::<2>().0.iter().zip(new.as_chunks::<2>().0);
+        let sum = words.map(|(old, new)| {
+            u64::from(!u16::from_be_bytes(*old)) + u64::from(u16::from_be_bytes(*new))
+        });
+        Self(sum.sum())
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self(self.0 + other.0)
+    }
+
+    /// Applies the change to the checksum at `field`.
+    fn apply(self, bytes: &mut [u8], field: usize) {
+        let old = u16::from_be_bytes([bytes[field], bytes[field + 1]]);
+        let mut sum = u64::from(!old) + self.0;
+        sum = (sum & 0xffff) + (sum >> 16);
+        sum = (sum & 0xffff) + (sum >> 16);
+        let new = !(sum as u16);
+        bytes[field..field + 2].copy_from_slice(&new.to_be_bytes());
+    }
+}
+
+fn lower_hop_limit(bytes: &mut [u8]) -> Result<(), Reason> {
+    let version = bytes[0] >> 4;
+    let at = if version == 4 { 8 } else { 7 };
+    if bytes[at] <= 1 {
+        return Err(Reason::HopLimit);
+    }
+    let old = [bytes[at], 0];
+    bytes[at] -= 1;
+    if version == 4 {
+        Change::new(&old, &[bytes[at], 0]).apply(bytes, 10);
+    }
+    Ok(())
+}
+
+fn address_range(network: usize, side: Side, is_v4: bool) -> std::ops::Range<usize> {
+    let (first, len) = if is_v4 { (12, 4) } else { (8, 16) };
+    let skip = if side == Side::Destination { len } else { 0 };
+    let start = network + first + skip;
+    start..start + len
+}
+
+fn address_at(bytes: &[u8], network: usize, side: Side, ip: IpAddr) -> bool {
+    let range = address_range(network, side, ip.is_ipv4());
+    match ip {
+        IpAddr::V4(ip) => bytes[range] == ip.octets(),
+        IpAddr::V6(ip) => bytes[range] == ip.octets(),
+    }
+}
+
+/// Replaces an address, and adjusts the checksum of an IPv4 header.
+fn replace_address(bytes: &mut [u8], network: usize, side: Side, ip: IpAddr) -> Change {
+    let range = address_range(network, side, ip.is_ipv4());
+    match ip {
+        IpAddr::V4(ip) => {
+            let change = Change::new(&bytes[range.clone()], &ip.octets());
+            bytes[range].copy_from_slice(&ip.octets());
+            change.apply(bytes, network + 10);
+            change
+        }
+        IpAddr::V6(ip) => {
+            let change = Change::new(&bytes[range.clone()], &ip.octets());
+            bytes[range].copy_from_slice(&ip.octets());
+            change
+        }
+    }
+}
+
+fn replace_port(bytes: &mut [u8], transport: usize, side: Side, port: u16) -> Change {
+    let start = if side == Side::Source { transport } else { transport + 2 };
+    let field = &mut bytes[start..start + 2];
+    let change = Change::new(field, &port.to_be_bytes());
+    field.copy_from_slice(&port.to_be_bytes());
+    change
+}
+
+/// Adjusts a transport checksum where the packet has one and reaches as far.
+fn adjust_transport(
+    bytes: &mut [u8],
+    transport: usize,
+    protocol: Protocol,
+    len: usize,
+    change: Change,
+) {
+    let field = match protocol {
+        Protocol::Tcp => transport + 16,
+        Protocol::Udp => transport + 6,
+    };
+    if field + 2 > len {
+        return;
+    }
+    let none = protocol == Protocol::Udp && bytes[field..field + 2] == [0, 0];
+    if none {
+        return;
+    }
+    change.apply(bytes, field);
+    if protocol == Protocol::Udp && bytes[field..field + 2] == [0, 0] {
+        bytes[field..field + 2].fill(0xff);
+    }
+}
--- /dev/null
+++ b/lagoongauged/examples/whole_path/caller.rs
@@ -0,0 +1,197 @@
+//! Callers: smoltcp clients that ask, compare each answer with its request, and ask again.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use smoltcp::iface::SocketHandle;
+use smoltcp::socket::tcp;
+
+use crate::fabric::Fabric;
+use crate::stack::{Stack, socket};
+
+/// Length of a request and of an answer, in bytes.
+pub const REQUEST: usize = 64;
+
+/// Pause between an answer and the next request.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest silence after which a flow counts as broken.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A request; its answer has the names filled in.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Request {
+    pub flow: u32,
+    pub round: u32,
+    pub service: u16,
+    pub target: u16,
+}
+
+impl Request {
+    /// Reads a request or an answer.
+    pub fn read(bytes: &[u8; REQUEST]) -> Self {
+        let half = |at| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
+        let word = |at| u32::from(half(at)) << 16 | u32::from(half(at + 2));
+        Self { flow: word(0), round: word(4), service: half(8), target: half(10) }
+    }
+
+    /// Writes a request or an answer.
+    pub fn write(self) -> [u8; REQUEST] {
+        let mut bytes = [0; REQUEST];
+        bytes[..4].copy_from_slice(&self.flow.to_be_bytes());
+        bytes[4..8].copy_from_slice(&self.round.to_be_bytes());
+        bytes[8..10].copy_from_slice(&self.service.to_be_bytes());
+        bytes[10..12].copy_from_slice(&self.target.to_be_bytes());
+        bytes
+    }
+}
+
+/// What a group of callers saw.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outcome {
+    pub flows: u64,
+    pub answers: u64,
+    pub broken: u64,
+    pub misrouted: u64,
+}
+
+/// A group of callers of one service.
+pub struct Callers {
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<Outcome>,
+}
+
+/// One connection.
+struct Flow {
+    handle: SocketHandle,
+    request: Request,
+    target: Option<u16>,
+    rounds: u32,
+    waiting: bool,
+    since: Instant,
+}
+
+impl Callers {
+    /// Opens `count` flows to a service; every second one ends and begins anew now and then.
+    pub fn start(
+        ip: IpAddr,
+        service: (SocketAddr, u16),
+        count: usize,
+        fabric: &Arc<Fabric>,
+    ) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let stack = Stack::new(ip, u64::from(service.1), fabric);
+        let stop = Arc::clone(&stopped);
+        let thread = std::thread::spawn(move || call(stack, service, count, &stop));
+        Self { stopped, thread }
+    }
+
+    /// Lets every flow end with its last answer, and returns what was seen.
+    pub fn stop(self) -> Outcome {
+        self.stopped.store(true, Ordering::Release);
+        self.thread.join().expect("a caller's thread panicked")
+    }
+}
+
+fn call(
+    mut stack: Stack,
+    service: (SocketAddr, u16),
+    count: usize,
+    stopped: &AtomicBool,
+) -> Outcome {
+    let mut outcome = Outcome::default();
+    let mut flows: Vec<Flow> = Vec::new();
+    let mut next = 0;
+    loop {
+        stack.poll();
+        let stop = stopped.load(Ordering::Acquire);
+        if !stop && flows.len() < count {
+            flows.push(open(&mut stack, service.0, next));
+            outcome.flows += 1;
+            next += 1;
+        }
+        flows.retain_mut(|flow| {
+            let socket = stack.sockets.get_mut::<tcp::Socket>(flow.handle);
+            let keep = flow.step(socket, service.1, stop, &mut outcome);
+            if !keep {
+                stack.sockets.remove(flow.handle);
+            }
+            keep
+        });
+        if stop && flows.is_empty() {
+            return outcome;
+        }
+    }
+}
+
+fn open(stack: &mut Stack, service: SocketAddr, flow: u32) -> Flow {
+    let mut socket = socket();
+    let port = 1024 + (flow % 60_000) as u16;
+    socket
+        .connect(stack.iface.context(), (service.ip(), service.port()), port)
+        .expect("the socket is new");
+    let rounds = if flow % 2 == 0 { u32::MAX } else { 20 + flow % 50 };
+    let request = Request { flow, ..Request::default() };
+    let handle = stack.sockets.add(socket);
+    Flow { handle, request, target: None, rounds, waiting: false, since: Instant::now() }
+}
+
+impl Flow {
+    /// Goes on with the flow, and returns whether it is still there.
+    fn step(
+        &mut self,
+        socket: &mut tcp::Socket<'_>,
+        service: u16,
+        stop: bool,
+        outcome: &mut Outcome,
+    ) -> bool {
+        if !socket.is_open() || socket.state() == tcp::State::TimeWait {
+            let whole = self.rounds == 0;
+            if !whole {
+                eprintln!(
+                    "broken flow {:?} after {:?} {:?}",
+                    self.request,
+                    self.since.elapsed(),
+                    socket.state()
+                );
+            }
+            outcome.broken += u64::from(!whole);
+            return false;
+        }
+        if self.since.elapsed() > PATIENCE {
+            outcome.broken += 1;
+            return false;
+        }
+        if self.waiting && socket.recv_queue() >= REQUEST {
+            self.take(socket, service, outcome);
+        }
+        let idle = !self.waiting && socket.may_send();
+        if idle && (stop || self.rounds == 0) {
+            self.rounds = 0;
+            self.since = Instant::now();
+            socket.close();
+        } else if idle && self.since.elapsed() >= PAUSE {
+            let _ = socket.send_slice(&self.request.write());
+            self.waiting = true;
+            self.since = Instant::now();
+        }
+        true
+    }
+
+    fn take(&mut self, socket: &mut tcp::Socket<'_>, service: u16, outcome: &mut Outcome) {
+        let mut bytes = [0; REQUEST];
+        let _ = socket.recv_slice(&mut bytes);
+        let answer = Request::read(&bytes);
+        let own = Request { service, target: answer.target, ..self.request };
+        let target = *self.target.get_or_insert(answer.target);
+        outcome.misrouted += u64::from(answer != own || target != answer.target);
+        outcome.answers += 1;
+        self.request.round += 1;
+        self.rounds -= 1;
+        self.waiting = false;
+        self.since = Instant::now();
+    }
+}
--- /dev/null
+++ b/lagoongauged/examples/whole_path/stack.rs
@@ -0,0 +1,102 @@
+//! A smoltcp stack with one address behind the fabric.
+
+use std::collections::VecDeque;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+use smoltcp::iface::{Config, Interface, SocketSet};
+use smoltcp::phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken};
+use smoltcp::socket::tcp;
+use smoltcp::time::Instant;
+use smoltcp::wire::{HardwareAddress, IpCidr};
+
+use crate::fabric::Fabric;
+
+/// Longest wait for a packet between two polls.
+const WAIT: Duration = Duration::from_millis(1);
+
+/// A network interface on the fabric.
+struct Port {
+    inbox: Receiver<Vec<u8>>,
+    queue: VecDeque<Vec<u8>>,
+    fabric: Arc<Fabric>,
+}
+
+/// A TCP stack with its sockets.
+pub struct Stack {
+    pub iface: Interface,
+    pub sockets: SocketSet<'static>,
+    port: Port,
+}
+
+impl Stack {
+    /// Attaches a stack with this address to the fabric.
+    pub fn new(ip: IpAddr, seed: u64, fabric: &Arc<Fabric>) -> Self {
+        let inbox = fabric.attach(ip);
+        let mut port = Port { inbox, queue: VecDeque::new(), fabric: Arc::clone(fabric) };
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let mut iface = Interface::new(config, &mut port, Instant::now());
+        iface.update_ip_addrs(|addresses| addresses.push(IpCidr::new(ip.into(), 0)).unwrap());
+        Self { iface, sockets: SocketSet::new(Vec::new()), port }
+    }
+
+    /// Waits shortly for packets and lets the sockets act on them.
+    pub fn poll(&mut self) {
+        if let Ok(packet) = self.port.inbox.recv_timeout(WAIT) {
+            self.port.queue.push_back(packet);
+        }
+        self.port.queue.extend(self.port.inbox.try_iter());
+        self.iface.poll(Instant::now(), &mut self.port, &mut self.sockets);
+    }
+}
+
+/// Returns a closed socket with small buffers.
+pub fn socket() -> tcp::Socket<'static> {
+    let buffer = || tcp::SocketBuffer::new(vec![0; 2048]);
+    let mut socket = tcp::Socket::new(buffer(), buffer());
+    socket.set_nagle_enabled(false);
+    socket
+}
+
+impl Device for Port {
+    type RxToken<'a> = Received;
+    type TxToken<'a> = Outgoing<'a>;
+
+    fn receive(&mut self, _: Instant) -> Option<(Received, Outgoing<'_>)> {
+        let packet = self.queue.pop_front()?;
+        Some((Received(packet), Outgoing(&self.fabric)))
+    }
+
+    fn transmit(&mut self, _: Instant) -> Option<Outgoing<'_>> {
+        Some(Outgoing(&self.fabric))
+    }
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.max_transmission_unit = 1400;
+        capabilities.medium = Medium::Ip;
+        capabilities
+    }
+}
+
+struct Received(Vec<u8>);
+
+impl RxToken for Received {
+    fn consume<R, F: FnOnce(&[u8]) -> R>(self, f: F) -> R {
+        f(&self.0)
+    }
+}
+
+struct Outgoing<'a>(&'a Fabric);
+
+impl TxToken for Outgoing<'_> {
+    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, len: usize, f: F) -> R {
+        let mut packet = vec![0; len];
+        let result = f(&mut packet);
+        self.0.spray(&packet);
+        result
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/entry/mod.rs
@@ -0,0 +1,13 @@
+//! The entry host's program: sockets and threads around the decisions of the library.
+//!
+//! Errors are those of [`std::io`] while sockets are opened; after that nothing here fails, and
+//! what can't be carried is counted by reason. See "Data path" in docs/DESIGN.md.
+
+mod counters;
+mod frame;
+mod plane;
+mod snapshot;
+
+pub use self::counters::Counters;
+pub use self::plane::{Plane, Sockets, View};
+pub use self::snapshot::{Reader, Snapshot};
--- /dev/null
+++ b/lagoongauged/src/entry/plane.rs
@@ -0,0 +1,178 @@
+//! The data threads: a datagram of the fabric or of a peer in, at most one datagram out.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use lagoongauge::flow::HashKey;
+use lagoongauge::forward::{Directory, Step, forward};
+use lagoongauge::id::HostId;
+use lagoongauge::packet::Reason;
+use lagoongauge::route::Route;
+use lagoongauge::time::Instant;
+
+use super::frame::{MAX_DATAGRAM, read_relay, write_relay};
+use super::{Counters, Reader, Snapshot};
+
+/// How long a thread waits for a datagram before it looks whether it has to stop.
+const POLL: Duration = Duration::from_millis(20);
+
+/// What the data threads look up, replaced as a whole at each change.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Addresses of services and targets.
+    pub directory: Directory,
+    /// Peers by key.
+    pub peers: IndexMap<HostId, SocketAddr>,
+}
+
+/// The sockets of an entry host's data path.
+#[derive(Debug)]
+pub struct Sockets {
+    /// Carries packets from and to the fabric.
+    pub data: UdpSocket,
+    /// Carries relayed packets and messages between entry hosts.
+    pub peer: UdpSocket,
+    /// Where the fabric takes packets.
+    pub fabric: SocketAddr,
+}
+
+/// What the data threads share.
+#[derive(Debug)]
+pub struct Plane<R> {
+    /// Key of the flow hash.
+    pub key: HashKey,
+    /// Decides on packets.
+    pub route: R,
+    /// Addresses and peers.
+    pub view: Snapshot<View>,
+    /// Counts of what was done.
+    pub counters: Counters,
+    sockets: Sockets,
+    started: std::time::Instant,
+    stopped: AtomicBool,
+}
+
+/// One data thread's own buffers.
+struct Worker<'a, R> {
+    plane: &'a Plane<R>,
+    view: Reader<'a, View>,
+    reply: Vec<u8>,
+    frame: Vec<u8>,
+}
+
+impl<R: Route + Send + Sync + 'static> Plane<R> {
+    /// Builds the shared state around opened sockets.
+    pub fn new(key: HashKey, route: R, sockets: Sockets) -> io::Result<Self> {
+        sockets.data.set_read_timeout(Some(POLL))?;
+        sockets.peer.set_read_timeout(Some(POLL))?;
+        Ok(Self {
+            key,
+            route,
+            view: Snapshot::new(View::default()),
+            counters: Counters::default(),
+            sockets,
+            started: std::time::Instant::now(),
+            stopped: AtomicBool::new(false),
+        })
+    }
+
+    /// Returns the current instant.
+    pub fn now(&self) -> Instant {
+        Instant(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Starts `threads` threads for the fabric's datagrams and one for those of peers.
+    pub fn start(self: &Arc<Self>, threads: usize) -> io::Result<Vec<JoinHandle<()>>> {
+        let mut handles = Vec::new();
+        for index in 0..threads {
+            let plane = Arc::clone(self);
+            let builder = std::thread::Builder::new().name(format!("data-{index}"));
+            handles.push(builder.spawn(move || plane.serve_fabric())?);
+        }
+        let plane = Arc::clone(self);
+        let builder = std::thread::Builder::new().name("peer".to_owned());
+        handles.push(builder.spawn(move || plane.serve_peers())?);
+        Ok(handles)
+    }
+
+    /// Lets the threads end once they have carried what they hold.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+
+    fn serve_fabric(&self) {
+        let mut worker = Worker::new(self);
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        while !self.stopped.load(Ordering::Acquire) {
+            let Ok((len, from)) = self.sockets.data.recv_from(&mut buffer) else {
+                continue;
+            };
+            if from.ip() != self.sockets.fabric.ip() {
+                self.counters.count(&Step::Drop(Reason::Source));
+                continue;
+            }
+            worker.carry(&mut buffer[..len], 0);
+        }
+    }
+
+    fn serve_peers(&self) {
+        let mut worker = Worker::new(self);
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        while !self.stopped.load(Ordering::Acquire) {
+            let Ok((len, _)) = self.sockets.peer.recv_from(&mut buffer) else {
+                continue;
+            };
+            if let Some((hops, packet)) = read_relay(&mut buffer[..len]) {
+                worker.carry(packet, hops);
+            }
+        }
+    }
+}
+
+impl<'a, R: Route> Worker<'a, R> {
+    fn new(plane: &'a Plane<R>) -> Self {
+        Self { plane, view: plane.view.reader(), reply: Vec::new(), frame: Vec::new() }
+    }
+
+    /// Decides on one packet and sends what follows from it.
+    fn carry(&mut self, bytes: &mut [u8], hops: u8) {
+        self.view.refresh();
+        let plane = self.plane;
+        let now = Instant(plane.started.elapsed().as_millis() as u64);
+        let parts = (&plane.route, &self.view.directory);
+        let step = forward(now, &plane.key, parts, bytes, hops, &mut self.reply);
+        plane.counters.count(&step);
+        match step {
+            Step::Send { len } => self.send(&bytes[..len]),
+            Step::Refuse(_) => self.send(&self.reply),
+            Step::Relay { host, len } => {
+                write_relay(&mut self.frame, hops + 1, &bytes[..len]);
+                self.relay(host);
+            }
+            Step::Drop(_) => {}
+        }
+    }
+
+    fn send(&self, packet: &[u8]) {
+        let sockets = &self.plane.sockets;
+        if sockets.data.send_to(packet, sockets.fabric).is_err() {
+            self.plane.counters.count_unsent();
+        }
+    }
+
+    fn relay(&self, host: HostId) {
+        let sent = self
+            .view
+            .peers
+            .get(&host)
+            .is_some_and(|peer| self.plane.sockets.peer.send_to(&self.frame, peer).is_ok());
+        if !sent {
+            self.plane.counters.count_unsent();
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/entry/snapshot.rs
@@ -0,0 +1,78 @@
+//! A value that is replaced as a whole and read by many threads without waiting.
+
+use std::ops::Deref;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// The current value and how often it was replaced.
+#[derive(Debug)]
+pub struct Snapshot<T> {
+    value: Mutex<Arc<T>>,
+    version: AtomicU64,
+}
+
+/// One thread's copy of a snapshot's value; it takes the lock only after a replacement.
+#[derive(Debug)]
+pub struct Reader<'a, T> {
+    snapshot: &'a Snapshot<T>,
+    value: Arc<T>,
+    version: u64,
+}
+
+impl<T> Snapshot<T> {
+    /// Starts with this value.
+    pub fn new(value: T) -> Self {
+        Self { value: Mutex::new(Arc::new(value)), version: AtomicU64::new(0) }
+    }
+
+    /// Returns the current value.
+    pub fn load(&self) -> Arc<T> {
+        Arc::clone(&self.value.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns a reader for one thread.
+    pub fn reader(&self) -> Reader<'_, T> {
+        let version = self.version.load(Ordering::Acquire);
+        Reader { snapshot: self, value: self.load(), version }
+    }
+
+    /// Replaces the value.
+    pub fn store(&self, value: T) {
+        *self.value.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(value);
+        self.version.fetch_add(1, Ordering::Release);
+    }
+}
+
+impl<T> Reader<'_, T> {
+    /// Takes the current value where it was replaced since the last call.
+    pub fn refresh(&mut self) {
+        let version = self.snapshot.version.load(Ordering::Acquire);
+        if version != self.version {
+            self.version = version;
+            self.value = self.snapshot.load();
+        }
+    }
+}
+
+impl<T> Deref for Reader<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.value
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_reader_sees_a_replacement_after_its_refresh() {
+        let snapshot = Snapshot::new(1);
+        let mut reader = snapshot.reader();
+        snapshot.store(2);
+        assert_eq!(*reader, 1);
+        reader.refresh();
+        assert_eq!(*reader, 2);
+    }
+}
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,1 +1,3 @@
 //! Shared parts of the programs.
+
+pub mod entry;
