--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -6,8 +6,11 @@
 pub mod error;
 pub mod flow;
 pub mod forward;
+pub mod group;
 pub mod id;
 pub mod packet;
 pub mod route;
 pub mod settings;
+pub mod target;
 pub mod time;
+pub mod wire;
--- a/lagoongauged/examples/whole_path/caller.rs
+++ b/lagoongauged/examples/whole_path/caller.rs
@@ -133,7 +133,7 @@
     socket
         .connect(stack.iface.context(), (service.ip(), service.port()), port)
         .expect("the socket is new");
-    let rounds = if flow % 2 == 0 { u32::MAX } else { 20 + flow % 50 };
+    let rounds = if flow.is_multiple_of(2) { u32::MAX } else { 20 + flow % 50 };
     let request = Request { flow, ..Request::default() };
     let handle = stack.sockets.add(socket);
     Flow { handle, request, target: None, rounds, waiting: false, since: Instant::now() }
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,3 +1,5 @@
 //! Shared parts of the programs.
 
+pub mod daemon;
 pub mod entry;
+pub mod measure;
