--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod burn;
 pub mod daemon;
+pub mod entry;
 pub mod measure;
