--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -3,10 +3,16 @@
 //! Every module here is a pure state machine: an event goes in with a given instant, actions come
 //! out. Sockets, clocks, threads and disks belong to the programs; see `docs/DESIGN.md`.
 
+pub mod burn;
 pub mod error;
 pub mod flow;
+pub mod forward;
+pub mod group;
 pub mod id;
 pub mod replica;
+pub mod packet;
 pub mod route;
 pub mod settings;
+pub mod target;
 pub mod time;
+pub mod wire;
