--- a/lagoongauge/src/packet/rewrite.rs
+++ b/lagoongauge/src/packet/rewrite.rs
@@ -68,7 +68,8 @@
         IpAddr::V6(_) => pseudo_sum(bytes, packet.len - packet.transport),
     };
     let sum = sum.add_slice(&bytes[packet.transport..packet.len]).ones_complement();
-    bytes[field..field + 2].copy_from_slice(&sum.to_be_bytes());
+    // The library sums in the machine's byte order.
+    bytes[field..field + 2].copy_from_slice(&sum.to_ne_bytes());
 }
 
 /// What a replacement changes in a one's complement sum (RFC 1624).
--- /dev/null
+++ b/lagoongauged/src/entry/settings.rs
@@ -0,0 +1,245 @@
+//! Flags and environment variables of `lagoon-entry`, checked before anything starts.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+use lagoongauge::error::{Error, Kind};
+use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::time::Span;
+use lagoongauge::wire::ClusterKey;
+
+use crate::daemon::LogLevel;
+
+/// Most threads for the fabric's datagrams.
+const MAX_THREADS: usize = 64;
+
+/// Most control hosts that can be named.
+const MAX_CONTROL: usize = 7;
+
+/// Longest time that a stopping process waits for its peers, in seconds.
+const MAX_DRAIN: u64 = 3600;
+
+/// Settings as given, unchecked.
+#[derive(Debug, Clone, Default, Bpaf)]
+#[bpaf(options, generate(raw_options))]
+pub struct RawSettings {
+    /// Key of this host in the settings tree.
+    #[bpaf(env("LAGOON_HOST"), argument("NUMBER"))]
+    pub host: Option<String>,
+    /// Key of this host's data centre.
+    #[bpaf(env("LAGOON_CENTRE"), argument("NUMBER"))]
+    pub centre: Option<String>,
+    /// Address that takes the fabric's datagrams.
+    #[bpaf(env("LAGOON_DATA"), argument("ADDRESS"))]
+    pub data: Option<String>,
+    /// Address of the fabric, which packets are sent to; datagrams from other IP addresses are
+    /// dropped.
+    #[bpaf(env("LAGOON_FABRIC"), argument("ADDRESS"))]
+    pub fabric: Option<String>,
+    /// Address for messages and relayed packets of other entry hosts.
+    #[bpaf(env("LAGOON_PEER"), argument("ADDRESS"))]
+    pub peer: Option<String>,
+    /// Address for announcements, health and metrics over HTTP.
+    #[bpaf(env("LAGOON_HTTP"), argument("ADDRESS"))]
+    pub http: Option<String>,
+    /// Addresses of control hosts or relays, with commas between them.
+    #[bpaf(env("LAGOON_CONTROL"), argument("ADDRESSES"))]
+    pub control: Option<String>,
+    /// Secret that all hosts share, 64 hexadecimal digits.
+    #[bpaf(env("LAGOON_CLUSTER_KEY"), argument("KEY"))]
+    pub cluster_key: Option<String>,
+    /// Threads for the fabric's datagrams, 2 if not given.
+    #[bpaf(env("LAGOON_THREADS"), argument("COUNT"))]
+    pub threads: Option<String>,
+    /// Longest time in seconds that a stopping process hands over its flows, 20 if not given.
+    #[bpaf(env("LAGOON_DRAIN_LIMIT"), argument("SECONDS"))]
+    pub drain_limit: Option<String>,
+    /// Least severe level that is logged: off, error, warn, info (if not given), debug, trace.
+    #[bpaf(env("LAGOON_LOG_LEVEL"), argument("LEVEL"))]
+    pub log_level: Option<String>,
+    /// Only checks the settings.
+    pub check: bool,
+}
+
+/// Checked settings of an entry host.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Key of this host in the settings tree.
+    pub host: HostId,
+    /// Key of this host's data centre.
+    pub centre: CentreId,
+    /// Address that takes the fabric's datagrams.
+    pub data: SocketAddr,
+    /// Address of the fabric.
+    pub fabric: SocketAddr,
+    /// Address for messages and relayed packets of other entry hosts.
+    pub peer: SocketAddr,
+    /// Address for announcements, health and metrics over HTTP.
+    pub http: SocketAddr,
+    /// Addresses of control hosts or relays.
+    pub control: Vec<SocketAddr>,
+    /// Secret that all hosts share.
+    pub cluster_key: ClusterKey,
+    /// Threads for the fabric's datagrams.
+    pub threads: usize,
+    /// Longest time that a stopping process hands over its flows.
+    pub drain_limit: Span,
+    /// Least severe level that is logged.
+    pub log_level: LogLevel,
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = Error;
+
+    fn try_from(raw: RawSettings) -> Result<Self, Error> {
+        const ADDRESS: &str = "an IP address with port, as in 192.0.2.1:7100 or [2001:db8::1]:7100";
+        let threads = format!("a number from 1 to {MAX_THREADS}");
+        let drain = format!("a number of seconds from 0 to {MAX_DRAIN}");
+        let level = "off, error, warn, info, debug or trace";
+        let control = format!("1 to {MAX_CONTROL} IP addresses with port, with commas between");
+        let default = |value: Option<String>, text: &str| value.or_else(|| Some(text.to_owned()));
+
+        let settings = Self {
+            host: HostId(read("host", raw.host, "a number from 0 to 4294967295")?),
+            centre: CentreId(read("centre", raw.centre, "a number from 0 to 255")?),
+            data: read("data", raw.data, ADDRESS)?,
+            fabric: read("fabric", raw.fabric, ADDRESS)?,
+            peer: read("peer", raw.peer, ADDRESS)?,
+            http: read("http", raw.http, ADDRESS)?,
+            control: read::<Addresses>("control", raw.control, &control)?.0,
+            cluster_key: read_key(raw.cluster_key)?,
+            threads: read::<Bounded<1, MAX_THREADS>>("threads", default(raw.threads, "2"), &threads)?
+                .0,
+            drain_limit: Span::seconds(
+                read::<Bounded<0, { MAX_DRAIN as usize }>>(
+                    "drain-limit",
+                    default(raw.drain_limit, "20"),
+                    &drain,
+                )?
+                .0 as u64,
+            ),
+            log_level: read("log-level", default(raw.log_level, "info"), level)?,
+        };
+        settings.check_families()?;
+        Ok(settings)
+    }
+}
+
+impl Settings {
+    /// Checks that the fabric can be reached from the address that takes its datagrams.
+    fn check_families(&self) -> Result<(), Error> {
+        if self.data.is_ipv4() == self.fabric.is_ipv4() {
+            return Ok(());
+        }
+        let accepted = "an address of the same IP version as --data";
+        Err(wrong("fabric", &self.fabric, accepted))
+    }
+}
+
+/// A number between two bounds, both allowed.
+struct Bounded<const MIN: usize, const MAX: usize>(usize);
+
+impl<const MIN: usize, const MAX: usize> FromStr for Bounded<MIN, MAX> {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let value = text.parse().map_err(|_| ())?;
+        (MIN..=MAX).contains(&value).then_some(Self(value)).ok_or(())
+    }
+}
+
+/// A list of addresses with commas between them.
+struct Addresses(Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let parsed = text.split(',').map(|part| part.trim().parse()).collect::<Result<Vec<_>, _>>();
+        let addresses = parsed.map_err(|_| ())?;
+        (addresses.len() <= MAX_CONTROL).then_some(Self(addresses)).ok_or(())
+    }
+}
+
+fn read<T: FromStr>(name: &str, value: Option<String>, accepted: &str) -> Result<T, Error> {
+    let value = value.ok_or_else(|| missing(name, accepted))?;
+    value.trim().parse().map_err(|_| wrong(name, &format_args!("{value:?}"), accepted))
+}
+
+fn read_key(value: Option<String>) -> Result<ClusterKey, Error> {
+    let accepted = "64 hexadecimal digits";
+    let value = value.ok_or_else(|| missing("cluster-key", accepted))?;
+    let hidden = format!("{} characters, not shown", value.len());
+    ClusterKey::try_from(value.as_str()).map_err(|_| wrong("cluster-key", &hidden, accepted))
+}
+
+fn missing(name: &str, accepted: &str) -> Error {
+    let detail = format!("{} is not given; accepted: {accepted}", title(name));
+    Error::new(Kind::Usage, detail)
+}
+
+fn wrong(name: &str, value: &dyn Display, accepted: &str) -> Error {
+    Error::new(Kind::Usage, format!("{} is {value}; accepted: {accepted}", title(name)))
+}
+
+fn title(name: &str) -> String {
+    format!("--{name} (LAGOON_{})", name.replace('-', "_").to_uppercase())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn raw() -> RawSettings {
+        let given = |text: &str| Some(text.to_owned());
+        RawSettings {
+            host: given("1"),
+            centre: given("1"),
+            data: given("127.0.0.1:7100"),
+            fabric: given("127.0.0.1:7000"),
+            peer: given("127.0.0.1:7200"),
+            http: given("127.0.0.1:7300"),
+            control: given("127.0.0.1:7400, [::1]:7400"),
+            cluster_key: Some("ab".repeat(32)),
+            ..RawSettings::default()
+        }
+    }
+
+    fn detail(raw: RawSettings) -> String {
+        let error = Settings::try_from(raw).expect_err("the settings are wrong");
+        assert_eq!(error.kind.answer().exit, 2);
+        error.detail
+    }
+
+    #[test]
+    fn defaults_fill_what_is_not_given() {
+        let settings = Settings::try_from(raw()).unwrap();
+        assert_eq!((settings.threads, settings.drain_limit), (2, Span::seconds(20)));
+        assert_eq!(settings.control.len(), 2);
+    }
+
+    #[test]
+    fn a_wrong_setting_names_itself_its_value_and_what_is_accepted() {
+        let threads = detail(RawSettings { threads: Some("65".to_owned()), ..raw() });
+        assert_eq!(
+            threads,
+            "--threads (LAGOON_THREADS) is \"65\"; accepted: a number from 1 to 64"
+        );
+        let peer = detail(RawSettings { peer: Some("host:1".to_owned()), ..raw() });
+        assert!(peer.starts_with("--peer (LAGOON_PEER) is \"host:1\"; accepted: an IP address"));
+        let host = detail(RawSettings { host: None, ..raw() });
+        assert!(host.starts_with("--host (LAGOON_HOST) is not given; accepted: a number"));
+        let drain = detail(RawSettings { drain_limit: Some("-1".to_owned()), ..raw() });
+        assert!(drain.contains("is \"-1\""));
+        let fabric = detail(RawSettings { fabric: Some("[::1]:7000".to_owned()), ..raw() });
+        assert!(fabric.contains("same IP version"));
+    }
+
+    #[test]
+    fn a_wrong_key_is_not_shown() {
+        let key = detail(RawSettings { cluster_key: Some("secret".to_owned()), ..raw() });
+        assert!(!key.contains("secret"), "{key}");
+    }
+}
