Take announcements and show health and metrics over HTTP

Cause: targets had nowhere to announce themselves. Conclusion: the HTTP side stands behind one small trait.

--- /dev/null
+++ b/lagoongauged/src/entry/http.rs
@@ -0,0 +1,226 @@
+//! HTTP for targets, the platform and metrics: `POST /announce`, `GET /health`, `/metrics`, `/status`.
+//!
+//! Everything that a client controls is bounded: connections, those of one address, header, body
+//! and the time that each may take. Errors are answered by the table in docs/ERRORS.md.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{IpAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_h1::server::{ConnectionStatus, Server};
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use async_std::net::TcpStream;
+use async_std::task;
+use http_types::headers::AUTHORIZATION;
+use http_types::{Method, Request, Response, StatusCode};
+use indexmap::IndexMap;
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::target::{Announcement, RawAnnouncement};
+use serde_json::{Value, json};
+
+use crate::daemon::Stop;
+
+/// Longest body of a request, in bytes.
+const MAX_BODY: usize = 4096;
+
+/// Longest time for a request's body.
+const BODY_LIMIT: Duration = Duration::from_secs(5);
+
+/// Longest time from one request's answer, or the connection's start, to the next answer.
+const REQUEST_LIMIT: Duration = Duration::from_secs(20);
+
+/// Most connections at once.
+const MAX_CONNECTIONS: usize = 1024;
+
+/// Most connections at once from one address.
+const MAX_PER_ADDRESS: usize = 64;
+
+/// How long the listener waits for a connection before it looks whether it has to stop.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Media type of metrics in the Prometheus text format.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// What the HTTP side asks of the entry host.
+pub trait Api: Send + Sync + 'static {
+    /// Takes a target's announcement and returns the answer's fields.
+    fn announce(&self, from: &Announcement, token: &str) -> Result<Value>;
+
+    /// Returns whether the fabric may send packets here.
+    fn is_ready(&self) -> bool;
+
+    /// Returns the metrics in the Prometheus text format.
+    fn metrics(&self) -> String;
+
+    /// Returns the host's state for operators.
+    fn status(&self) -> Value;
+}
+
+/// Serves HTTP on the calling thread until `stop` is raised.
+pub fn serve<A: Api>(listener: TcpListener, api: &Arc<A>, stop: &Stop) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = async_std::net::TcpListener::from(listener);
+    task::block_on(async {
+        let guests = Guests::default();
+        while !stop.is_raised() {
+            let Ok(accepted) = timeout(POLL, listener.accept()).await else {
+                continue;
+            };
+            let Ok((stream, from)) = accepted else {
+                // Out of descriptors, most likely: wait until some are free.
+                task::sleep(POLL).await;
+                continue;
+            };
+            if let Some(guest) = guests.enter(from.ip()) {
+                task::spawn_local(attend(stream, Arc::clone(api), guest));
+            }
+        }
+        Ok(())
+    })
+}
+
+async fn attend<A: Api>(stream: TcpStream, api: Arc<A>, guest: Guest) {
+    let answer = |request| {
+        let api = Arc::clone(&api);
+        async move { Ok(respond(request, &*api).await) }
+    };
+    let mut server = Server::new(stream, answer);
+    loop {
+        match timeout(REQUEST_LIMIT, server.accept_one()).await {
+            Ok(Ok(ConnectionStatus::KeepAlive)) => {}
+            Ok(Ok(ConnectionStatus::Close)) | Err(_) => return,
+            Ok(Err(error)) => {
+                log::debug!("An HTTP connection from {} ended: {error}.", guest.ip);
+                return;
+            }
+        }
+    }
+}
+
+async fn respond<A: Api>(mut request: Request, api: &A) -> Response {
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Post, "/announce") => match announce(&mut request, api).await {
+            Ok(fields) => json_response(StatusCode::Ok, &fields),
+            Err(error) => error_response(&error),
+        },
+        (Method::Get, "/health") => health(api),
+        (Method::Get, "/status") => json_response(StatusCode::Ok, &api.status()),
+        (Method::Get, "/metrics") => {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(api.metrics());
+            response.insert_header("content-type", METRICS_TYPE);
+            response
+        }
+        (method, path) => {
+            let detail = format!("nothing is served for {method} {path:.80}");
+            error_response(&Error::new(Kind::NotFound, detail))
+        }
+    }
+}
+
+fn health<A: Api>(api: &A) -> Response {
+    if api.is_ready() {
+        return json_response(StatusCode::Ok, &json!({ "health": "ready" }));
+    }
+    json_response(StatusCode::ServiceUnavailable, &json!({ "health": "not ready" }))
+}
+
+async fn announce<A: Api>(request: &mut Request, api: &A) -> Result<Value> {
+    let token = token(request)?.to_owned();
+    let body = body(request).await?;
+    let form = request
+        .content_type()
+        .is_some_and(|mime| mime.essence() == "application/x-www-form-urlencoded");
+    let malformed = |detail: String| Error::new(Kind::Malformed, detail);
+    let raw: RawAnnouncement = if form {
+        serde_urlencoded::from_bytes(&body)
+            .map_err(|error| malformed(format!("announcement is no such form: {error}")))?
+    } else {
+        serde_json::from_slice(&body)
+            .map_err(|error| malformed(format!("announcement is no such JSON: {error}")))?
+    };
+    api.announce(&Announcement::try_from(raw)?, &token)
+}
+
+fn token(request: &Request) -> Result<&str> {
+    let missing = || Error::new(Kind::Unauthenticated, "Authorization carries no Bearer token");
+    let value = request.header(AUTHORIZATION).ok_or_else(missing)?.last().as_str();
+    value.strip_prefix("Bearer ").map(str::trim).ok_or_else(missing)
+}
+
+async fn body(request: &mut Request) -> Result<Vec<u8>> {
+    let oversized = || Error::new(Kind::Oversized, format!("the body exceeds {MAX_BODY} bytes"));
+    if request.len().is_some_and(|len| len > MAX_BODY) {
+        return Err(oversized());
+    }
+    let mut bytes = Vec::new();
+    let mut reader = request.take_body().take(MAX_BODY as u64 + 1);
+    let read = timeout(BODY_LIMIT, reader.read_to_end(&mut bytes)).await;
+    match read {
+        Ok(Ok(_)) if bytes.len() > MAX_BODY => Err(oversized()),
+        Ok(Ok(_)) => Ok(bytes),
+        _ => Err(Error::new(Kind::Malformed, "the body ended early or came too slowly")),
+    }
+}
+
+fn json_response(status: StatusCode, fields: &Value) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(format!("{fields}\n"));
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// Answers an error by its kind.
+fn error_response(error: &Error) -> Response {
+    let answer = error.kind.answer();
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
+    let fields = json!({
+        "error": answer.name,
+        "detail": error.detail,
+        "ran": answer.ran,
+        "retry": answer.retry,
+    });
+    json_response(status, &fields)
+}
+
+/// Open connections by address.
+#[derive(Debug, Clone, Default)]
+struct Guests(Rc<RefCell<IndexMap<IpAddr, usize>>>);
+
+/// One open connection; it is counted until it is dropped.
+#[derive(Debug)]
+struct Guest {
+    ip: IpAddr,
+    guests: Guests,
+}
+
+impl Guests {
+    fn enter(&self, ip: IpAddr) -> Option<Guest> {
+        let mut counts = self.0.borrow_mut();
+        if counts.values().sum::<usize>() >= MAX_CONNECTIONS {
+            return None;
+        }
+        let count = counts.entry(ip).or_insert(0);
+        if *count >= MAX_PER_ADDRESS {
+            return None;
+        }
+        *count += 1;
+        Some(Guest { ip, guests: self.clone() })
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        let mut counts = self.guests.0.borrow_mut();
+        let Some(count) = counts.get_mut(&self.ip) else { return };
+        *count -= 1;
+        if *count == 0 {
+            counts.swap_remove(&self.ip);
+        }
+    }
+}
--- a/lagoongauged/src/entry/mod.rs
+++ b/lagoongauged/src/entry/mod.rs
@@ -5,9 +5,15 @@
 
 mod counters;
 mod frame;
+mod http;
+mod metrics;
 mod plane;
+mod settings;
 mod snapshot;
 
 pub use self::counters::Counters;
+pub use self::http::{Api, serve};
+pub use self::metrics::{Metrics, Shown};
 pub use self::plane::{Plane, Sockets, View};
+pub use self::settings::{RawSettings, Settings, raw_options};
 pub use self::snapshot::{Reader, Snapshot};
--- a/lagoongauged/src/entry/settings.rs
+++ b/lagoongauged/src/entry/settings.rs
@@ -110,8 +110,12 @@
             http: read("http", raw.http, ADDRESS)?,
             control: read::<Addresses>("control", raw.control, &control)?.0,
             cluster_key: read_key(raw.cluster_key)?,
-            threads: read::<Bounded<1, MAX_THREADS>>("threads", default(raw.threads, "2"), &threads)?
-                .0,
+            threads: read::<Bounded<1, MAX_THREADS>>(
+                "threads",
+                default(raw.threads, "2"),
+                &threads,
+            )?
+            .0,
             drain_limit: Span::seconds(
                 read::<Bounded<0, { MAX_DRAIN as usize }>>(
                     "drain-limit",
