--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,5 +1,6 @@
 //! Shared parts of the programs.
 
+pub mod burn;
 pub mod daemon;
 pub mod entry;
 pub mod measure;
