--- a/lagoongauge/src/route/record.rs
+++ b/lagoongauge/src/route/record.rs
@@ -259,7 +259,9 @@
     #[test]
     fn records_stay_found_while_others_go() {
         let mut shard = Shard::default();
-        (0..1000).for_each(|n| drop(shard.insert(Record::new(key(n), n as u16, 0))));
+        for n in 0..1000 {
+            shard.insert(Record::new(key(n), n as u16, 0));
+        }
         shard.retain(|record| record.target() % 10 == 0);
         assert_eq!(shard.len(), 100);
         assert!(shard.get_mut(key(40)).is_some_and(|record| record.target() == 40));
