--- /dev/null
+++ b/lagoongauged/src/measure/policy/scenario.rs
@@ -0,0 +1,202 @@
+//! Sizes and scenarios of the policy measurement.
+
+use lagoongauge::flow::Protocol;
+use lagoongauge::id::{CentreId, HostId, MemberId, ServiceId};
+use lagoongauge::settings::{Host, Member, Resolved, Service};
+use lagoongauge::target::token;
+use lagoongauge::time::Span;
+
+/// Second at which the scenario's changes begin.
+pub const BEGIN: u64 = 60;
+/// Second from which on control bytes and imbalance count.
+pub const STEADY: u64 = 45;
+/// Seconds between the restarts of two hosts.
+pub const RESTART_GAP: u64 = 16;
+/// New flows a second that the rival's service may open.
+pub const RIVAL_RATE: u32 = 300;
+
+/// One member's size; see the sizes of today in docs/MEASUREMENTS.md.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Name in the figures.
+    pub name: &'static str,
+    /// Data centres.
+    pub centres: u8,
+    /// Entry hosts.
+    pub hosts: u32,
+    /// Targets of the first and second service.
+    pub targets: [usize; 2],
+    /// Slots of a target.
+    pub slots: u16,
+    /// Microseconds one way to callers.
+    pub caller_delay: u64,
+    /// Flows of the first service that stay open for hours.
+    pub feeds: u32,
+    /// New short flows a second of the first service, the second, and the rival's.
+    pub rates: [u32; 3],
+    /// Mean life of a short flow in milliseconds.
+    pub life: u64,
+}
+
+/// The sizes of both members.
+pub const SIZES: [Size; 2] = [
+    Size {
+        name: "tsenkher",
+        centres: 4,
+        hosts: 8,
+        targets: [14, 4],
+        slots: 2,
+        caller_delay: 3000,
+        feeds: 20_000,
+        rates: [1800, 200, 100],
+        life: 4_400,
+    },
+    Size {
+        name: "grain",
+        centres: 3,
+        hosts: 8,
+        targets: [14, 4],
+        slots: 3,
+        caller_delay: 1000,
+        feeds: 20_000,
+        rates: [1800, 200, 100],
+        life: 4_400,
+    },
+];
+
+impl Size {
+    /// Returns a size with a tenth of the flows.
+    pub fn quick(self) -> Self {
+        Self { feeds: self.feeds / 10, rates: self.rates.map(|rate| rate / 10), ..self }
+    }
+
+    /// Returns the settings that this size runs under.
+    pub fn settings(&self) -> Resolved {
+        let mut settings = Resolved { version: 1, ..Resolved::default() };
+        for id in 1..=2 {
+            let member = Member {
+                name: format!("member{id}"),
+                networks: vec![format!("10.{id}.0.0/16").parse().expect("a network")],
+                tokens: vec![token::entry(b"salt", &format!("token{id}"))],
+                max_flows: if id == 1 { 120_000 } else { 30_000 },
+                max_rate: if id == 1 { 12_000 } else { RIVAL_RATE },
+                max_targets: 64,
+            };
+            settings.members.insert(MemberId(id), member);
+        }
+        for (id, member) in [(1, 1), (2, 1), (3, 2)] {
+            let own = settings.members[&MemberId(member)].clone();
+            let service = Service {
+                member: MemberId(member),
+                name: format!("service{id}"),
+                protocol: Protocol::Tcp,
+                address: format!("192.0.2.{id}:80").parse().expect("an address"),
+                bucket_bits: if id == 1 { 16 } else { 14 },
+                max_flows: own.max_flows,
+                max_rate: own.max_rate,
+                idle_limit: Span::seconds(900),
+                drain_limit: Span::seconds(7200),
+                slow_start: Span::seconds(20),
+                established_goal: 999_000,
+                unbroken_goal: 999_900,
+                answer_goal: Span::millis(100),
+                imbalance_goal: 1100,
+            };
+            settings.services.insert(ServiceId(id), service);
+            settings.groups.insert(ServiceId(id), 0);
+        }
+        for id in 0..self.hosts {
+            let centre = CentreId((id % u32::from(self.centres)) as u8);
+            let peer = format!("10.9.0.{}:7000", id + 1).parse().expect("an address");
+            settings.hosts.insert(HostId(id), Host { centre, group: 0, peer });
+        }
+        settings
+    }
+}
+
+/// A change or fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The spare target of the first service announces itself.
+    Add,
+    /// A target of the first service starts to drain.
+    Drain(usize),
+    /// An entry host begins its planned stop.
+    Leave(u32),
+    /// The fabric sends a host nothing more.
+    Detach(u32),
+    /// An entry host stops, planned or not.
+    Stop(u32),
+    /// An entry host starts anew.
+    Start(u32),
+    /// The fabric sends to a host again.
+    Attach(u32),
+    /// A target stops without a word.
+    Kill(usize),
+    /// A target reports a false load from now on.
+    Lie(usize),
+    /// A data centre is cut off from the others.
+    Cut(u8),
+    /// All data centres reach each other again.
+    Heal,
+    /// The rival opens flows at ten times its limit.
+    Flood,
+}
+
+impl Step {
+    /// Tells whether flows may break by the step, as it is no planned change.
+    pub fn is_fault(self) -> bool {
+        matches!(self, Self::Kill(_) | Self::Cut(_))
+    }
+}
+
+/// A scenario: steps with the second at which each happens.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// Name in the figures.
+    pub name: &'static str,
+    /// The steps in order of time.
+    pub steps: Vec<(u64, Step)>,
+    /// Second at which the run ends.
+    pub end: u64,
+    /// Whether a `Stop` in it is unplanned.
+    pub fault: bool,
+}
+
+/// Returns all scenarios.
+pub fn all(hosts: u32) -> Vec<Scenario> {
+    let loss = [(BEGIN, Step::Detach(3)), (BEGIN, Step::Stop(3))];
+    let lies = [1, 4, 9].map(|target| (BEGIN, Step::Lie(target)));
+    let cut = [(BEGIN, Step::Cut(1)), (BEGIN + 45, Step::Heal)];
+    let drain = (BEGIN, Step::Drain(2));
+    let drain_and_loss = [drain, (BEGIN + 1, Step::Detach(3)), (BEGIN + 1, Step::Stop(3))];
+    vec![
+        scenario("steady", &[], 150, false),
+        scenario("add_target", &[(BEGIN, Step::Add)], 150, false),
+        scenario("drain_target", &[drain], 150, false),
+        scenario("rolling_restart", &restarts(hosts), BEGIN + 20 + RESTART_GAP * u64::from(hosts), false),
+        scenario("target_loss", &[(BEGIN, Step::Kill(5))], 150, true),
+        scenario("host_loss", &loss, 150, true),
+        scenario("lying_reports", &lies, 150, false),
+        scenario("centre_cut", &cut, 165, true),
+        scenario("rival_flood", &[(BEGIN, Step::Flood)], 150, false),
+        scenario("drain_and_host_loss", &drain_and_loss, 150, true),
+    ]
+}
+
+fn scenario(name: &'static str, steps: &[(u64, Step)], end: u64, fault: bool) -> Scenario {
+    Scenario { name, steps: steps.to_vec(), end, fault }
+}
+
+fn restarts(hosts: u32) -> Vec<(u64, Step)> {
+    let mut steps = Vec::new();
+    for host in 0..hosts {
+        let at = BEGIN + RESTART_GAP * u64::from(host);
+        steps.push((at, Step::Leave(host)));
+        steps.push((at + 6, Step::Detach(host)));
+        steps.push((at + 7, Step::Stop(host)));
+        steps.push((at + 8, Step::Start(host)));
+        steps.push((at + 13, Step::Attach(host)));
+    }
+    steps
+}
--- /dev/null
+++ b/lagoongauged/src/measure/policy/tally.rs
@@ -0,0 +1,181 @@
+//! Figures of one run.
+
+use serde::Serialize;
+
+/// Imbalance under which a change counts as absorbed.
+const ABSORBED: f64 = 1.15;
+
+/// What is counted while a run goes on.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Flows whose first packet was sent.
+    pub flows: u64,
+    /// Open flows at the scenario's begin.
+    pub open: u64,
+    /// Established flows that broke without a fault before.
+    pub broken_planned: u64,
+    /// Established flows that broke after a fault.
+    pub broken_unplanned: u64,
+    /// Those of them whose target was lost.
+    pub on_lost_target: u64,
+    /// Flows whose caller was cut off from their target.
+    pub severed: u64,
+    /// Packets that reached another service's target.
+    pub misrouted: u64,
+    /// Flows whose SYN with data reached two targets.
+    pub double_run: u64,
+    /// Flows refused although something of them was forwarded.
+    pub false_refused: u64,
+    /// Refused flows of the first member.
+    pub refused: u64,
+    /// Refused flows of the rival.
+    pub rival_refused: u64,
+    /// Flows of the first member that nobody answered.
+    pub unopened: u64,
+    /// Packets that a host chose to drop; the sender tries again.
+    pub drops: u64,
+    /// Packets that entry hosts took from the fabric.
+    pub packets: u64,
+    /// Packets handed to another entry host.
+    pub relays: u64,
+    /// Bytes of those.
+    pub relayed_bytes: u64,
+    /// Imbalance by second from the steady state on.
+    pub imbalance: Vec<(u64, f64)>,
+    /// Target-seconds with more work than slots.
+    pub over_slots: u64,
+    /// Target-seconds in all.
+    pub target_seconds: u64,
+    /// Seconds after which draining targets got a new flow.
+    pub late_work: Vec<f64>,
+    /// Control bytes by host in the present second.
+    pub sent: Vec<u64>,
+    /// Control bytes of all hosts and seconds.
+    pub control: Vec<u64>,
+}
+
+/// One JSON line.
+#[derive(Debug, Clone, Serialize)]
+pub struct Figures {
+    /// Size of the members.
+    pub size: String,
+    /// Scenario.
+    pub scenario: String,
+    /// Design.
+    pub design: String,
+    /// Seed.
+    pub seed: u64,
+    /// Flows whose first packet was sent.
+    pub flows: u64,
+    /// Open flows at the scenario's begin.
+    pub open: u64,
+    /// Established flows that broke without a fault before.
+    pub broken_planned: u64,
+    /// Established flows that broke after a fault.
+    pub broken_unplanned: u64,
+    /// Those of them whose target was lost.
+    pub on_lost_target: u64,
+    /// Flows whose caller was cut off from their target.
+    pub severed: u64,
+    /// Packets that reached another service's target.
+    pub misrouted: u64,
+    /// Flows whose SYN with data reached two targets.
+    pub double_run: u64,
+    /// Flows refused although something of them was forwarded.
+    pub false_refused: u64,
+    /// Refused flows of the first member.
+    pub refused: u64,
+    /// Refused flows of the rival.
+    pub rival_refused: u64,
+    /// Flows of the first member that nobody answered.
+    pub unopened: u64,
+    /// Packets that a host chose to drop.
+    pub drops: u64,
+    /// Highest ratio of the fullest target's open flows to the mean.
+    pub imbalance_max: f64,
+    /// 99th percentile of that ratio over the seconds.
+    pub imbalance_p99: f64,
+    /// Mean of that ratio over the seconds.
+    pub imbalance_mean: f64,
+    /// Seconds from the scenario's begin until the ratio stays under 1.15.
+    pub absorbed_s: f64,
+    /// Share of target-seconds with more work than slots.
+    pub over_slots: f64,
+    /// 99th percentile of the seconds after which a draining target still got a new flow.
+    pub drain_p99_s: f64,
+    /// Longest of these.
+    pub drain_max_s: f64,
+    /// Control bytes that a host sends a second, mean.
+    pub control_mean: f64,
+    /// Control bytes that a host sends a second, worst second of any host.
+    pub control_worst: u64,
+    /// Relays for each packet.
+    pub extra_hops: f64,
+    /// Relayed bytes a host a second.
+    pub relayed: f64,
+}
+
+impl Tally {
+    /// Closes the present second of control traffic.
+    pub fn close_second(&mut self, counts: bool) {
+        if counts {
+            self.control.extend_from_slice(&self.sent);
+        }
+        self.sent.fill(0);
+    }
+
+    /// Works the figures out.
+    pub fn figures(&self, names: [&str; 3], seed: u64, begin: u64, seconds: u64) -> Figures {
+        let mut ratios = self.imbalance.iter().map(|one| one.1).collect::<Vec<_>>();
+        ratios.sort_by(f64::total_cmp);
+        let mut late = self.late_work.clone();
+        late.sort_by(f64::total_cmp);
+        let above = self.imbalance.iter().filter(|one| one.0 >= begin && one.1 >= ABSORBED);
+        let absorbed = above.map(|one| (one.0 - begin + 1) as f64).fold(0.0, f64::max);
+        let [size, scenario, design] = names.map(str::to_string);
+        let hosts = self.sent.len().max(1) as f64;
+        Figures {
+            size,
+            scenario,
+            design,
+            seed,
+            flows: self.flows,
+            open: self.open,
+            broken_planned: self.broken_planned,
+            broken_unplanned: self.broken_unplanned,
+            on_lost_target: self.on_lost_target,
+            severed: self.severed,
+            misrouted: self.misrouted,
+            double_run: self.double_run,
+            false_refused: self.false_refused,
+            refused: self.refused,
+            rival_refused: self.rival_refused,
+            unopened: self.unopened,
+            drops: self.drops,
+            imbalance_max: round(ratios.last().copied().unwrap_or(0.0)),
+            imbalance_p99: round(percentile(&ratios, 0.99)),
+            imbalance_mean: round(ratios.iter().sum::<f64>() / ratios.len().max(1) as f64),
+            absorbed_s: absorbed,
+            over_slots: round(self.over_slots as f64 / self.target_seconds.max(1) as f64),
+            drain_p99_s: round(percentile(&late, 0.99)),
+            drain_max_s: round(late.last().copied().unwrap_or(0.0)),
+            control_mean: mean(&self.control),
+            control_worst: self.control.iter().copied().max().unwrap_or(0),
+            extra_hops: round(self.relays as f64 / self.packets.max(1) as f64),
+            relayed: round(self.relayed_bytes as f64 / hosts / seconds.max(1) as f64),
+        }
+    }
+}
+
+fn percentile(sorted: &[f64], share: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1) as f64;
+    sorted.get((last * share).round() as usize).copied().unwrap_or(0.0)
+}
+
+fn mean(values: &[u64]) -> f64 {
+    round(values.iter().sum::<u64>() as f64 / values.len().max(1) as f64)
+}
+
+fn round(value: f64) -> f64 {
+    (value * 10_000.0).round() / 10_000.0
+}
