--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod error;
 pub mod flow;
+pub mod forward;
 pub mod group;
 pub mod id;
+pub mod packet;
 pub mod route;
 pub mod settings;
 pub mod target;
