Drive sprayed entry hosts of three baseline designs in given time

Change: a seeded driver with callers, targets, delay and loss; modulo hash, rendezvous hash and a Maglev table with per-host connection tracking; one JSON line for each run.

--- a/lagoongauged/src/measure/policy/baseline.rs
+++ b/lagoongauged/src/measure/policy/baseline.rs
@@ -188,7 +188,8 @@
 
     fn rebuild(&mut self, service: ServiceId) {
         let ready = self.known.values();
-        let ready = ready.filter(|one| (one.from.service, one.from.state) == (service, State::Ready));
+        let ready =
+            ready.filter(|one| (one.from.service, one.from.state) == (service, State::Ready));
         let mut ready = ready.map(|one| one.target).collect::<Vec<_>>();
         ready.sort_unstable();
         self.choices.entry(service).or_default().targets(&ready);
@@ -226,7 +227,11 @@
         let chosen = choice.choose(facts.flow);
         let known = tracked.filter(|target| self.is_known(*target));
         let Some(target) = known.or(chosen) else {
-            return if opens { Verdict::Refuse(Kind::NoTarget) } else { Verdict::Drop(Kind::NoTarget) };
+            return if opens {
+                Verdict::Refuse(Kind::NoTarget)
+            } else {
+                Verdict::Drop(Kind::NoTarget)
+            };
         };
         self.choices[&facts.service].track(now, facts.flow, target, facts.signal);
         Verdict::Forward(target)
--- a/lagoongauged/src/measure/policy/driver.rs
+++ b/lagoongauged/src/measure/policy/driver.rs
@@ -7,6 +7,7 @@
 use lagoongauge::route::{Direction, Facts, Verdict};
 use lagoongauge::target::State;
 use lagoongauge::time::Instant;
+use lagoongauge::wire::OVERHEAD;
 
 use super::core::{Core, Letter, Setup, Sight};
 use super::scenario::{BEGIN, RIVAL_RATE, STEADY, Scenario, Size, Step};
@@ -14,19 +15,17 @@
 use super::world::{Event, FlowIndex, Packet, Phase, World};
 
 /// Microseconds of a second.
-const SECOND: u64 = 1_000_000;
+pub const SECOND: u64 = 1_000_000;
 /// Microseconds between two ticks of a host.
 const TICK: u64 = 100_000;
 /// Microseconds between two announcements of a target.
 const ANNOUNCE: u64 = 3 * SECOND;
 /// Second from which on flows begin.
-const FIRST_FLOW: u64 = 8;
+const FIRST_FLOW: u64 = 14;
 /// Seconds over which the feeds open.
 const FEED_SPAN: u64 = 25;
 /// Mean microseconds between two packets of a feed.
 const FEED_GAP: f64 = 20e6;
-/// Microseconds that a target works on a request.
-const WORK: u64 = 8_000;
 /// Microseconds before a packet is sent again, doubled each time.
 const RETRY: u64 = 300_000;
 /// The same for a SYN.
@@ -38,7 +37,7 @@
 /// Bytes of a packet with its header, and of the header that a relay adds.
 const PACKET_BYTES: u64 = 160 + DATAGRAM_BYTES;
 /// Bytes of IP and UDP header and of the sealing around each message.
-const DATAGRAM_BYTES: u64 = 28 + super::OVERHEAD;
+const DATAGRAM_BYTES: u64 = 28 + OVERHEAD as u64;
 
 #[derive(Debug)]
 struct Host<C> {
@@ -54,10 +53,10 @@
     size: Size,
     scenario: &'a Scenario,
     seed: u64,
-    world: World,
+    pub(super) world: World,
     hosts: Vec<Host<C>>,
     setup: Setup,
-    tally: Tally,
+    pub(super) tally: Tally,
     faulty: bool,
     flooding: bool,
 }
@@ -201,7 +200,6 @@
 
     fn announce(&mut self, target: u16) {
         let one = &mut self.world.targets[usize::from(target)];
-        self.world.rng.random::<u32>();
         if !one.up {
             return;
         }
@@ -215,8 +213,7 @@
         if let Some(core) = host.and_then(|host| self.hosts[host as usize].core.as_mut()) {
             core.announce(now, &from, token);
         }
-        let repeat = if one_of(self.world.now, 4 * SECOND) { SECOND / 2 } else { ANNOUNCE };
-        self.world.after(repeat, Event::Announce(target));
+        self.world.after(ANNOUNCE, Event::Announce(target));
     }
 
     fn arrive(&mut self, service: u8) {
@@ -231,7 +228,7 @@
     }
 
     /// Lets a caller send its next packet.
-    fn next(&mut self, index: FlowIndex) {
+    pub(super) fn next(&mut self, index: FlowIndex) {
         let flow = self.world.flows[index as usize];
         let mut packet = Packet {
             flow: index,
@@ -268,7 +265,7 @@
     }
 
     /// Hands a packet to the fabric.
-    fn send(&mut self, packet: Packet) {
+    pub(super) fn send(&mut self, packet: Packet) {
         let flow = self.world.flows[packet.flow as usize];
         if flow.phase == Phase::Done && packet.direction == Direction::Inward {
             return;
@@ -281,13 +278,15 @@
             None => (flow.centre, self.world.caller_delay()),
         };
         match self.spray(centre) {
-            Some(host) if !self.world.loses() => self.world.after(delay, Event::AtHost(host, packet)),
+            Some(host) if !self.world.loses() => {
+                self.world.after(delay, Event::AtHost(host, packet))
+            }
             _ => self.lost(packet),
         }
     }
 
     /// Sends a lost packet again, or gives up.
-    fn lost(&mut self, mut packet: Packet) {
+    pub(super) fn lost(&mut self, mut packet: Packet) {
         let flow = self.world.flows[packet.flow as usize];
         let opens = matches!(packet.signal, Signal::Open | Signal::OpenData);
         if flow.phase == Phase::Done {
@@ -311,7 +310,7 @@
         }
     }
 
-    fn broke(&mut self, index: FlowIndex) {
+    pub(super) fn broke(&mut self, index: FlowIndex) {
         let flow = self.world.flows[index as usize];
         if flow.phase == Phase::Done {
             return;
@@ -417,88 +416,6 @@
         self.world.finish(packet.flow);
     }
 
-    fn at_target(&mut self, index: u16, packet: Packet) {
-        let flow = self.world.flows[packet.flow as usize];
-        let target = &mut self.world.targets[usize::from(index)];
-        if target.service != flow.service {
-            self.tally.misrouted += 1;
-            return self.broke(packet.flow);
-        }
-        if !target.up {
-            return self.lost(packet);
-        }
-        if matches!(packet.signal, Signal::Open | Signal::OpenData) {
-            return self.opened(index, packet);
-        }
-        if flow.phase == Phase::Done {
-            return;
-        }
-        if flow.target != Some(index) {
-            return self.broke(packet.flow);
-        }
-        match packet.signal {
-            Signal::Finish => self.reply(index, packet.flow, Signal::Finish),
-            _ if flow.left == 2 && !flow.feed => self.work(index, packet.flow),
-            _ => {}
-        }
-    }
-
-    fn opened(&mut self, index: u16, packet: Packet) {
-        let flow = &mut self.world.flows[packet.flow as usize];
-        let target = &mut self.world.targets[usize::from(index)];
-        match flow.target {
-            Some(first) if first != index => {
-                if flow.data {
-                    self.tally.double_run += 1;
-                }
-                return;
-            }
-            Some(_) => {}
-            None if flow.phase == Phase::Done => return,
-            None => {
-                flow.target = Some(index);
-                target.open += 1;
-                if let Some(begin) = target.drains {
-                    let late = (self.world.now - begin) as f64 / SECOND as f64;
-                    self.tally.late_work.push(late);
-                }
-            }
-        }
-        self.reply(index, packet.flow, Signal::Open);
-    }
-
-    fn work(&mut self, index: u16, flow: FlowIndex) {
-        let target = &mut self.world.targets[usize::from(index)];
-        target.busy += 1;
-        target.over |= target.busy > u32::from(target.from.slots);
-        self.world.after(WORK, Event::Worked(index, flow));
-    }
-
-    fn worked(&mut self, index: u16, flow: FlowIndex) {
-        let target = &mut self.world.targets[usize::from(index)];
-        target.busy -= 1;
-        if target.up {
-            self.reply(index, flow, Signal::Middle);
-        }
-    }
-
-    fn reply(&mut self, target: u16, flow: FlowIndex, signal: Signal) {
-        let direction = Direction::Outward;
-        self.send(Packet { flow, signal, direction, source: Some(target), tries: 0, hops: 0 });
-    }
-
-    fn at_caller(&mut self, packet: Packet) {
-        let flow = &mut self.world.flows[packet.flow as usize];
-        match packet.signal {
-            Signal::Open if flow.phase == Phase::Opening => {
-                flow.phase = Phase::Open;
-                self.next(packet.flow);
-            }
-            Signal::Finish => self.world.finish(packet.flow),
-            _ => {}
-        }
-    }
-
     fn step(&mut self, step: Step) {
         self.faulty |= step.is_fault() || (self.scenario.fault && matches!(step, Step::Stop(_)));
         let now = self.instant();
--- a/lagoongauged/src/measure/policy/mod.rs
+++ b/lagoongauged/src/measure/policy/mod.rs
@@ -1,6 +1,29 @@
 //! Measures the routing decisions of several entry hosts under change, load and faults.
 
+mod baseline;
+mod core;
+mod driver;
+mod ends;
+mod scenario;
+mod tally;
+mod world;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use bpaf::Bpaf;
+use eyre::ensure;
+
+use self::baseline::{Baseline, Choice, Maglev, Modulo, Rendezvous};
+use self::core::Core;
+use self::driver::Driver;
+use self::scenario::{SIZES, Scenario, Size};
+pub use self::tally::Figures;
+
+/// Most runs at a time.
+const MAX_THREADS: usize = 4;
+/// Names of all designs.
+const DESIGNS: [&str; 3] = [Modulo::NAME, Rendezvous::NAME, Maglev::NAME];
 
 /// What the policy measurement runs.
 #[derive(Debug, Clone, Bpaf)]
@@ -9,8 +32,11 @@
     /// Seed of every random choice.
     #[bpaf(argument("N"), fallback(1))]
     pub seed: u64,
-    /// Runs a tenth of the flows for a short while, for tests.
+    /// Runs with a tenth of the flows, for tests.
     pub quick: bool,
+    /// Runs only this size.
+    #[bpaf(argument("NAME"))]
+    pub size: Option<String>,
     /// Runs only this scenario.
     #[bpaf(argument("NAME"))]
     pub scenario: Option<String>,
@@ -19,11 +45,77 @@
     pub design: Option<String>,
 }
 
+struct Job {
+    size: Size,
+    scenario: Scenario,
+    design: &'static str,
+    seed: u64,
+}
+
+impl Job {
+    fn run(&self) -> Figures {
+        match self.design {
+            Modulo::NAME => self.drive::<Baseline<Modulo>>(),
+            Rendezvous::NAME => self.drive::<Baseline<Rendezvous>>(),
+            _ => self.drive::<Baseline<Maglev>>(),
+        }
+    }
+
+    fn drive<C: Core>(&self) -> Figures {
+        Driver::<C>::new(self.size, &self.scenario, self.seed).run()
+    }
+}
+
 /// Runs the measurement and prints one JSON line for each size, scenario and design.
 ///
 /// # Errors
 ///
-/// Fails where a scenario or design of the given name does not exist.
+/// Fails where no size, scenario or design has the given name.
 pub fn run(options: &Options) -> eyre::Result<()> {
-    eyre::bail!("the policy measurement has no driver yet (seed {})", options.seed)
+    let mut failed = None;
+    measure(options, |figures| match serde_json::to_string(&figures) {
+        Ok(line) => println!("{line}"),
+        Err(error) => failed = Some(error),
+    })?;
+    failed.map_or(Ok(()), |error| Err(error.into()))
+}
+
+/// Runs the measurement and hands each run's figures on, in the order in which they end.
+///
+/// # Errors
+///
+/// Fails where no size, scenario or design has the given name.
+pub fn measure(options: &Options, show: impl FnMut(Figures) + Send) -> eyre::Result<()> {
+    let jobs = jobs(options);
+    ensure!(!jobs.is_empty(), "no size, scenario and design have these names");
+    let next = AtomicUsize::new(0);
+    let show = Mutex::new(show);
+    std::thread::scope(|scope| {
+        for _ in 0..MAX_THREADS.min(jobs.len()) {
+            scope.spawn(|| {
+                while let Some(job) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let figures = job.run();
+                    show.lock().unwrap_or_else(std::sync::PoisonError::into_inner)(figures);
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+fn jobs(options: &Options) -> Vec<Job> {
+    let wanted = |name: &Option<String>, one: &str| name.as_ref().is_none_or(|name| name == one);
+    let mut jobs = Vec::new();
+    for size in SIZES.into_iter().filter(|size| wanted(&options.size, size.name)) {
+        let size = if options.quick { size.quick() } else { size };
+        for scenario in scenario::all(size.hosts) {
+            if !wanted(&options.scenario, scenario.name) {
+                continue;
+            }
+            for design in DESIGNS.into_iter().filter(|one| wanted(&options.design, one)) {
+                jobs.push(Job { size, scenario: scenario.clone(), design, seed: options.seed });
+            }
+        }
+    }
+    jobs
 }
--- a/lagoongauged/src/measure/policy/scenario.rs
+++ b/lagoongauged/src/measure/policy/scenario.rs
@@ -174,7 +174,12 @@
         scenario("steady", &[], 150, false),
         scenario("add_target", &[(BEGIN, Step::Add)], 150, false),
         scenario("drain_target", &[drain], 150, false),
-        scenario("rolling_restart", &restarts(hosts), BEGIN + 20 + RESTART_GAP * u64::from(hosts), false),
+        scenario(
+            "rolling_restart",
+            &restarts(hosts),
+            BEGIN + 20 + RESTART_GAP * u64::from(hosts),
+            false,
+        ),
         scenario("target_loss", &[(BEGIN, Step::Kill(5))], 150, true),
         scenario("host_loss", &loss, 150, true),
         scenario("lying_reports", &lies, 150, false),
