Weigh targets by own observation, and limit members apart

Change: balance/ works out weights from open flows, answers and resets, ramps new targets, lets a report move at most two sixteenths of one target's own weight; limit/ keeps a shard for each member with token buckets and open flows for this host's share.

--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -3,11 +3,13 @@
 //! Every module here is a pure state machine: an event goes in with a given instant, actions come
 //! out. Sockets, clocks, threads and disks belong to the programs; see `docs/DESIGN.md`.
 
+pub mod balance;
 pub mod error;
 pub mod flow;
 pub mod forward;
 pub mod group;
 pub mod id;
+pub mod limit;
 pub mod packet;
 pub mod route;
 pub mod settings;
--- /dev/null
+++ b/lagoongauge/src/limit/mod.rs
@@ -0,0 +1,314 @@
+//! Limits per member and service, enforced by each home for its share of the buckets.
+//!
+//! Answers with `FlowLimit` or `RateLimit`; see "Limits" in docs/DESIGN.md.
+
+mod bucket;
+
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
+
+use indexmap::IndexMap;
+
+use self::bucket::Bucket;
+use crate::error::Kind;
+use crate::id::{MemberId, ServiceId};
+use crate::settings::Resolved;
+use crate::time::Instant;
+
+/// Most flows that one host records; beyond it every member's limit shrinks in proportion.
+pub const HOST_FLOWS: u64 = 1 << 20;
+
+/// Limits of one entry host.
+///
+/// Each member has its own shard with its own limits: nothing is shared that a rival could drain.
+#[derive(Debug, Default)]
+pub struct Limits {
+    state: RwLock<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    hosts: u32,
+    owners: IndexMap<ServiceId, MemberId>,
+    shards: IndexMap<MemberId, Mutex<Shard>>,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    whole: Account,
+    services: IndexMap<ServiceId, Account>,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    open: u32,
+    max_open: u32,
+    bucket: Bucket,
+}
+
+/// What a member or service uses of its limits at this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Open flows.
+    pub open: u32,
+    /// Open flows that this host allows.
+    pub max_open: u32,
+}
+
+/// A flow that was let in; dropping it gives its place back.
+#[derive(Debug)]
+pub struct Guard<'a> {
+    limits: &'a Limits,
+    service: ServiceId,
+}
+
+impl Guard<'_> {
+    /// Leaves the flow's place taken until [`Limits::release`] gives it back.
+    pub fn keep(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        self.limits.release(self.service);
+    }
+}
+
+impl Account {
+    fn check(&mut self, now: Instant) -> Result<(), Kind> {
+        if self.open >= self.max_open {
+            return Err(Kind::FlowLimit);
+        }
+        if !self.bucket.has_token(now) {
+            return Err(Kind::RateLimit);
+        }
+        Ok(())
+    }
+
+    fn take(&mut self) {
+        self.open += 1;
+        self.bucket.take();
+    }
+
+    fn limit(&mut self, max_open: u32, max_rate: u32, hosts: u32) {
+        self.max_open = max_open;
+        self.bucket.limit(max_rate, hosts);
+    }
+}
+
+impl Limits {
+    /// Returns what a member uses at this host.
+    pub fn usage(&self, member: MemberId) -> Option<Usage> {
+        let state = self.read();
+        let shard = lock(state.shards.get(&member)?);
+        Some(Usage { open: shard.whole.open, max_open: shard.whole.max_open })
+    }
+
+    /// Lets a new flow in, or answers with the limit that it would pass.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` for an unknown service, else `FlowLimit` or `RateLimit`.
+    pub fn enter(&self, now: Instant, service: ServiceId) -> Result<Guard<'_>, Kind> {
+        let state = self.read();
+        let mut shard = state.shard(service).ok_or(Kind::NotFound)?;
+        let Shard { whole, services } = &mut *shard;
+        let account = services.get_mut(&service).ok_or(Kind::NotFound)?;
+        whole.check(now)?;
+        account.check(now)?;
+        whole.take();
+        account.take();
+        Ok(Guard { limits: self, service })
+    }
+
+    /// Counts in a flow that is open already, whatever the limits say.
+    pub fn adopt(&self, service: ServiceId) {
+        self.change(service, |open| open.saturating_add(1));
+    }
+
+    /// Counts an ended flow out.
+    pub fn release(&self, service: ServiceId) {
+        self.change(service, |open| open.saturating_sub(1));
+    }
+
+    /// Takes the settings in force; open flows stay counted.
+    pub fn apply(&self, settings: &Resolved) {
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        state.owners = settings.services.iter().map(|(id, from)| (*id, from.member)).collect();
+        state.shards.retain(|member, _| settings.members.contains_key(member));
+        for member in settings.members.keys() {
+            state.shards.entry(*member).or_default();
+        }
+        state.set(settings);
+    }
+
+    /// Takes the number of live hosts that share the buckets.
+    pub fn share(&self, hosts: usize, settings: &Resolved) {
+        let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+        if self.read().hosts == hosts {
+            return;
+        }
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        state.hosts = hosts;
+        state.set(settings);
+    }
+
+    fn change(&self, service: ServiceId, change: impl Fn(u32) -> u32) {
+        let state = self.read();
+        let Some(mut shard) = state.shard(service) else { return };
+        shard.whole.open = change(shard.whole.open);
+        if let Some(account) = shard.services.get_mut(&service) {
+            account.open = change(account.open);
+        }
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn shard(&self, service: ServiceId) -> Option<MutexGuard<'_, Shard>> {
+        let member = self.owners.get(&service)?;
+        self.shards.get(member).map(lock)
+    }
+
+    /// Sets every limit to this host's share of it.
+    fn set(&mut self, settings: &Resolved) {
+        let hosts = self.hosts.max(1);
+        let asked = settings.members.values().map(|one| share(one.max_flows, hosts)).sum::<u64>();
+        let scaled = |flows: u32| {
+            let flows = share(flows, hosts);
+            let allowed = if asked > HOST_FLOWS { flows * HOST_FLOWS / asked } else { flows };
+            u32::try_from(allowed).unwrap_or(u32::MAX)
+        };
+        for (id, member) in &settings.members {
+            let Some(shard) = self.shards.get(id) else { continue };
+            lock(shard).whole.limit(scaled(member.max_flows), member.max_rate, hosts);
+        }
+        for (id, service) in &settings.services {
+            let Some(mut shard) = self.shard(*id) else { continue };
+            let account = shard.services.entry(*id).or_default();
+            account.limit(scaled(service.max_flows), service.max_rate, hosts);
+        }
+        for shard in self.shards.values() {
+            lock(shard).services.retain(|id, _| settings.services.contains_key(id));
+        }
+    }
+}
+
+fn share(flows: u32, hosts: u32) -> u64 {
+    u64::from(flows.div_ceil(hosts))
+}
+
+fn lock(shard: &Mutex<Shard>) -> MutexGuard<'_, Shard> {
+    shard.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[cfg(test)]
+mod tests {
+    use std::net::SocketAddr;
+
+    use super::*;
+    use crate::flow::Protocol;
+    use crate::settings::{Member, Service};
+    use crate::time::Span;
+
+    const ONE: ServiceId = ServiceId(1);
+    const TWO: ServiceId = ServiceId(2);
+
+    fn settings(max_flows: u32, max_rate: u32) -> Resolved {
+        let mut settings = Resolved::default();
+        for id in 1..=2u16 {
+            let member = Member {
+                name: format!("m{id}"),
+                networks: Vec::new(),
+                tokens: Vec::new(),
+                max_flows,
+                max_rate,
+                max_targets: 1,
+            };
+            settings.members.insert(MemberId(id), member);
+            let service = Service {
+                member: MemberId(id),
+                name: format!("s{id}"),
+                protocol: Protocol::Tcp,
+                address: SocketAddr::from(([192, 0, 2, id as u8], 80)),
+                bucket_bits: 8,
+                max_flows,
+                max_rate,
+                idle_limit: Span::seconds(60),
+                drain_limit: Span::seconds(60),
+                slow_start: Span::seconds(1),
+                established_goal: 0,
+                unbroken_goal: 0,
+                answer_goal: Span::seconds(1),
+                imbalance_goal: 1100,
+            };
+            settings.services.insert(ServiceId(id.into()), service);
+        }
+        settings
+    }
+
+    fn limits(settings: &Resolved, hosts: usize) -> Limits {
+        let limits = Limits::default();
+        limits.apply(settings);
+        limits.share(hosts, settings);
+        limits
+    }
+
+    fn admitted(limits: &Limits, now: Instant, service: ServiceId, tries: u32) -> u32 {
+        let enter = |_: &u32| limits.enter(now, service).map(Guard::keep).is_ok();
+        (0..tries).filter(enter).count() as u32
+    }
+
+    #[test]
+    fn a_dropped_guard_gives_its_place_back() {
+        let limits = limits(&settings(1, 1000), 1);
+        let first = limits.enter(Instant(1), ONE).unwrap();
+        assert_eq!(limits.enter(Instant(1), ONE).unwrap_err(), Kind::FlowLimit);
+        drop(first);
+        limits.enter(Instant(1), ONE).unwrap().keep();
+        assert_eq!(limits.usage(MemberId(1)).unwrap().open, 1);
+    }
+
+    #[test]
+    fn a_rivals_flood_takes_nothing_from_the_other_member() {
+        let limits = limits(&settings(1_000_000, 80), 8);
+        let mut own = 0;
+        let mut flood = 0;
+        for second in 1..=60 {
+            flood += admitted(&limits, Instant(second * 1000), TWO, 800);
+            own += admitted(&limits, Instant(second * 1000), ONE, 10);
+        }
+        assert_eq!(own, 600);
+        assert!(flood <= 620, "{flood}");
+    }
+
+    #[test]
+    fn shares_of_all_hosts_add_up_to_the_limit() {
+        for hosts in 1..=9 {
+            let limits = limits(&settings(9000, 90_000), hosts);
+            let open = admitted(&limits, Instant(1000), ONE, 20_000) * hosts as u32;
+            assert!((9000..9000 + hosts as u32).contains(&open), "{hosts} hosts, {open} flows");
+        }
+    }
+
+    #[test]
+    fn members_shrink_alike_where_the_host_has_too_little_room() {
+        let limits = limits(&settings(u32::MAX, 1000), 1);
+        let [one, two] = [1, 2].map(|id| limits.usage(MemberId(id)).unwrap().max_open);
+        assert_eq!(one, two);
+        assert!(u64::from(one) + u64::from(two) <= HOST_FLOWS);
+    }
+
+    #[test]
+    fn new_settings_keep_open_flows_counted() {
+        let limits = limits(&settings(10, 1000), 1);
+        admitted(&limits, Instant(1), ONE, 6);
+        limits.apply(&settings(5, 1000));
+        assert_eq!(limits.enter(Instant(2), ONE).unwrap_err(), Kind::FlowLimit);
+        (0..2).for_each(|_| limits.release(ONE));
+        assert!(limits.enter(Instant(2), ONE).is_ok());
+    }
+}
--- a/lagoongauge_schema/schema/target.capnp
+++ b/lagoongauge_schema/schema/target.capnp
@@ -63,28 +63,42 @@
   }
 }
 
-# What one host has seen of one target since its last report.
+# What one host has seen of one target since its last report; load is 0 where none was reported,
+# else the reported load plus 1.
 struct Sight {
   target @0 :UInt64;
-  open @1 :UInt32;
-  opened @2 :UInt32;
-  answered @3 :UInt32;
-  reset @4 :UInt32;
-  silent @5 :UInt32;
-  load @6 :UInt16;
-  connections @7 :UInt32;
-  heard @8 :Bool;
+  opened @1 :UInt32;
+  answered @2 :UInt32;
+  reset @3 :UInt32;
+  load @4 :UInt16;
+}
+
+# A message of the group's lease; see the kinds in lagoongauge/src/group/lease.rs.
+struct Lease {
+  union {
+    prepare @0 :UInt64;
+    promise @1 :UInt64;
+    refuse @2 :Ballots;
+    propose @3 :Renewal;
+    grant @4 :Renewal;
+  }
+}
+
+struct Ballots {
+  asked @0 :UInt64;
+  highest @1 :UInt64;
 }
 
-struct Report {
-  sights @0 :List(Sight);
+struct Renewal {
+  ballot @0 :UInt64;
+  renewal @1 :UInt32;
 }
 
 struct Message {
   union {
     gossip @0 :Gossip;
-    report @1 :Report;
+    report @1 :List(Sight);
     route @2 :Data;
-    lease @3 :Data;
+    lease @3 :Lease;
   }
 }
