--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -4,6 +4,7 @@
 //! out. Sockets, clocks, threads and disks belong to the programs; see `docs/DESIGN.md`.
 
 pub mod balance;
+pub mod burn;
 pub mod error;
 pub mod flow;
 pub mod forward;
@@ -11,6 +12,7 @@
 pub mod id;
 pub mod limit;
 pub mod packet;
+pub mod replica;
 pub mod route;
 pub mod settings;
 pub mod target;
