Restart a host only once it has left

Cause: a graceful stop waits until the host has handed its work over. Change: the rolling restart polls the core, detaches the host from the fabric, starts it anew and goes on with the next host; the figures name how many came back.

--- a/lagoongauged/src/measure/policy/core.rs
+++ b/lagoongauged/src/measure/policy/core.rs
@@ -39,8 +39,6 @@
     Opened,
     /// The target answered a flow's first packet.
     Answered,
-    /// The target reset a flow.
-    Reset,
 }
 
 /// The decisions of one entry host.
--- a/lagoongauged/src/measure/policy/driver.rs
+++ b/lagoongauged/src/measure/policy/driver.rs
@@ -30,6 +30,10 @@
 const RETRY: u64 = 300_000;
 /// The same for a SYN.
 const SYN_RETRY: u64 = SECOND;
+/// Microseconds between a host's start and the fabric's first packet to it.
+const WARM_UP: u64 = 5 * SECOND;
+/// Microseconds between the return of a host and the next restart.
+const REST: u64 = 4 * SECOND;
 /// How often a packet is sent again.
 const MAX_TRIES: u8 = 6;
 /// One SYN of this many is sent again although it was answered.
@@ -109,8 +113,8 @@
             let flow = self.world.begin(0, true);
             self.world.after(FIRST_FLOW * SECOND + at, Event::Next(flow));
         }
-        for (index, (at, _)) in self.scenario.steps.iter().enumerate() {
-            self.world.after(at * SECOND, Event::Script(index));
+        for (at, step) in &self.scenario.steps {
+            self.world.after(at * SECOND, Event::Do(*step));
         }
         self.world.after(SECOND, Event::Second);
     }
@@ -131,7 +135,7 @@
             Event::Message(from, to, bytes) => self.message(from, to, &bytes),
             Event::Tick(host, life) => self.tick(host, life),
             Event::Announce(target) => self.announce(target),
-            Event::Script(index) => self.step(self.scenario.steps[index].1),
+            Event::Do(step) => self.step(step),
             Event::Second => self.second(),
         }
     }
@@ -279,7 +283,7 @@
         };
         match self.spray(centre) {
             Some(host) if !self.world.loses() => {
-                self.world.after(delay, Event::AtHost(host, packet))
+                self.world.after(delay, Event::AtHost(host, packet));
             }
             _ => self.lost(packet),
         }
@@ -430,15 +434,23 @@
                 self.world.targets[target].from.state = State::Draining;
                 self.world.after(0, Event::Announce(target as u16));
             }
-            Step::Leave(host) => {
+            Step::Restart(host) => {
                 if let Some(core) = &mut self.hosts[host as usize].core {
                     core.leave(now);
                 }
+                self.world.after(SECOND, Event::Do(Step::Retire(host)));
             }
+            Step::Retire(host) => self.retire(host),
             Step::Detach(host) => self.hosts[host as usize].attached = false,
             Step::Stop(host) => self.hosts[host as usize].core = None,
             Step::Start(host) => self.start(host),
-            Step::Attach(host) => self.hosts[host as usize].attached = true,
+            Step::Attach(host) => {
+                self.hosts[host as usize].attached = true;
+                self.tally.restarts += 1;
+                if host + 1 < self.size.hosts {
+                    self.world.after(REST, Event::Do(Step::Restart(host + 1)));
+                }
+            }
             Step::Kill(target) => self.world.targets[target].up = false,
             Step::Lie(target) => self.world.targets[target].lies = true,
             Step::Cut(centre) => self.world.cut = Some(centre),
@@ -447,6 +459,19 @@
         }
     }
 
+    /// Takes a host out once it has left, and starts it anew.
+    fn retire(&mut self, host: u32) {
+        let left = self.hosts[host as usize].core.as_ref().is_some_and(Core::has_left);
+        if !left {
+            self.world.after(SECOND, Event::Do(Step::Retire(host)));
+            return;
+        }
+        self.hosts[host as usize].attached = false;
+        self.world.after(SECOND, Event::Do(Step::Stop(host)));
+        self.world.after(2 * SECOND, Event::Do(Step::Start(host)));
+        self.world.after(2 * SECOND + WARM_UP, Event::Do(Step::Attach(host)));
+    }
+
     fn second(&mut self) {
         let second = self.world.now / SECOND;
         let counts = second > STEADY;
--- a/lagoongauged/src/measure/policy/scenario.rs
+++ b/lagoongauged/src/measure/policy/scenario.rs
@@ -10,8 +10,8 @@
 pub const BEGIN: u64 = 60;
 /// Second from which on control bytes and imbalance count.
 pub const STEADY: u64 = 45;
-/// Seconds between the restarts of two hosts.
-pub const RESTART_GAP: u64 = 16;
+/// Seconds that the restart of one host may take.
+const RESTART_LIMIT: u64 = 25;
 /// New flows a second that the rival's service may open.
 pub const RIVAL_RATE: u32 = 300;
 
@@ -121,8 +121,10 @@
     Add,
     /// A target of the first service starts to drain.
     Drain(usize),
-    /// An entry host begins its planned stop.
-    Leave(u32),
+    /// An entry host begins its planned stop; the next host follows once it is back.
+    Restart(u32),
+    /// The fabric sends a host nothing more once the host has left.
+    Retire(u32),
     /// The fabric sends a host nothing more.
     Detach(u32),
     /// An entry host stops, planned or not.
@@ -169,17 +171,13 @@
     let lies = [1, 4, 9].map(|target| (BEGIN, Step::Lie(target)));
     let cut = [(BEGIN, Step::Cut(1)), (BEGIN + 45, Step::Heal)];
     let drain = (BEGIN, Step::Drain(2));
+    let restarted = BEGIN + RESTART_LIMIT * u64::from(hosts);
     let drain_and_loss = [drain, (BEGIN + 1, Step::Detach(3)), (BEGIN + 1, Step::Stop(3))];
     vec![
         scenario("steady", &[], 150, false),
         scenario("add_target", &[(BEGIN, Step::Add)], 150, false),
         scenario("drain_target", &[drain], 150, false),
-        scenario(
-            "rolling_restart",
-            &restarts(hosts),
-            BEGIN + 20 + RESTART_GAP * u64::from(hosts),
-            false,
-        ),
+        scenario("rolling_restart", &[(BEGIN, Step::Restart(0))], restarted, false),
         scenario("target_loss", &[(BEGIN, Step::Kill(5))], 150, true),
         scenario("host_loss", &loss, 150, true),
         scenario("lying_reports", &lies, 150, false),
@@ -192,16 +190,3 @@
 fn scenario(name: &'static str, steps: &[(u64, Step)], end: u64, fault: bool) -> Scenario {
     Scenario { name, steps: steps.to_vec(), end, fault }
 }
-
-fn restarts(hosts: u32) -> Vec<(u64, Step)> {
-    let mut steps = Vec::new();
-    for host in 0..hosts {
-        let at = BEGIN + RESTART_GAP * u64::from(host);
-        steps.push((at, Step::Leave(host)));
-        steps.push((at + 6, Step::Detach(host)));
-        steps.push((at + 7, Step::Stop(host)));
-        steps.push((at + 8, Step::Start(host)));
-        steps.push((at + 13, Step::Attach(host)));
-    }
-    steps
-}
--- a/lagoongauged/src/measure/policy/tally.rs
+++ b/lagoongauged/src/measure/policy/tally.rs
@@ -34,6 +34,8 @@
     pub unopened: u64,
     /// Packets that a host chose to drop; the sender tries again.
     pub drops: u64,
+    /// Hosts that were restarted and came back.
+    pub restarts: u64,
     /// Packets that entry hosts took from the fabric.
     pub packets: u64,
     /// Packets handed to another entry host.
@@ -91,6 +93,8 @@
     pub unopened: u64,
     /// Packets that a host chose to drop.
     pub drops: u64,
+    /// Hosts that were restarted and came back.
+    pub restarts: u64,
     /// Highest ratio of the fullest target's open flows to the mean.
     pub imbalance_max: f64,
     /// 99th percentile of that ratio over the seconds.
@@ -152,6 +156,7 @@
             rival_refused: self.rival_refused,
             unopened: self.unopened,
             drops: self.drops,
+            restarts: self.restarts,
             imbalance_max: round(ratios.last().copied().unwrap_or(0.0)),
             imbalance_p99: round(percentile(&ratios, 0.99)),
             imbalance_mean: round(ratios.iter().sum::<f64>() / ratios.len().max(1) as f64),
--- a/lagoongauged/src/measure/policy/world.rs
+++ b/lagoongauged/src/measure/policy/world.rs
@@ -14,7 +14,7 @@
 use lagoongauge::target::{Announcement, State};
 use lagoongauge::time::Span;
 
-use super::scenario::Size;
+use super::scenario::{Size, Step};
 
 /// Microseconds one way between data centres.
 const CENTRE_DELAY: u64 = 500;
@@ -127,8 +127,8 @@
     Tick(u32, u32),
     /// A target announces itself.
     Announce(u16),
-    /// The next step of the scenario.
-    Script(usize),
+    /// A change or fault of the scenario.
+    Do(Step),
     /// The end of a second.
     Second,
 }
