--- a/lagoongauge/tests/route_net/mod.rs
+++ b/lagoongauge/tests/route_net/mod.rs
@@ -215,7 +215,7 @@
             self.now += 10;
             self.elect();
             self.deliver();
-            if self.now % TICK == 0 {
+            if self.now.is_multiple_of(TICK) {
                 for host in self.up() {
                     let now = self.clock(host);
                     let actions = self.nodes[&host].router.tick(now);
