Renew the group's lease from a bare majority in turn

Cause: the holder asked all hosts every 0.6 s; in a group of 16 that took 3,400 B/s of its 8,192. Change: while all is well each renewal asks a majority, rotating over the hosts, so that each host grants at least every second time; after a request that fell short everybody is asked. The lease's tests pass unchanged.

--- a/lagoongauge/src/group/lease.rs
+++ b/lagoongauge/src/group/lease.rs
@@ -245,15 +245,25 @@
         Epoch(((highest.0 >> 16) + 1) << 16 | place as u64)
     }
 
+    /// Asks for the next grants: a bare majority, in turn over the hosts, as long as all is well, and
+    /// everybody once a request has fallen short.
     fn renew(&mut self, now: Instant) -> Outbox {
+        let majority = self.majority();
         let Role::Holder(holder) = &mut self.role else {
             return Vec::new();
         };
+        let short = holder.grants.len() < majority;
         holder.renewal += 1;
         holder.asked = now;
         holder.grants.clear();
         let (ballot, renewal) = (holder.ballot, holder.renewal);
         let mut out = self.to_others(LeaseMessage::Propose { ballot, renewal });
+        if !short && !out.is_empty() {
+            let needed = majority - 1;
+            let others = out.len();
+            out.rotate_left(renewal as usize * needed % others);
+            out.truncate(needed);
+        }
         if self.accept(now, self.own, ballot) {
             out.extend(self.grant(now, self.own, ballot, renewal));
         }
