Measure the first slopes of docs/CAPACITY.md

Cause: the users ask for a page whose figures come out of a command. Change: lagoon-measure capacity runs the real cores at four sizes, fits a line, carries it to the target and writes tables and plots into the page; a plot of the burn page no longer shows '-0'.

--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -2,12 +2,20 @@
 
 use bpaf::Bpaf;
 
-use lagoongauged::measure::policy;
+use lagoongauged::measure::meter::{self, Counting};
+use lagoongauged::measure::{capacity, policy};
+
+/// Counts the memory that the measured structures take.
+#[global_allocator]
+static ALLOCATOR: Counting = meter::counting();
 
 /// Measurements of lagoongauge.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
+    /// Measures the slopes behind docs/CAPACITY.md.
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::options))] capacity::Options),
     /// Measures the routing decisions under change, load and faults.
     #[bpaf(command)]
     Policy(#[bpaf(external(policy::options))] policy::Options),
@@ -15,6 +23,7 @@
 
 fn main() -> eyre::Result<()> {
     match command().run() {
+        Command::Capacity(options) => capacity::run(&options, &ALLOCATOR),
         Command::Policy(options) => policy::run(&options),
     }
 }
--- a/lagoongauged/src/burn/page.rs
+++ b/lagoongauged/src/burn/page.rs
@@ -88,7 +88,7 @@
         .configure_mesh()
         .disable_x_mesh()
         .x_desc("hours ago")
-        .x_label_formatter(&|hours| format!("{:.0}", -hours))
+        .x_label_formatter(&|hours| format!("{:.0}", hours.abs()))
         .y_label_formatter(&|share| format!("{:.3}%", share * 100.0))
         .y_labels(4)
         .draw()?;
--- /dev/null
+++ b/lagoongauged/src/measure/capacity/mod.rs
@@ -0,0 +1,66 @@
+//! Slopes of every role's state, messages and processor time, carried to the target size.
+//!
+//! Prints one JSON line per row and total; `--page` also writes the tables into docs/CAPACITY.md
+//! and the plots beside it.
+
+mod fit;
+mod host;
+mod page;
+mod row;
+mod settings;
+mod size;
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use eyre::Result;
+use serde::Serialize;
+
+use self::row::{Row, Slope, Total, totals};
+use self::size::{BUDGET, TARGET};
+use super::meter::Counting;
+
+/// Options of the measurement.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Options {
+    /// Writes the tables between the marks of CAPACITY.md in this folder, and the plots beside it
+    #[bpaf(long, argument("FOLDER"), optional)]
+    page: Option<PathBuf>,
+}
+
+/// A line of the output.
+#[derive(Debug, Serialize)]
+#[serde(tag = "line", rename_all = "snake_case")]
+enum Output<'a> {
+    Size { budget: size::Budget, target: size::Size },
+    Row(&'a Row),
+    Total(&'a Total),
+}
+
+/// Measures all slopes and prints them.
+pub fn run(options: &Options, allocator: &Counting) -> Result<()> {
+    let rows: Vec<Row> = slopes(allocator)?.into_iter().map(Row::from).collect();
+    let totals = totals(&rows);
+    print(&Output::Size { budget: BUDGET, target: TARGET })?;
+    for row in &rows {
+        print(&Output::Row(row))?;
+    }
+    for total in &totals {
+        print(&Output::Total(total))?;
+    }
+    if let Some(folder) = &options.page {
+        page::write(folder, &rows, &totals)?;
+    }
+    Ok(())
+}
+
+fn slopes(allocator: &Counting) -> Result<Vec<Slope>> {
+    let mut slopes = host::slopes(allocator);
+    slopes.extend(settings::slopes(allocator)?);
+    Ok(slopes)
+}
+
+fn print(line: &Output<'_>) -> Result<()> {
+    println!("{}", serde_json::to_string(line)?);
+    Ok(())
+}
--- /dev/null
+++ b/lagoongauged/src/measure/capacity/page.rs
@@ -0,0 +1,156 @@
+//! The tables and plots of docs/CAPACITY.md.
+
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+
+use eyre::{Context, ContextCompat, Result};
+use plotters::prelude::*;
+
+use super::row::{Resource, Row, Total};
+
+/// Mark before the tables.
+const BEGIN: &str = "<!-- begin: lagoon-measure capacity -->";
+
+/// Mark behind the tables.
+const END: &str = "<!-- end: lagoon-measure capacity -->";
+
+/// Width and height of one plot in pixels.
+const CELL: (u32, u32) = (330, 200);
+
+/// Plots side by side.
+const COLUMNS: usize = 3;
+
+/// Writes the tables between the marks of CAPACITY.md and the plots into capacity.svg.
+pub fn write(folder: &Path, rows: &[Row], totals: &[Total]) -> Result<()> {
+    let path = folder.join("CAPACITY.md");
+    let page = fs::read_to_string(&path).wrap_err_with(|| format!("{}", path.display()))?;
+    let (head, rest) =
+        page.split_once(BEGIN).wrap_err("CAPACITY.md lacks the mark of its tables")?;
+    let (_, tail) = rest.split_once(END).wrap_err("CAPACITY.md lacks the end of its tables")?;
+    let tables = tables(rows, totals)?;
+    fs::write(&path, format!("{head}{BEGIN}\n\n{tables}\n{END}{tail}"))?;
+    fs::write(folder.join("capacity.svg"), plots(rows)?)?;
+    Ok(())
+}
+
+fn tables(rows: &[Row], totals: &[Total]) -> Result<String> {
+    let mut text = String::new();
+    writeln!(text, "| role | resource | at the target | budget | ratio | |")?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- |")?;
+    for total in totals {
+        let (role, resource) = (total.role.name(), total.resource);
+        let value = quantity(resource, total.total);
+        let budget = quantity(resource, total.budget);
+        let verdict = verdict(total.held);
+        writeln!(
+            text,
+            "| {role} | {} | {value} | {budget} | {:.3} | {verdict} |",
+            name(resource),
+            total.ratio
+        )?;
+    }
+    writeln!(
+        text,
+        "\n| role | what | per | slope | fixed | fit error | size at target | value | budget | ratio | | mechanism |"
+    )?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")?;
+    for row in rows {
+        write_row(&mut text, row)?;
+    }
+    writeln!(text, "\n![Measured points and fitted lines](capacity.svg)")?;
+    Ok(text)
+}
+
+fn write_row(text: &mut String, row: &Row) -> Result<()> {
+    let mark = if row.extrapolated { " (extrapolated)" } else { "" };
+    writeln!(
+        text,
+        "| {} | {} ({}) | {} | {} | {} | {:.1}% | {}{mark} | {} | {} | {:.4} | {} | {} |",
+        row.role.name(),
+        row.what,
+        name(row.resource),
+        row.unit,
+        number(row.fit.slope),
+        number(row.fit.fixed),
+        row.fit.error * 100.0,
+        number(row.size),
+        quantity(row.resource, row.value),
+        quantity(row.resource, row.budget),
+        row.ratio,
+        verdict(row.held),
+        row.mechanism,
+    )?;
+    Ok(())
+}
+
+const fn name(resource: Resource) -> &'static str {
+    match resource {
+        Resource::Processor => "processor",
+        Resource::Memory => "memory",
+        Resource::Bytes => "network",
+    }
+}
+
+const fn verdict(held: bool) -> &'static str {
+    if held { "held" } else { "**not held**" }
+}
+
+/// Shows a value with its unit.
+fn quantity(resource: Resource, value: f64) -> String {
+    match resource {
+        Resource::Processor => format!("{:.4}% of a core", value * 100.0),
+        Resource::Memory => format!("{:.2} MiB", value / (1024.0 * 1024.0)),
+        Resource::Bytes => format!("{value:.0} B/s"),
+    }
+}
+
+/// Shows a number with three digits that count.
+fn number(value: f64) -> String {
+    if value != 0.0 && (value.abs() < 0.01 || value.abs() >= 1e7) {
+        return format!("{value:.2e}");
+    }
+    if value.abs() >= 100.0 { format!("{value:.0}") } else { format!("{value:.2}") }
+}
+
+fn plots(rows: &[Row]) -> Result<String> {
+    let lines = rows.len().div_ceil(COLUMNS);
+    let size = (CELL.0 * COLUMNS as u32, CELL.1 * lines as u32);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, size).into_drawing_area();
+        area.fill(&WHITE)?;
+        let cells = area.split_evenly((lines, COLUMNS));
+        for (row, cell) in rows.iter().zip(&cells) {
+            plot(row, cell).wrap_err_with(|| format!("plot of {}", row.what))?;
+        }
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+fn plot(row: &Row, cell: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>) -> Result<()> {
+    let widest = row.points.iter().map(|point| point.0).fold(0.0, f64::max);
+    let highest = row.points.iter().map(|point| point.1).fold(f64::MIN_POSITIVE, f64::max);
+    let title = format!("{}: {}", row.role.name(), row.what);
+    let mut chart = ChartBuilder::on(cell)
+        .caption(title, ("sans-serif", 11))
+        .margin(8)
+        .x_label_area_size(30)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..widest * 1.05, 0.0..highest * 1.1)?;
+    chart
+        .configure_mesh()
+        .light_line_style(WHITE)
+        .x_desc(row.unit.as_str())
+        .y_desc(row.resource.unit())
+        .x_labels(5)
+        .y_labels(4)
+        .x_label_formatter(&|value| number(*value))
+        .y_label_formatter(&|value| number(*value))
+        .draw()?;
+    let ends = [0.0, widest].map(|size| (size, row.fit.at(size)));
+    chart.draw_series(LineSeries::new(ends, &RED))?;
+    chart.draw_series(row.points.iter().map(|point| Circle::new(*point, 3, BLUE.filled())))?;
+    Ok(())
+}
--- a/lagoongauged/src/measure/mod.rs
+++ b/lagoongauged/src/measure/mod.rs
@@ -2,4 +2,6 @@
 //!
 //! A module offers `options`, a command-line parser, and `run`, which prints JSON lines.
 
+pub mod capacity;
+pub mod meter;
 pub mod policy;
