Take a home for lost only when it is silent

Cause: the property test found flows of held buckets sent to their old target, as a home whose heartbeats or grants were lost three times in a row had been replaced. Change: a home counts as lost after 2 s of silence without a lease, or 10 s without a lease; beats come faster when the lease is about to end. Conclusion: loss of single messages no longer replaces a living home.

--- a/lagoongauge/src/route/follower.rs
+++ b/lagoongauge/src/route/follower.rs
@@ -22,6 +22,12 @@
 /// Time between two heartbeats.
 const BEAT_INTERVAL: Span = Span::millis(450);
 
+/// Time between two heartbeats when the lease is about to end.
+const URGENT_INTERVAL: Span = Span::millis(150);
+
+/// Rest of the lease below which heartbeats are urgent.
+const URGENT_REST: Span = Span::millis(600);
+
 /// Time between two heartbeats that carry counts.
 const COUNT_INTERVAL: Span = Span::seconds(2);
 
@@ -172,7 +178,9 @@
     /// Builds a heartbeat to the planner.
     pub fn beat(&mut self, now: Instant) -> Option<Action> {
         let planner = self.follower.planner.filter(|&planner| planner != self.own)?;
-        self.follower.next_beat = now + BEAT_INTERVAL;
+        let urgent = self.follower.leased_until.since(now) < URGENT_REST;
+        let urgent = urgent && now < self.follower.leased_until + BEAT_INTERVAL;
+        self.follower.next_beat = now + if urgent { URGENT_INTERVAL } else { BEAT_INTERVAL };
         let mut counts = Vec::new();
         if now >= self.follower.next_counts {
             self.follower.next_counts = now + COUNT_INTERVAL;
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -31,8 +31,11 @@
 /// Most buckets in one release.
 const MAX_RELEASE: usize = 256;
 
-/// How long after the end of its lease a home counts as lost.
-const LOST_GRACE: Span = Span::millis(300);
+/// How long a home without a lease may be silent until it counts as lost.
+const SILENCE: Span = Span::millis(2_000);
+
+/// How long a home may be without a lease although it is heard.
+const STUCK: Span = Span::seconds(10);
 
 /// How long a group's first view may wait for hosts that have answered.
 const FIRST_VIEW_WAIT: Span = Span::seconds(3);
@@ -47,6 +50,7 @@
     prior: u64,
     life: u32,
     sent: Instant,
+    heard: Instant,
     answered: bool,
     granted_until: Instant,
     leaving: bool,
@@ -56,6 +60,14 @@
     pub counts: IndexMap<(ServiceId, u16), u32>,
 }
 
+impl Peer {
+    /// Returns whether the host can't act any more and won't soon.
+    fn is_lost(&self, now: Instant) -> bool {
+        let ended = self.granted_until + LEASE_MARGIN;
+        now >= ended && (now.since(self.heard) > SILENCE || now.since(ended) > STUCK)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Hosts are asked for the newest plan.
@@ -123,18 +135,20 @@
     }
 
     fn peer(&mut self, host: HostId) -> &mut Peer {
-        let fallback = self.since + SERVE_LEASE;
+        let since = self.since;
         self.peers.entry(host).or_insert_with(|| Peer {
-            granted_until: fallback,
+            granted_until: since + SERVE_LEASE,
+            heard: since,
             backoff: RESEND.0,
             ..Peer::default()
         })
     }
 
     /// Takes note of a heartbeat; returns whether it is newer than what is known.
-    fn note(&mut self, host: HostId, beat: &Beat) -> bool {
+    fn note(&mut self, now: Instant, host: HostId, beat: &Beat) -> bool {
         let current = beat.epoch == self.epoch;
         let peer = self.peer(host);
+        peer.heard = now;
         if !current || (peer.answered && peer.life == beat.life && beat.sent < peer.sent) {
             return false;
         }
@@ -188,7 +202,7 @@
             return Vec::new();
         };
         let stamp = self.plan.stamp;
-        if !planner.note(from, beat) {
+        if !planner.note(now, from, beat) {
             let probe = Message::Probe { epoch: planner.epoch };
             return if beat.epoch < planner.epoch {
                 vec![Action::Send(from, probe)]
@@ -460,8 +474,7 @@
             return life != self.follower.life;
         }
         let Some(peer) = planner.peers.get(&host) else { return true };
-        let reborn = peer.answered && peer.life != life;
-        reborn || now >= peer.granted_until + LEASE_MARGIN + LOST_GRACE
+        peer.answered && peer.life != life || peer.is_lost(now)
     }
 
     fn is_lost_leaver(&self, now: Instant, planner: &Planner, host: HostId) -> bool {
@@ -469,8 +482,7 @@
             return !self.follower.leaving;
         }
         let Some(peer) = planner.peers.get(&host) else { return true };
-        let reborn = peer.answered && !peer.leaving;
-        reborn || now >= peer.granted_until + LEASE_MARGIN + LOST_GRACE
+        peer.answered && !peer.leaving || peer.is_lost(now)
     }
 
     /// Returns whether all handovers that the view asked for are done.
