Ignore stale heartbeats and plans that are older than the own one

Cause: the property test, run with 4,000 cases, found a late heartbeat that took back a host's wish to leave, and a late pointer to an older plan that a host then adopted. Change: a wish to leave lasts for a life, heartbeats are ordered by time and step, and a plan is fetched only if it is newer.

--- a/lagoongauge/src/route/follower.rs
+++ b/lagoongauge/src/route/follower.rs
@@ -170,7 +170,8 @@
         let bytes = assembly.parts.concat();
         self.assembly = None;
         let plan: Option<Plan> = postcard::from_bytes(&bytes).ok();
-        (None, plan.filter(Plan::is_sound).map(Plan::restored))
+        let plan = plan.filter(|plan| plan.is_sound() && plan.stamp == part.stamp);
+        (None, plan.map(Plan::restored))
     }
 }
 
@@ -291,7 +292,7 @@
         }
         let (request, plan) = self.follower.part(now, from, part);
         let mut actions = Vec::from_iter(request);
-        if let Some(plan) = plan {
+        if let Some(plan) = plan.filter(|plan| plan.stamp > self.plan.stamp) {
             actions.extend(self.adopt_plan(now, plan, limits));
             actions.extend(self.beat(now));
         }
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -149,7 +149,8 @@
         let current = beat.epoch == self.epoch;
         let peer = self.peer(host);
         peer.heard = now;
-        if !current || (peer.answered && peer.life == beat.life && beat.sent < peer.sent) {
+        let again = peer.answered && peer.life == beat.life;
+        if !current || again && (beat.sent, beat.stamp) < (peer.sent, peer.stamp) {
             return false;
         }
         if peer.stamp != beat.stamp {
@@ -161,7 +162,7 @@
         peer.stamp = beat.stamp;
         peer.life = beat.life;
         peer.sent = beat.sent;
-        peer.leaving = beat.leaving;
+        peer.leaving = beat.leaving || again && peer.leaving;
         peer.pending = beat.pending;
         if !beat.counts.is_empty() {
             let counts = beat.counts.iter();
@@ -543,7 +544,7 @@
         let epoch = self.planner.as_ref().map_or(0, |planner| planner.epoch);
         let kept = self.encoded_stamp();
         let usable = kept.filter(|&stamp| {
-            self.planner.as_ref().is_some_and(|planner| planner.steps_after(stamp).is_some())
+            stamp.epoch == epoch && self.planner.as_ref().is_some_and(|planner| planner.steps_after(stamp).is_some())
         });
         let stamp = usable.unwrap_or_else(|| self.keep_encoded());
         Message::Behind { epoch, stamp }
--- a/lagoongauge/src/route/router.rs
+++ b/lagoongauge/src/route/router.rs
@@ -186,7 +186,7 @@
             }
             Message::Steps(steps) => core.steps(now, from, &steps, limits),
             Message::Behind { epoch, stamp } => {
-                if !core.follower.hear(epoch) {
+                if !core.follower.hear(epoch) || stamp <= core.plan.stamp {
                     return Vec::new();
                 }
                 Vec::from_iter(core.follower.fetch(now, from, stamp))
--- a/lagoongauge/tests/route_net/mod.rs
+++ b/lagoongauge/tests/route_net/mod.rs
@@ -99,7 +99,7 @@
     pub cut: Vec<(HostId, HostId)>,
     /// Hosts whose messages to others are all lost.
     pub mute: Vec<HostId>,
-    pub events: Vec<(HostId, Event)>,
+    pub events: Vec<(u64, HostId, Event)>,
     /// Bytes sent per host and second.
     pub sent: BTreeMap<(HostId, u64), usize>,
     pub sent_kinds: BTreeMap<&'static str, usize>,
@@ -348,7 +348,7 @@
                         bytes.len() + HEADER_BYTES;
                     self.send(host, to, Parcel::Message(host, bytes));
                 }
-                Action::Event(event) => self.events.push((host, event)),
+                Action::Event(event) => self.events.push((self.now, host, event)),
             }
         }
     }
