Keep the last steps at every host, so that a new planner can bring others up to date

Cause: after a planner's loss, hosts that lacked its last steps had to fetch the whole plan, which made them lose their records. Change: every host keeps the last 128 steps, and a fetched plan carries 16 of them. The fake lease no longer survives a restart of its holder.

--- a/lagoongauge/src/route/core.rs
+++ b/lagoongauge/src/route/core.rs
@@ -1,9 +1,11 @@
 //! A router's state behind its lock, and how it follows the steps of the plan.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
 use super::admit::Admit;
-use super::follower::Follower;
+use super::follower::{Follower, History};
 use super::handover::Handover;
 use super::ledger::{Bounds, Duty, Ledger, RETRY_SPAN};
 use super::message::{Action, Event, Message};
@@ -17,6 +19,9 @@
 /// Bounds of a service whose settings have not arrived yet.
 const DEFAULT_BOUNDS: Bounds = Bounds { idle_limit: Span::seconds(7200), max_flows: 1 << 20 };
 
+/// Most steps kept for hosts that have missed them.
+const LOG_STEPS: usize = 128;
+
 /// How often records are gone over.
 const SWEEP_INTERVAL: Span = Span::seconds(1);
 
@@ -38,6 +43,9 @@
     /// The tables that this host would plan.
     pub wanted: IndexMap<ServiceId, Table>,
     pub plan: Plan,
+    /// The last steps, and the stamp before the first of them.
+    pub log: VecDeque<(Stamp, Step)>,
+    pub log_base: Stamp,
     pub ledgers: IndexMap<ServiceId, Ledger>,
     pub follower: Follower,
     pub planner: Option<Planner>,
@@ -57,6 +65,8 @@
             served: IndexMap::new(),
             wanted: IndexMap::new(),
             plan: Plan::default(),
+            log: VecDeque::new(),
+            log_base: Stamp::default(),
             ledgers: IndexMap::new(),
             follower: Follower::new(seed, now),
             planner: None,
@@ -110,6 +120,12 @@
         step: &Step,
         limits: &impl Admit,
     ) -> Vec<Action> {
+        self.log.push_back((stamp, step.clone()));
+        if self.log.len() > LOG_STEPS
+            && let Some((first, _)) = self.log.pop_front()
+        {
+            self.log_base = first;
+        }
         match step {
             Step::Epoch(_) | Step::Release { .. } => {
                 self.plan.apply(stamp, step);
@@ -137,7 +153,13 @@
     }
 
     /// Replaces the plan by a fetched one; records survive only where it continues the own one.
-    pub fn adopt_plan(&mut self, now: Instant, plan: Plan, limits: &impl Admit) -> Vec<Action> {
+    pub fn adopt_plan(
+        &mut self,
+        now: Instant,
+        history: History,
+        limits: &impl Admit,
+    ) -> Vec<Action> {
+        let plan = history.plan;
         let continues = plan.view.stamp == self.plan.view.stamp
             && self.plan.services.iter().all(|(service, old)| {
                 plan.services
@@ -147,6 +169,8 @@
         let fresh = self.plan.stamp == Stamp::default();
         let settles = plan.settled && !self.plan.settled;
         self.plan = plan;
+        self.log = history.steps.into();
+        self.log_base = history.base;
         let mut actions = Vec::new();
         if !continues && !fresh {
             let all: Vec<_> = self.ledgers.values().map(|l| l.service).collect();
--- a/lagoongauge/src/route/follower.rs
+++ b/lagoongauge/src/route/follower.rs
@@ -1,11 +1,12 @@
 //! A host as the planner's follower: heartbeats, its lease to act, and catching up with the plan.
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::admit::Admit;
 use super::core::Core;
 use super::message::{Action, Beat, Message, Part, Settled, Steps};
-use super::plan::{Plan, Stamp};
+use super::plan::{Plan, Stamp, Step};
 use super::table::mix;
 use crate::id::{HostId, ServiceId};
 use crate::time::{Instant, Span};
@@ -52,6 +53,17 @@
 /// How long a host waits for pieces before it asks again.
 const FETCH_RETRY: Span = Span::millis(300);
 
+/// Most steps that go with a plan, for hosts that lack fewer.
+const HISTORY_STEPS: usize = 16;
+
+/// A plan with the steps that led to it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct History {
+    pub plan: Plan,
+    pub base: Stamp,
+    pub steps: Vec<(Stamp, Step)>,
+}
+
 /// Pieces of a plan that is being fetched.
 #[derive(Debug)]
 struct Assembly {
@@ -151,7 +163,7 @@
     }
 
     /// Adds a piece; returns the next request, or the whole plan.
-    fn part(&mut self, now: Instant, from: HostId, part: Part) -> (Option<Action>, Option<Plan>) {
+    fn part(&mut self, now: Instant, from: HostId, part: Part) -> (Option<Action>, Option<History>) {
         let Some(assembly) = self.assembly.as_mut() else { return (None, None) };
         let expected = assembly.from == from && assembly.stamp == part.stamp;
         if !expected || part.total > MAX_PARTS || usize::from(part.index) != assembly.parts.len() {
@@ -169,9 +181,12 @@
         }
         let bytes = assembly.parts.concat();
         self.assembly = None;
-        let plan: Option<Plan> = postcard::from_bytes(&bytes).ok();
-        let plan = plan.filter(|plan| plan.is_sound() && plan.stamp == part.stamp);
-        (None, plan.map(Plan::restored))
+        let history: Option<History> = postcard::from_bytes(&bytes).ok();
+        let sound = |history: &History| {
+            history.plan.is_sound() && history.plan.stamp == part.stamp
+        };
+        let restored = |history: History| History { plan: history.plan.restored(), ..history };
+        (None, history.filter(sound).map(restored))
     }
 }
 
@@ -247,8 +262,7 @@
     pub fn parts(&mut self, to: HostId, stamp: Stamp, have: u16) -> Vec<Action> {
         let cached = self.follower.encoded.as_ref().is_some_and(|(cached, _)| *cached == stamp);
         if !cached && self.plan.stamp == stamp {
-            let bytes = postcard::to_stdvec(&self.plan).unwrap_or_default();
-            self.follower.encoded = Some((stamp, bytes));
+            self.keep_encoded();
         }
         let Some((cached, bytes)) = &self.follower.encoded else { return Vec::new() };
         if *cached != stamp {
@@ -268,7 +282,14 @@
     pub fn keep_encoded(&mut self) -> Stamp {
         let stamp = self.plan.stamp;
         if self.follower.encoded.as_ref().is_none_or(|(cached, _)| *cached != stamp) {
-            let bytes = postcard::to_stdvec(&self.plan).unwrap_or_default();
+            let skip = self.log.len().saturating_sub(HISTORY_STEPS);
+            let base = match skip {
+                0 => self.log_base,
+                _ => self.log[skip - 1].0,
+            };
+            let steps = self.log.iter().skip(skip).cloned().collect();
+            let history = History { plan: self.plan.clone(), base, steps };
+            let bytes = postcard::to_stdvec(&history).unwrap_or_default();
             self.follower.encoded = Some((stamp, bytes));
         }
         stamp
@@ -290,10 +311,10 @@
         if !self.follower.hear(part.epoch) {
             return Vec::new();
         }
-        let (request, plan) = self.follower.part(now, from, part);
+        let (request, history) = self.follower.part(now, from, part);
         let mut actions = Vec::from_iter(request);
-        if let Some(plan) = plan.filter(|plan| plan.stamp > self.plan.stamp) {
-            actions.extend(self.adopt_plan(now, plan, limits));
+        if let Some(history) = history.filter(|history| history.plan.stamp > self.plan.stamp) {
+            actions.extend(self.adopt_plan(now, history, limits));
             actions.extend(self.beat(now));
         }
         actions
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -1,6 +1,6 @@
 //! The planner: the one host of a group that adds steps to the plan.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use indexmap::IndexMap;
 
@@ -13,9 +13,6 @@
 use crate::id::{HostId, ServiceId, TargetId};
 use crate::time::{Instant, Span};
 
-/// Most steps kept for hosts that have missed them.
-const LOG_STEPS: usize = 128;
-
 /// Most steps in one message.
 const MAX_STEPS: usize = 8;
 
@@ -87,8 +84,8 @@
     next_probe: Instant,
     phase: Phase,
     pub peers: IndexMap<HostId, Peer>,
-    base: Stamp,
-    log: VecDeque<(Stamp, Step)>,
+    /// Stamp of the epoch's first step.
+    first: Stamp,
     prepared: IndexMap<ServiceId, (Stamp, Instant)>,
     settled: IndexMap<ServiceId, BTreeSet<u32>>,
     next_release: IndexMap<ServiceId, Instant>,
@@ -104,8 +101,7 @@
             next_probe: now,
             phase: Phase::Gather,
             peers: IndexMap::new(),
-            base: Stamp::default(),
-            log: VecDeque::new(),
+            first: Stamp::default(),
             prepared: IndexMap::new(),
             settled: IndexMap::new(),
             next_release: IndexMap::new(),
@@ -123,17 +119,6 @@
         acting.all(|peer| peer.stamp >= stamp)
     }
 
-    /// Returns the steps after `stamp`, unless they are too far back.
-    fn steps_after(&self, stamp: Stamp) -> Option<Steps> {
-        let skip = match stamp == self.base {
-            true => 0,
-            false => self.log.iter().position(|(at, _)| *at == stamp)? + 1,
-        };
-        let steps =
-            self.log.iter().skip(skip).take(MAX_STEPS).map(|(at, step)| (at.epoch, step.clone()));
-        Some(Steps { epoch: self.epoch, after: stamp, steps: steps.collect() })
-    }
-
     fn peer(&mut self, host: HostId) -> &mut Peer {
         let since = self.since;
         self.peers.entry(host).or_insert_with(|| Peer {
@@ -229,7 +214,7 @@
     pub fn hear_settled(&mut self, settled: &Settled) {
         let Some(planner) = self.planner.as_mut() else { return };
         let Some(layout) = self.plan.services.get(&settled.service) else { return };
-        let floor = planner.prepared.get(&settled.service).map_or(planner.base, |at| at.0);
+        let floor = planner.prepared.get(&settled.service).map_or(planner.first, |at| at.0);
         if layout.next.is_some() || settled.stamp < floor || settled.stamp > self.plan.stamp {
             return;
         }
@@ -340,8 +325,8 @@
     fn activate(&mut self, now: Instant, limits: &impl Admit) -> Vec<Action> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
         planner.phase = Phase::Active;
-        planner.base = self.plan.stamp;
         let epoch = planner.epoch;
+        planner.first = Stamp { epoch, number: self.plan.stamp.number + 1 };
         let mut actions = self.add(now, Step::Epoch(self.own), limits);
         actions.push(Action::Event(Event::Planning { epoch }));
         actions
@@ -351,12 +336,6 @@
     fn add(&mut self, now: Instant, step: Step, limits: &impl Admit) -> Vec<Action> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
         let stamp = Stamp { epoch: planner.epoch, number: self.plan.stamp.number + 1 };
-        planner.log.push_back((stamp, step.clone()));
-        if planner.log.len() > LOG_STEPS
-            && let Some((first, _)) = planner.log.pop_front()
-        {
-            planner.base = first;
-        }
         if let Step::Prepare { service, .. } = &step {
             planner.prepared.insert(*service, (stamp, now));
             planner.settled.shift_remove(service);
@@ -393,7 +372,7 @@
         }
         let mut prepared = self.plan.services.iter().filter(|(_, layout)| layout.next.is_some());
         let ready = prepared.find(|(service, _)| {
-            let stamp = planner.prepared.get(*service).map_or_else(|| planner.first(), |at| at.0);
+            let stamp = planner.prepared.get(*service).map_or(planner.first, |at| at.0);
             planner.all_applied(now, stamp)
         });
         ready.map(|(&service, _)| Step::Switch { service })
@@ -525,8 +504,7 @@
         let due: Vec<_> = due.map(|(&host, peer)| (host, peer.stamp)).collect();
         let mut actions = Vec::new();
         for (host, at) in due {
-            let Some(planner) = &self.planner else { break };
-            let message = match planner.steps_after(at) {
+            let message = match self.steps_after(at) {
                 Some(steps) => Message::Steps(steps),
                 None => self.behind(),
             };
@@ -539,25 +517,29 @@
         actions
     }
 
+    /// Returns the steps after `stamp`, unless they are too far back.
+    fn steps_after(&self, stamp: Stamp) -> Option<Steps> {
+        let skip = match stamp == self.log_base {
+            true => 0,
+            false => self.log.iter().position(|(at, _)| *at == stamp)? + 1,
+        };
+        let steps = self.log.iter().skip(skip).take(MAX_STEPS);
+        let steps = steps.map(|(at, step)| (at.epoch, step.clone())).collect();
+        Some(Steps { epoch: self.follower.epoch, after: stamp, steps })
+    }
+
     /// Points a host to a plan that it can fetch and then go on from.
     fn behind(&mut self) -> Message {
         let epoch = self.planner.as_ref().map_or(0, |planner| planner.epoch);
         let kept = self.encoded_stamp();
         let usable = kept.filter(|&stamp| {
-            stamp.epoch == epoch && self.planner.as_ref().is_some_and(|planner| planner.steps_after(stamp).is_some())
+            stamp.epoch == epoch && self.steps_after(stamp).is_some()
         });
         let stamp = usable.unwrap_or_else(|| self.keep_encoded());
         Message::Behind { epoch, stamp }
     }
 }
 
-impl Planner {
-    /// Returns the stamp of the epoch's first step.
-    fn first(&self) -> Stamp {
-        self.log.front().map_or(self.base, |(stamp, _)| *stamp)
-    }
-}
-
 /// Returns whether a wanted table takes new flows away from a target.
 fn withdraws(table: &Table, wanted: &Table) -> bool {
     let taking = table.entries.iter().filter(|(_, weight)| *weight > 0);
--- a/lagoongauge/tests/route_net/mod.rs
+++ b/lagoongauge/tests/route_net/mod.rs
@@ -114,6 +114,9 @@
     rng: ChaCha8Rng,
 }
 
+/// Stands for a holder that is gone.
+const NOBODY: HostId = HostId(0);
+
 /// How long a fake lease goes on after its holder is gone.
 const LEASE: u64 = 2_000;
 
@@ -165,9 +168,11 @@
         if let Some(node) = self.nodes.get_mut(&host) {
             node.up = false;
         }
+        // A new process of the host does not hold the lease of the old one.
         if let Some((holder, _, free)) = &mut self.holder
             && *holder == host
         {
+            *holder = NOBODY;
             *free = self.now + LEASE;
         }
     }
