--- a/lagoongauge/src/route/follower.rs
+++ b/lagoongauge/src/route/follower.rs
@@ -23,7 +23,7 @@
 /// Time between two heartbeats.
 const BEAT_INTERVAL: Span = Span::millis(450);
 
-/// Time between two heartbeats when the lease is about to end.
+/// Time between two heartbeats when the lease has ended or is about to.
 const URGENT_INTERVAL: Span = Span::millis(150);
 
 /// Rest of the lease below which heartbeats are urgent.
@@ -163,7 +163,12 @@
     }
 
     /// Adds a piece; returns the next request, or the whole plan.
-    fn part(&mut self, now: Instant, from: HostId, part: Part) -> (Option<Action>, Option<History>) {
+    fn part(
+        &mut self,
+        now: Instant,
+        from: HostId,
+        part: Part,
+    ) -> (Option<Action>, Option<History>) {
         let Some(assembly) = self.assembly.as_mut() else { return (None, None) };
         let expected = assembly.from == from && assembly.stamp == part.stamp;
         if !expected || part.total > MAX_PARTS || usize::from(part.index) != assembly.parts.len() {
@@ -182,9 +187,7 @@
         let bytes = assembly.parts.concat();
         self.assembly = None;
         let history: Option<History> = postcard::from_bytes(&bytes).ok();
-        let sound = |history: &History| {
-            history.plan.is_sound() && history.plan.stamp == part.stamp
-        };
+        let sound = |history: &History| history.plan.is_sound() && history.plan.stamp == part.stamp;
         let restored = |history: History| History { plan: history.plan.restored(), ..history };
         (None, history.filter(sound).map(restored))
     }
@@ -195,7 +198,6 @@
     pub fn beat(&mut self, now: Instant) -> Option<Action> {
         let planner = self.follower.planner.filter(|&planner| planner != self.own)?;
         let urgent = self.follower.leased_until.since(now) < URGENT_REST;
-        let urgent = urgent && now < self.follower.leased_until + BEAT_INTERVAL;
         self.follower.next_beat = now + if urgent { URGENT_INTERVAL } else { BEAT_INTERVAL };
         let mut counts = Vec::new();
         if now >= self.follower.next_counts {
--- a/lagoongauge/src/route/ledger.rs
+++ b/lagoongauge/src/route/ledger.rs
@@ -6,10 +6,6 @@
 use super::admit::Admit;
 use super::plan::{Layout, View};
 use super::record::{KEY_BITS, Key, Record, Shard};
-use super::table::NO_TARGET;
-use super::{Direction, Facts, Verdict};
-use crate::error::Kind;
-use crate::flow::Signal;
 use crate::id::{HostId, ServiceId};
 use crate::time::{Instant, Span};
 
@@ -72,14 +68,14 @@
 pub(super) struct Ledger {
     pub service: ServiceId,
     pub bounds: Bounds,
-    bits: u8,
+    pub(super) bits: u8,
     shards: Vec<Mutex<Shard>>,
-    len: AtomicUsize,
+    pub(super) len: AtomicUsize,
     duties: Vec<Duty>,
     /// Second from which on every live flow of the bucket has a record.
-    known: Vec<u32>,
+    pub(super) known: Vec<u32>,
     /// Second until which an unrecorded SYN may be the repetition of one forwarded by a lost home.
-    careful: Vec<u32>,
+    pub(super) careful: Vec<u32>,
     /// Buckets held by the prepared table.
     fresh: Vec<u32>,
 }
@@ -165,38 +161,6 @@
         (known, self.careful[bucket as usize].saturating_sub(second))
     }
 
-    /// Decides on a packet of a bucket that this host decides on.
-    pub fn decide(
-        &self,
-        now: Instant,
-        facts: &Facts,
-        layout: &Layout,
-        limits: &impl Admit,
-    ) -> Verdict {
-        let key = Key::new(facts.flow);
-        let mut shard = lock(self.shard(key));
-        if facts.direction == Direction::Outward {
-            if let Some(record) = shard.get_mut(key) {
-                self.note(record, now, facts, limits);
-            }
-            return Verdict::Answer;
-        }
-        let opens = matches!(facts.signal, Signal::Open | Signal::OpenData);
-        let Some(record) = shard.get_mut(key) else {
-            return self.unrecorded(now, facts, layout, limits, &mut shard);
-        };
-        if opens && record.closed() {
-            let again = layout.takes_new(record.target());
-            let target = if again { record.target() } else { layout.choice(key.bucket(self.bits)) };
-            return self.open(now, facts, target, layout, limits, &mut shard);
-        }
-        if layout.is_gone(record.target()) {
-            return Verdict::Drop(Kind::Unroutable);
-        }
-        self.note(record, now, facts, limits);
-        forward(layout, record.target())
-    }
-
     /// Goes over all records: ends those whose time is over and counts the others.
     pub fn sweep(&mut self, now: Instant, layout: &Layout, limits: &impl Admit) -> Sweep {
         let mut sweep = Sweep { counts: vec![0; layout.names.len()], settled: Vec::new() };
@@ -406,89 +370,7 @@
         record.ended(at, self.bounds.idle_limit)
     }
 
-    fn note(&self, record: &mut Record, now: Instant, facts: &Facts, limits: &impl Admit) {
-        let open = !record.closed();
-        record.touch(second(now));
-        match facts.signal {
-            Signal::Finish => record.finish(facts.direction == Direction::Inward),
-            Signal::Reset => record.reset(),
-            _ => {}
-        }
-        if open && record.closed() {
-            limits.release(self.service);
-        }
-    }
-
-    fn unrecorded(
-        &self,
-        now: Instant,
-        facts: &Facts,
-        layout: &Layout,
-        limits: &impl Admit,
-        shard: &mut Shard,
-    ) -> Verdict {
-        let key = Key::new(facts.flow);
-        let bucket = key.bucket(self.bits);
-        let unknown = second(now) < self.known[bucket as usize];
-        let old = layout.fallback(bucket);
-        match facts.signal {
-            Signal::Open | Signal::OpenData => {
-                self.open(now, facts, layout.choice(bucket), layout, limits, shard)
-            }
-            Signal::Datagram if !(unknown && layout.is_held(bucket)) => {
-                self.open(now, facts, layout.choice(bucket), layout, limits, shard)
-            }
-            Signal::Middle | Signal::Datagram if unknown && layout.name(old).is_some() => {
-                self.learn(now, key, old, limits, shard);
-                forward(layout, old)
-            }
-            _ => forward(layout, old),
-        }
-    }
-
-    fn learn(&self, now: Instant, key: Key, target: u16, limits: &impl Admit, shard: &mut Shard) {
-        if self.len() >= self.bounds.max_flows as usize {
-            return;
-        }
-        shard.insert(Record::new(key, target, second(now)));
-        self.len.fetch_add(1, Ordering::Relaxed);
-        limits.adopt(self.service);
-    }
-
-    fn open(
-        &self,
-        now: Instant,
-        facts: &Facts,
-        target: u16,
-        layout: &Layout,
-        limits: &impl Admit,
-        shard: &mut Shard,
-    ) -> Verdict {
-        let key = Key::new(facts.flow);
-        let Some(name) = layout.name(target) else {
-            return self.refuse(now, key, Kind::NoTarget);
-        };
-        if self.len() >= self.bounds.max_flows as usize {
-            return self.refuse(now, key, Kind::FlowLimit);
-        }
-        if let Err(kind) = limits.admit(now, self.service) {
-            return self.refuse(now, key, kind);
-        }
-        if shard.insert(Record::new(key, target, second(now))).is_none() {
-            self.len.fetch_add(1, Ordering::Relaxed);
-        }
-        Verdict::Forward(name)
-    }
-
-    /// Refuses a flow, but only where no lost home can have forwarded an earlier SYN of it.
-    fn refuse(&self, now: Instant, key: Key, kind: Kind) -> Verdict {
-        if second(now) < self.careful[key.bucket(self.bits) as usize] {
-            return Verdict::Drop(kind);
-        }
-        Verdict::Refuse(kind)
-    }
-
-    fn shard(&self, key: Key) -> &Mutex<Shard> {
+    pub(super) fn shard(&self, key: Key) -> &Mutex<Shard> {
         &self.shards[key.bucket(SHARD_BITS) as usize]
     }
 
@@ -500,17 +382,11 @@
     }
 }
 
-fn lock(shard: &Mutex<Shard>) -> std::sync::MutexGuard<'_, Shard> {
+/// Locks a shard; what a panic left behind is still sound, as each change is one store.
+pub(super) fn lock(shard: &Mutex<Shard>) -> std::sync::MutexGuard<'_, Shard> {
     shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-fn forward(layout: &Layout, target: u16) -> Verdict {
-    if target == NO_TARGET || layout.is_gone(target) {
-        return Verdict::Drop(Kind::Unroutable);
-    }
-    layout.name(target).map_or(Verdict::Drop(Kind::Unroutable), Verdict::Forward)
-}
-
 /// Returns a host's duty for a bucket under a new view, see "Homes that change" in docs/DESIGN.md.
 fn next_duty(
     old: Duty,
--- a/lagoongauge/src/route/mod.rs
+++ b/lagoongauge/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod codec;
 mod compact;
 mod core;
+mod decide;
 mod deltas;
 mod follower;
 mod handover;
@@ -15,6 +16,7 @@
 mod record;
 mod router;
 mod runs;
+mod steps;
 mod table;
 
 use serde::{Deserialize, Serialize};
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -9,7 +9,6 @@
 use super::follower::{LEASE_MARGIN, SERVE_LEASE};
 use super::message::{Action, Beat, Event, Message, Settled, Steps};
 use super::plan::{Stamp, Step};
-use super::table::Table;
 use crate::id::{HostId, ServiceId, TargetId};
 use crate::time::{Instant, Span};
 
@@ -19,47 +18,35 @@
 /// First and longest time between two sendings of the same steps.
 const RESEND: (Span, Span) = (Span::millis(150), Span::millis(1_200));
 
-/// Time between two changes of one service's weights; drains don't wait.
-const WEIGHT_INTERVAL: Span = Span::seconds(1);
-
-/// Time between two releases of one service's buckets.
-const RELEASE_INTERVAL: Span = Span::seconds(2);
-
-/// Most buckets in one release.
-const MAX_RELEASE: usize = 256;
-
 /// How long a home without a lease may be silent until it counts as lost.
 const SILENCE: Span = Span::millis(2_000);
 
 /// How long a home may be without a lease although it is heard.
 const STUCK: Span = Span::seconds(10);
 
-/// How long a group's first view may wait for hosts that have answered.
-const FIRST_VIEW_WAIT: Span = Span::seconds(3);
-
 /// How long a fetch of the newest plan may take before another host is asked.
 const FETCH_LIMIT: Span = Span::seconds(1);
 
 /// What the planner knows of a host.
 #[derive(Debug, Default)]
 pub(super) struct Peer {
-    stamp: Stamp,
-    prior: u64,
-    life: u32,
-    sent: Instant,
-    heard: Instant,
-    answered: bool,
-    granted_until: Instant,
-    leaving: bool,
-    pending: u32,
-    resend_at: Instant,
-    backoff: Span,
+    pub stamp: Stamp,
+    pub prior: u64,
+    pub life: u32,
+    pub sent: Instant,
+    pub heard: Instant,
+    pub answered: bool,
+    pub granted_until: Instant,
+    pub leaving: bool,
+    pub pending: u32,
+    pub resend_at: Instant,
+    pub backoff: Span,
     pub counts: IndexMap<(ServiceId, u16), u32>,
 }
 
 impl Peer {
     /// Returns whether the host can't act any more and won't soon.
-    fn is_lost(&self, now: Instant) -> bool {
+    pub fn is_lost(&self, now: Instant) -> bool {
         let ended = self.granted_until + LEASE_MARGIN;
         now >= ended && (now.since(self.heard) > SILENCE || now.since(ended) > STUCK)
     }
@@ -80,15 +67,15 @@
 pub(super) struct Planner {
     pub epoch: u64,
     pub until: Instant,
-    since: Instant,
+    pub since: Instant,
     next_probe: Instant,
     phase: Phase,
     pub peers: IndexMap<HostId, Peer>,
     /// Stamp of the epoch's first step.
-    first: Stamp,
-    prepared: IndexMap<ServiceId, (Stamp, Instant)>,
-    settled: IndexMap<ServiceId, BTreeSet<u32>>,
-    next_release: IndexMap<ServiceId, Instant>,
+    pub first: Stamp,
+    pub prepared: IndexMap<ServiceId, (Stamp, Instant)>,
+    pub settled: IndexMap<ServiceId, BTreeSet<u32>>,
+    pub next_release: IndexMap<ServiceId, Instant>,
 }
 
 impl Planner {
@@ -114,7 +101,7 @@
     }
 
     /// Returns whether every host that may act has applied the step.
-    fn all_applied(&self, now: Instant, stamp: Stamp) -> bool {
+    pub fn all_applied(&self, now: Instant, stamp: Stamp) -> bool {
         let mut acting = self.peers.values().filter(|p| p.granted_until + LEASE_MARGIN > now);
         acting.all(|peer| peer.stamp >= stamp)
     }
@@ -355,144 +342,6 @@
         actions
     }
 
-    fn next_step(&mut self, now: Instant) -> Option<Step> {
-        self.next_switch(now)
-            .or_else(|| self.next_prepare(now))
-            .or_else(|| self.next_view(now))
-            .or_else(|| self.next_release(now))
-    }
-
-    fn next_switch(&self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_ref()?;
-        if !self.plan.settled
-            && !self.plan.view.hosts.is_empty()
-            && planner.all_applied(now, self.plan.view.stamp)
-        {
-            return Some(Step::Settle);
-        }
-        let mut prepared = self.plan.services.iter().filter(|(_, layout)| layout.next.is_some());
-        let ready = prepared.find(|(service, _)| {
-            let stamp = planner.prepared.get(*service).map_or(planner.first, |at| at.0);
-            planner.all_applied(now, stamp)
-        });
-        ready.map(|(&service, _)| Step::Switch { service })
-    }
-
-    fn next_prepare(&self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_ref()?;
-        if self.plan.view.hosts.is_empty() {
-            return None;
-        }
-        for (&service, wanted) in &self.wanted {
-            let Some(served) = self.served.get(&service) else { continue };
-            let Some(layout) = self.plan.services.get(&service) else {
-                if wanted.entries.is_empty() {
-                    continue;
-                }
-                let (bits, table) = (served.bits, wanted.clone());
-                return Some(Step::Prepare { service, bits, table });
-            };
-            if layout.next.is_some() || layout.table == *wanted {
-                continue;
-            }
-            let last = planner.prepared.get(&service).map(|at| at.1);
-            let early = last.is_some_and(|last| now.since(last) < WEIGHT_INTERVAL);
-            if early && !withdraws(&layout.table, wanted) {
-                continue;
-            }
-            return Some(Step::Prepare { service, bits: layout.bits, table: wanted.clone() });
-        }
-        None
-    }
-
-    fn next_view(&self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_ref()?;
-        let view = &self.plan.view;
-        let mut hosts: Vec<_> =
-            view.hosts.iter().copied().zip(view.lives.iter().copied()).collect();
-        let mut leaving = view.leaving.clone();
-        hosts.retain(|&(host, life)| !self.is_lost(now, planner, host, life));
-        leaving.retain(|&host| !self.is_lost_leaver(now, planner, host));
-        if hosts.len() < view.hosts.len() || leaving.len() < view.leaving.len() {
-            return Some(Step::View { hosts, leaving });
-        }
-        if !self.plan.settled && !view.hosts.is_empty() || !self.handed_over(planner) {
-            return None;
-        }
-        if view.hosts.is_empty() && now.since(planner.since) < FIRST_VIEW_WAIT {
-            let mut peers = planner.peers.values().filter(|peer| peer.answered);
-            if peers.any(|peer| peer.stamp != self.plan.stamp) {
-                return None;
-            }
-        }
-        let life = self.follower.life;
-        if !self.follower.leaving && view.life(self.own).is_none() {
-            hosts.push((self.own, life));
-        }
-        let joining = planner.peers.iter().filter(|(host, peer)| {
-            peer.granted_until > now
-                && peer.stamp == self.plan.stamp
-                && !peer.leaving
-                && !view.hosts.contains(host)
-        });
-        hosts.extend(joining.map(|(&host, peer)| (host, peer.life)));
-        let goes = |host: HostId| match host == self.own {
-            true => self.follower.leaving,
-            false => planner.peers.get(&host).is_some_and(|peer| peer.leaving),
-        };
-        let leavers: Vec<_> = hosts.iter().map(|&(host, _)| host).filter(|&h| goes(h)).collect();
-        if leavers.len() < hosts.len() {
-            hosts.retain(|(host, _)| !leavers.contains(host));
-            leaving = leavers;
-        }
-        let same = hosts.iter().map(|&(host, _)| host).eq(view.hosts.iter().copied());
-        (!same).then_some(Step::View { hosts, leaving })
-    }
-
-    fn is_lost(&self, now: Instant, planner: &Planner, host: HostId, life: u32) -> bool {
-        if host == self.own {
-            return life != self.follower.life;
-        }
-        let Some(peer) = planner.peers.get(&host) else { return true };
-        peer.answered && peer.life != life || peer.is_lost(now)
-    }
-
-    fn is_lost_leaver(&self, now: Instant, planner: &Planner, host: HostId) -> bool {
-        if host == self.own {
-            return !self.follower.leaving;
-        }
-        let Some(peer) = planner.peers.get(&host) else { return true };
-        peer.answered && !peer.leaving || peer.is_lost(now)
-    }
-
-    /// Returns whether all handovers that the view asked for are done.
-    fn handed_over(&self, planner: &Planner) -> bool {
-        let view = &self.plan.view;
-        let mut known = view.hosts.iter().chain(&view.leaving);
-        known.all(|&host| match planner.peers.get(&host) {
-            _ if host == self.own => self.pending() == 0,
-            Some(peer) => peer.answered && peer.stamp >= view.stamp && peer.pending == 0,
-            None => false,
-        })
-    }
-
-    fn next_release(&mut self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_mut()?;
-        for (&service, buckets) in &mut planner.settled {
-            let due = planner.next_release.get(&service).is_none_or(|&at| now >= at);
-            let Some(layout) = self.plan.services.get(&service) else { continue };
-            buckets.retain(|&bucket| layout.is_held(bucket));
-            if !due || buckets.is_empty() || layout.next.is_some() {
-                continue;
-            }
-            planner.next_release.insert(service, now + RELEASE_INTERVAL);
-            let released: Vec<_> = buckets.iter().copied().take(MAX_RELEASE).collect();
-            buckets.retain(|bucket| !released.contains(bucket));
-            return Some(Step::Release { service, buckets: released });
-        }
-        None
-    }
-
     /// Sends the steps that hosts lack, again and again with growing pauses.
     fn push(&mut self, now: Instant) -> Vec<Action> {
         let stamp = self.plan.stamp;
@@ -532,16 +381,9 @@
     fn behind(&mut self) -> Message {
         let epoch = self.planner.as_ref().map_or(0, |planner| planner.epoch);
         let kept = self.encoded_stamp();
-        let usable = kept.filter(|&stamp| {
-            stamp.epoch == epoch && self.steps_after(stamp).is_some()
-        });
+        let usable =
+            kept.filter(|&stamp| stamp.epoch == epoch && self.steps_after(stamp).is_some());
         let stamp = usable.unwrap_or_else(|| self.keep_encoded());
         Message::Behind { epoch, stamp }
     }
 }
-
-/// Returns whether a wanted table takes new flows away from a target.
-fn withdraws(table: &Table, wanted: &Table) -> bool {
-    let taking = table.entries.iter().filter(|(_, weight)| *weight > 0);
-    taking.map(|&(target, _)| wanted.weight(target)).any(|weight| weight.is_none_or(|w| w == 0))
-}
