--- a/lagoongauge/src/group/lease.rs
+++ b/lagoongauge/src/group/lease.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Returns when the lease that this host holds now ends, unless it is renewed.
+    pub fn until(&self, now: Instant) -> Option<Instant> {
+        match &self.role {
+            Role::Holder(holder) => holder.until.filter(|until| *until > now),
+            _ => None,
+        }
+    }
+
     /// Returns the holder that this host has granted the lease to, where the grant is in force.
     pub fn holder(&self, now: Instant) -> Option<(HostId, Epoch)> {
         if let Some(epoch) = self.holds(now) {
--- a/lagoongauge/src/target/registry.rs
+++ b/lagoongauge/src/target/registry.rs
@@ -164,6 +164,11 @@
         self.synced
     }
 
+    /// Takes the data centre that the host stands in.
+    pub fn stand(&mut self, centre: CentreId) {
+        self.setup.centre = centre;
+    }
+
     /// Takes the settings in force; entries of services that are gone are freed.
     pub fn apply(&mut self, now: Instant, settings: &Resolved) {
         self.members.clone_from(&settings.members);
