Join lease, routing, registry, limits and balance in one node

Cause: daemon, tests and measurement need one state machine for an entry host. Change: node/ with Cap'n Proto messages; the policy measurement drives it as its own design. Conclusion: lands early so that the daemon can be built on it.

--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group;
 pub mod id;
 pub mod limit;
+pub mod node;
 pub mod packet;
 pub mod replica;
 pub mod route;
--- a/lagoongauge/src/limit/mod.rs
+++ b/lagoongauge/src/limit/mod.rs
@@ -11,6 +11,7 @@
 use self::bucket::Bucket;
 use crate::error::Kind;
 use crate::id::{MemberId, ServiceId};
+use crate::route::Admit;
 use crate::settings::Resolved;
 use crate::time::Instant;
 
@@ -167,6 +168,20 @@
     }
 }
 
+impl Admit for Limits {
+    fn admit(&self, now: Instant, service: ServiceId) -> Result<(), Kind> {
+        self.enter(now, service).map(Guard::keep)
+    }
+
+    fn adopt(&self, service: ServiceId) {
+        Self::adopt(self, service);
+    }
+
+    fn release(&self, service: ServiceId) {
+        Self::release(self, service);
+    }
+}
+
 impl State {
     fn shard(&self, service: ServiceId) -> Option<MutexGuard<'_, Shard>> {
         let member = self.owners.get(&service)?;
--- a/lagoongauge/src/node/message.rs
+++ b/lagoongauge/src/node/message.rs
@@ -11,6 +11,10 @@
 use crate::id::TargetId;
 use crate::target::Gossip;
 
+/// First byte of a message of the routing, see `peer.capnp`.
+const ROUTE: u8 = 1;
+/// First byte of a message of lease, registry and reports, see `target.capnp`.
+const GROUP: u8 = 2;
 /// Most targets in one report.
 const MAX_SEEN: u32 = 1024;
 /// Words that a message may make its reader go over.
@@ -39,17 +43,22 @@
 }
 
 impl Message {
-    /// Writes the message.
+    /// Writes the message: a byte that names its schema, then Cap'n Proto, packed.
     pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
         let mut message = Builder::new_default();
-        let mut root = message.init_root::<schema::message::Builder<'_>>();
+        let root = message.init_root::<schema::message::Builder<'_>>();
         match self {
+            Self::Route(route) => {
+                bytes.push(ROUTE);
+                bytes.extend(route.encode());
+                return bytes;
+            }
             Self::Lease(lease) => write_lease(lease, root.init_lease()),
-            Self::Route(route) => root.set_route(&route.encode()),
             Self::Gossip(gossip) => gossip.write(root.init_gossip()),
             Self::Report(seen) => write_report(seen, root.init_report(seen.len() as u32)),
         }
-        let mut bytes = Vec::new();
+        bytes.push(GROUP);
         serialize_packed::write_message(&mut bytes, &message).expect("a vector takes all bytes");
         bytes
     }
@@ -60,27 +69,27 @@
     ///
     /// `Malformed` where the bytes do not follow the schema, `Oversized` where a list is too long.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
-        let mut options = ReaderOptions::new();
-        options.traversal_limit_in_words(Some(MAX_WORDS));
-        let message = serialize_packed::read_message(bytes, options).map_err(malformed)?;
-        let root = message.get_root::<schema::message::Reader<'_>>().map_err(malformed)?;
-        match root.which().map_err(malformed)? {
-            schema::message::Which::Lease(lease) => {
-                read_lease(lease.map_err(malformed)?).map(Self::Lease)
-            }
-            schema::message::Which::Route(data) => {
-                crate::route::Message::decode(data.map_err(malformed)?).map(Self::Route)
-            }
-            schema::message::Which::Gossip(gossip) => {
-                Gossip::read(gossip.map_err(malformed)?).map(Self::Gossip)
-            }
-            schema::message::Which::Report(seen) => {
-                read_report(seen.map_err(malformed)?).map(Self::Report)
-            }
+        match bytes.split_first() {
+            Some((&ROUTE, rest)) => crate::route::Message::decode(rest).map(Self::Route),
+            Some((&GROUP, rest)) => read_group(rest),
+            _ => Err(Error::new(Kind::Malformed, "a message names no known schema")),
         }
     }
 }
 
+fn read_group(bytes: &[u8]) -> Result<Message> {
+    use schema::message::Which;
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_WORDS));
+    let message = serialize_packed::read_message(bytes, options).map_err(malformed)?;
+    let root = message.get_root::<schema::message::Reader<'_>>().map_err(malformed)?;
+    match root.which().map_err(malformed)? {
+        Which::Lease(lease) => read_lease(lease.map_err(malformed)?).map(Message::Lease),
+        Which::Gossip(gossip) => Gossip::read(gossip.map_err(malformed)?).map(Message::Gossip),
+        Which::Report(seen) => read_report(seen.map_err(malformed)?).map(Message::Report),
+    }
+}
+
 fn write_lease(from: &LeaseMessage, mut to: schema::lease::Builder<'_>) {
     match *from {
         LeaseMessage::Prepare { ballot } => to.set_prepare(ballot.0),
@@ -153,3 +162,105 @@
 fn malformed(error: impl std::fmt::Display) -> Error {
     Error::new(Kind::Malformed, format!("a message can't be read: {error}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+    use crate::flow::Protocol;
+    use crate::id::{CentreId, MemberId, ServiceId};
+    use crate::target::{Announcement, Beat, Decision, Entry, Forward, Spot, Stamp, State};
+    use crate::time::{Instant, Span};
+
+    fn spot(address: &str) -> Spot {
+        Spot { address: address.parse().unwrap(), protocol: Protocol::Udp }
+    }
+
+    fn entry() -> Entry {
+        Entry {
+            target: TargetId(u64::MAX),
+            service: ServiceId(3),
+            member: MemberId(4),
+            centre: CentreId(5),
+            state: State::Leaving,
+            generation: 1 << 60,
+            slots: 3,
+            lease: Span::seconds(10),
+            deadline: Some(Span(0)),
+            stamp: Stamp { epoch: 1 << 50, count: 7 },
+            heard: Instant::default(),
+            since: Instant::default(),
+        }
+    }
+
+    fn messages() -> Vec<Message> {
+        let ballot = Epoch(1 << 59);
+        let highest = Epoch(77);
+        let renewal = 9;
+        let announcement = Announcement {
+            service: ServiceId(1),
+            address: "[2001:db8::1]:80".parse().unwrap(),
+            protocol: Protocol::Tcp,
+            state: State::Draining,
+            generation: 3,
+            slots: 2,
+            connections: 1,
+            load: 1000,
+            lease: Span::seconds(5),
+            deadline: None,
+        };
+        let beat = Beat {
+            epoch: 4,
+            digest: Some(0),
+            synced: true,
+            last: true,
+            entries: vec![(spot("10.0.0.1:80"), entry()), (spot("[2001:db8::2]:1"), entry())],
+        };
+        let decision = Decision {
+            spot: spot("10.0.0.1:80"),
+            service: ServiceId(1),
+            generation: 2,
+            error: Error::new(Kind::AddressTaken, "10.0.0.1:80 belongs to another service"),
+        };
+        let sight = Sight { opened: 1, answered: 2, reset: 3, load: Some(0) };
+        let gossips = [
+            Gossip::Beat(beat),
+            Gossip::Ask { all: true },
+            Gossip::Forward(Forward { announcement, centre: CentreId(1) }),
+            Gossip::Decision(decision),
+        ];
+        let leases = [
+            LeaseMessage::Prepare { ballot },
+            LeaseMessage::Promise { ballot },
+            LeaseMessage::Refuse { ballot, highest },
+            LeaseMessage::Propose { ballot, renewal },
+            LeaseMessage::Grant { ballot, renewal },
+        ];
+        let mut all = gossips.map(Message::Gossip).to_vec();
+        all.extend(leases.map(Message::Lease));
+        all.push(Message::Report(vec![Seen { target: TargetId(1), sight }]));
+        all
+    }
+
+    #[test]
+    fn every_message_survives_its_bytes() {
+        for message in messages() {
+            assert_eq!(Message::from_bytes(&message.to_bytes()), Ok(message));
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn damaged_bytes_never_panic(at in 0usize..200, change in 1u8..=255, cut in 0usize..200) {
+            for message in messages() {
+                let mut bytes = message.to_bytes();
+                let place = at % bytes.len();
+                bytes[place] ^= change;
+                let _ = Message::from_bytes(&bytes);
+                bytes.truncate(cut);
+                let _ = Message::from_bytes(&bytes);
+            }
+        }
+    }
+}
--- a/lagoongauge/src/node/mod.rs
+++ b/lagoongauge/src/node/mod.rs
@@ -15,7 +15,6 @@
 pub use self::message::{Message, Seen};
 use self::policy::Policy;
 use self::sights::Sights;
-use crate::error::Result;
 use crate::flow::{HashKey, Protocol};
 use crate::forward::{Addresses, Directory, Origin};
 use crate::group::{Epoch, Lease};
@@ -23,7 +22,7 @@
 use crate::limit::Limits;
 use crate::route::{Action as RouteAction, Election, Facts, Route, Router, Verdict};
 use crate::settings::Resolved;
-use crate::target::{Announcement, Outcome, Registry, Setup, Spot, State};
+use crate::target::{Announcement, Outcome, Registry, Setup, Spot};
 use crate::time::{Instant, Span};
 
 /// Time between two reports of what this host has seen of targets.
@@ -227,7 +226,8 @@
             Message::Lease(message) => {
                 let Some(lease) = &mut control.lease else { return actions };
                 let out = lease.message(now, from, message);
-                actions.extend(out.into_iter().map(|(to, one)| Action::Send(to, Message::Lease(one))));
+                actions
+                    .extend(out.into_iter().map(|(to, one)| Action::Send(to, Message::Lease(one))));
                 self.elect(now, &control);
             }
             Message::Route(message) => {
@@ -253,6 +253,10 @@
             let out = lease.tick(now);
             actions.extend(out.into_iter().map(|(to, one)| Action::Send(to, Message::Lease(one))));
         }
+        let done = control.leaving && self.router.left();
+        if let (true, Some(lease)) = (done, &mut control.lease) {
+            lease.resign(now);
+        }
         self.elect(now, &control);
         self.tick_registry(now, &control, &mut actions);
         self.report(now, &mut control, &mut actions);
--- a/lagoongauge/src/node/policy.rs
+++ b/lagoongauge/src/node/policy.rs
@@ -56,10 +56,16 @@
         });
         let known = known(now, router, id, entries);
         if !planning || !weigher.planning {
-            weigher.shares = router.table(id).into_iter().map(|(target, weight)| Share { target, weight }).collect();
+            weigher.shares = router
+                .table(id)
+                .into_iter()
+                .map(|(target, weight)| Share { target, weight })
+                .collect();
             weigher.balancer.follow(now, &known, &weigher.shares);
         }
-        for seen in self.heard.extract_if(.., |seen| entries.iter().any(|e| e.target == seen.target)) {
+        for seen in
+            self.heard.extract_if(.., |seen| entries.iter().any(|e| e.target == seen.target))
+        {
             weigher.balancer.see(now, seen.target, &seen.sight);
         }
         let urgent = known.iter().any(|one| !one.ready && weigher.weight(one) > 0);
@@ -68,7 +74,8 @@
             weigher.shares = weigher.balancer.weigh(now, &known, service.slow_start);
         }
         weigher.planning = planning;
-        let candidates = entries.iter().map(|entry| candidate(now, service, entry, &weigher.shares));
+        let candidates =
+            entries.iter().map(|entry| candidate(now, service, entry, &weigher.shares));
         router.targets(now, id, &candidates.collect::<Vec<_>>());
     }
 }
--- a/lagoongauge/src/route/router.rs
+++ b/lagoongauge/src/route/router.rs
@@ -108,6 +108,12 @@
         self.read().group_counts(service)
     }
 
+    /// Returns the weights that new flows of a service follow.
+    pub fn table(&self, service: ServiceId) -> Vec<(TargetId, u16)> {
+        let core = self.read();
+        core.plan.services.get(&service).map_or_else(Vec::new, |one| one.table.entries.clone())
+    }
+
     /// Returns whether a host that wanted to leave has handed over everything.
     pub fn left(&self) -> bool {
         let core = self.read();
--- a/lagoongauge_schema/schema/target.capnp
+++ b/lagoongauge_schema/schema/target.capnp
@@ -98,7 +98,6 @@
   union {
     gossip @0 :Gossip;
     report @1 :List(Sight);
-    route @2 :Data;
-    lease @3 :Lease;
+    lease @2 :Lease;
   }
 }
--- a/lagoongauged/src/measure/policy/mod.rs
+++ b/lagoongauged/src/measure/policy/mod.rs
@@ -4,6 +4,7 @@
 mod core;
 mod driver;
 mod ends;
+mod own;
 mod scenario;
 mod tally;
 mod world;
@@ -17,13 +18,14 @@
 use self::baseline::{Baseline, Choice, Maglev, Modulo, Rendezvous};
 use self::core::Core;
 use self::driver::Driver;
+use self::own::Own;
 use self::scenario::{SIZES, Scenario, Size};
 pub use self::tally::Figures;
 
 /// Most runs at a time.
 const MAX_THREADS: usize = 4;
 /// Names of all designs.
-const DESIGNS: [&str; 3] = [Modulo::NAME, Rendezvous::NAME, Maglev::NAME];
+const DESIGNS: [&str; 4] = [Own::NAME, Modulo::NAME, Rendezvous::NAME, Maglev::NAME];
 
 /// What the policy measurement runs.
 #[derive(Debug, Clone, Bpaf)]
@@ -55,6 +57,7 @@
 impl Job {
     fn run(&self) -> Figures {
         match self.design {
+            Own::NAME => self.drive::<Own>(),
             Modulo::NAME => self.drive::<Baseline<Modulo>>(),
             Rendezvous::NAME => self.drive::<Baseline<Rendezvous>>(),
             _ => self.drive::<Baseline<Maglev>>(),
