--- /dev/null
+++ b/lagoongauge/src/distribute/table.rs
@@ -0,0 +1,204 @@
+//! Settings cut into items, so that a version can be sent as what it changes.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::error::{Error, Kind, Result};
+use crate::id::{HostId, MemberId, ServiceId};
+use crate::settings::{Host, Member, Resolved, Service};
+
+/// Most items of one update.
+pub const ITEMS: usize = 65_536;
+
+/// Longest item, in bytes.
+pub const ITEM_BYTES: usize = 65_536;
+
+/// What an item describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum ItemKey {
+    /// A member.
+    Member(MemberId),
+    /// A service with its group.
+    Service(ServiceId),
+    /// An entry host.
+    Host(HostId),
+}
+
+/// An item, or nothing where it was removed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// What the item describes.
+    pub key: ItemKey,
+    /// The encoded description.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Digest of a version's items, in any order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest(pub u128);
+
+/// One step from a version to a later one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Version that the step starts from; nothing for a full copy.
+    pub base: Option<u64>,
+    /// Version that the step leads to.
+    pub version: u64,
+    /// Digest of the items at that version.
+    pub digest: Digest,
+    /// Items that changed.
+    pub items: Vec<Item>,
+}
+
+/// Settings of one version as items.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Table {
+    version: u64,
+    digest: Digest,
+    items: BTreeMap<ItemKey, Vec<u8>>,
+}
+
+impl Table {
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the digest of the items.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns an item's current value.
+    pub fn item(&self, key: ItemKey) -> Item {
+        Item { key, value: self.items.get(&key).cloned() }
+    }
+
+    /// Returns all items.
+    pub fn items(&self) -> impl Iterator<Item = Item> {
+        self.items.iter().map(|(key, value)| Item { key: *key, value: Some(value.clone()) })
+    }
+
+    /// Returns the settings that the items describe.
+    ///
+    /// Returns `Malformed` for an item that does not decode.
+    pub fn resolved(&self) -> Result<Resolved> {
+        let mut resolved = Resolved { version: self.version, ..Resolved::default() };
+        for (key, value) in &self.items {
+            match key {
+                ItemKey::Member(id) => {
+                    resolved.members.insert(*id, decode::<Member>(value)?);
+                }
+                ItemKey::Service(id) => {
+                    let (service, group) = decode::<(Service, u16)>(value)?;
+                    resolved.services.insert(*id, service);
+                    resolved.groups.insert(*id, group);
+                }
+                ItemKey::Host(id) => {
+                    resolved.hosts.insert(*id, decode::<Host>(value)?);
+                }
+            }
+        }
+        Ok(resolved)
+    }
+
+    /// Replaces the items by those of `resolved` and returns the keys that changed.
+    pub fn replace(&mut self, resolved: &Resolved) -> Vec<ItemKey> {
+        let next = encode_all(resolved);
+        let gone = self.items.keys().filter(|key| !next.contains_key(key));
+        let mut changed: Vec<ItemKey> = gone.copied().collect();
+        let differs = |(key, value): &(&ItemKey, &Vec<u8>)| self.items.get(key) != Some(value);
+        changed.extend(next.iter().filter(differs).map(|(key, _)| *key));
+        for key in &changed {
+            self.put(*key, next.get(key).cloned());
+        }
+        self.version = resolved.version;
+        changed
+    }
+
+    /// Returns the table after an update, or nothing if the digests differ.
+    pub fn updated(&self, update: &Update) -> Option<Self> {
+        let mut next = if update.base.is_some() { self.clone() } else { Self::default() };
+        for item in &update.items {
+            next.put(item.key, item.value.clone());
+        }
+        next.version = update.version;
+        (next.digest == update.digest).then_some(next)
+    }
+
+    fn put(&mut self, key: ItemKey, value: Option<Vec<u8>>) {
+        let old = match &value {
+            Some(value) => self.items.insert(key, value.clone()),
+            None => self.items.remove(&key),
+        };
+        if let Some(old) = old {
+            self.digest.0 = self.digest.0.wrapping_sub(item_digest(key, &old));
+        }
+        if let Some(value) = value {
+            self.digest.0 = self.digest.0.wrapping_add(item_digest(key, &value));
+        }
+    }
+}
+
+impl Update {
+    /// Checks the bounds that hold for every update; `Oversized` beyond one.
+    pub fn check(&self) -> Result<()> {
+        if self.items.len() > ITEMS {
+            let detail = format!("update has {} items, at most {ITEMS}", self.items.len());
+            return Err(Error::new(Kind::Oversized, detail));
+        }
+        let long = |item: &Item| item.value.as_ref().is_some_and(|value| value.len() > ITEM_BYTES);
+        if self.items.iter().any(long) {
+            let detail = format!("an item of the update has more than {ITEM_BYTES} bytes");
+            return Err(Error::new(Kind::Oversized, detail));
+        }
+        Ok(())
+    }
+
+    /// Encodes the update for a message.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes an update; `Malformed` for other bytes, `Oversized` beyond a bound.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let update: Self = decode(bytes)?;
+        update.check()?;
+        Ok(update)
+    }
+}
+
+/// Digest of one item; a sum of these does not depend on the order.
+fn item_digest(key: ItemKey, value: &[u8]) -> u128 {
+    let mut digest = Sha256::new();
+    digest.update(postcard::to_stdvec(&key).unwrap_or_default());
+    digest.update(value);
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&digest.finalize()[..16]);
+    u128::from_le_bytes(bytes)
+}
+
+fn encode_all(resolved: &Resolved) -> BTreeMap<ItemKey, Vec<u8>> {
+    let encode_member = |(id, member)| (ItemKey::Member(id), encode(member));
+    let encode_host = |(id, host)| (ItemKey::Host(id), encode(host));
+    let mut items = BTreeMap::new();
+    items.extend(resolved.members.iter().map(|(id, member)| encode_member((*id, member))));
+    items.extend(resolved.hosts.iter().map(|(id, host)| encode_host((*id, host))));
+    for (id, service) in &resolved.services {
+        let group = resolved.groups.get(id).copied().unwrap_or_default();
+        items.insert(ItemKey::Service(*id), encode(&(service, group)));
+    }
+    items
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap_or_default()
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    postcard::from_bytes(bytes)
+        .map_err(|error| Error::new(Kind::Malformed, format!("an item won't decode: {error}")))
+}
--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every module here is a pure state machine: an event goes in with a given instant, actions come
 //! out. Sockets, clocks, threads and disks belong to the programs; see `docs/DESIGN.md`.
 
+pub mod distribute;
 pub mod error;
 pub mod flow;
 pub mod group;
--- a/lagoongauge/src/time.rs
+++ b/lagoongauge/src/time.rs
@@ -31,6 +31,14 @@
     }
 }
 
+impl Add for Span {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
 impl Sub<Span> for Instant {
     type Output = Self;
 
