--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group;
 pub mod id;
 pub mod packet;
+pub mod replica;
 pub mod route;
 pub mod settings;
 pub mod target;
