--- a/lagoongauge/src/settings/change.rs
+++ b/lagoongauge/src/settings/change.rs
@@ -11,7 +11,7 @@
 pub const EDITS: usize = 256;
 
 /// Longest text of an edit, in bytes.
-pub const TEXT_BYTES: usize = 8192;
+pub const TEXT_BYTES: usize = 4096;
 
 /// Longest request id, in bytes.
 pub const REQUEST_BYTES: usize = 64;
--- a/lagoongauge/src/settings/check.rs
+++ b/lagoongauge/src/settings/check.rs
@@ -26,7 +26,7 @@
                 Level::Host => host(tree, path, &uses)?,
                 Level::Operator => operator(path, tree)?,
                 Level::Member => member(tree, path)?,
-                Level::Consortium => {}
+                Level::Consortium | Level::Control => {}
             }
         }
     }
@@ -73,6 +73,7 @@
     let needs: &[&str] = match path.level() {
         Level::Service => &["address"],
         Level::Host => &["peer"],
+        Level::Control => &["listen"],
         Level::Operator => &["subtree"],
         Level::Member | Level::Consortium => &[],
     };
--- a/lagoongauge/src/settings/path.rs
+++ b/lagoongauge/src/settings/path.rs
@@ -13,6 +13,9 @@
 /// Name below which hosts stand; no member may bear it.
 const HOSTS: &str = "hosts";
 
+/// Name below which control hosts stand; no member may bear it.
+const CONTROLS: &str = "controls";
+
 /// Name below which operators stand; no member and no service may bear it.
 const OPERATORS: &str = "operators";
 
@@ -29,6 +32,8 @@
     Operator,
     /// An entry host.
     Host,
+    /// A control host.
+    Control,
 }
 
 impl fmt::Display for Level {
@@ -39,6 +44,7 @@
             Self::Service => "service",
             Self::Operator => "operator",
             Self::Host => "host",
+            Self::Control => "control host",
         })
     }
 }
@@ -49,6 +55,8 @@
 pub enum Path {
     /// `/`, the consortium.
     Root,
+    /// `/controls/ID`, a control host.
+    Control(HostId),
     /// `/hosts/ID`, an entry host.
     Host(HostId),
     /// `/MEMBER`, a member.
@@ -65,6 +73,7 @@
         match self {
             Self::Root => Level::Consortium,
             Self::Host(_) => Level::Host,
+            Self::Control(_) => Level::Control,
             Self::Member(_) => Level::Member,
             Self::Operator(..) => Level::Operator,
             Self::Service(..) => Level::Service,
@@ -75,7 +84,9 @@
     pub fn parent(&self) -> Option<Self> {
         match self {
             Self::Root => None,
-            Self::Host(_) | Self::Member(_) | Self::Operator(None, _) => Some(Self::Root),
+            Self::Control(_) | Self::Host(_) | Self::Member(_) | Self::Operator(None, _) => {
+                Some(Self::Root)
+            }
             Self::Operator(Some(member), _) | Self::Service(member, _) => {
                 Some(Self::Member(member.clone()))
             }
@@ -85,7 +96,7 @@
     /// Returns the name of the member that the node belongs to, or nothing for the consortium's.
     pub fn member(&self) -> Option<&str> {
         match self {
-            Self::Root | Self::Host(_) | Self::Operator(None, _) => None,
+            Self::Root | Self::Control(_) | Self::Host(_) | Self::Operator(None, _) => None,
             Self::Member(member) | Self::Operator(Some(member), _) | Self::Service(member, _) => {
                 Some(member)
             }
@@ -112,6 +123,7 @@
         }
         let parts: Vec<&str> = rest.split('/').collect();
         match parts.as_slice() {
+            [CONTROLS, id] => Ok(Self::Control(HostId(host_id(text, id)?))),
             [HOSTS, id] => Ok(Self::Host(HostId(host_id(text, id)?))),
             [OPERATORS, name] => Ok(Self::Operator(None, checked(text, name)?)),
             [member] => Ok(Self::Member(checked(text, member)?)),
@@ -142,6 +154,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Root => f.write_str("/"),
+            Self::Control(id) => write!(f, "/{CONTROLS}/{}", id.0),
             Self::Host(id) => write!(f, "/{HOSTS}/{}", id.0),
             Self::Member(member) => write!(f, "/{member}"),
             Self::Operator(None, name) => write!(f, "/{OPERATORS}/{name}"),
@@ -157,7 +170,8 @@
 }
 
 fn host_id(text: &str, id: &str) -> Result<u32> {
-    let number = id.parse().map_err(|_| invalid(text, "needs a host number after /hosts/"))?;
+    let number =
+        id.parse().map_err(|_| invalid(text, "needs a host number after its first part"))?;
     if id != u32::to_string(&number) {
         return Err(invalid(text, "spells its host number with needless characters"));
     }
@@ -165,7 +179,7 @@
 }
 
 fn checked(text: &str, name: &str) -> Result<String> {
-    if name == HOSTS || name == OPERATORS {
+    if [CONTROLS, HOSTS, OPERATORS].contains(&name) {
         return Err(invalid(text, "uses a reserved name"));
     }
     let starts = name.starts_with(|c: char| c.is_ascii_lowercase());
@@ -182,7 +196,9 @@
 
     #[test]
     fn paths_come_back_as_written() {
-        for text in ["/", "/hosts/7", "/a", "/a/b-2", "/operators/root", "/a/operators/ann"] {
+        for text in
+            ["/", "/hosts/7", "/controls/1", "/a", "/a/b-2", "/operators/root", "/a/operators/ann"]
+        {
             assert_eq!(Path::try_from(text).unwrap().to_string(), text);
         }
     }
--- a/lagoongauge/src/settings/resolve.rs
+++ b/lagoongauge/src/settings/resolve.rs
@@ -1,5 +1,7 @@
 //! Resolves the tree into the flat settings that entry hosts work with.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
 
 use super::path::Path;
@@ -12,6 +14,18 @@
 use crate::time::Span;
 
 impl State {
+    /// Returns the control hosts that operators allow, with their addresses.
+    pub fn controls(&self) -> Vec<(HostId, CentreId, SocketAddr)> {
+        let tree = self.tree();
+        let place = |path: &Path| match (path, tree.value(path, "listen")) {
+            (Path::Control(id), Some(Value::Address(listen))) => {
+                Some((*id, CentreId(number(tree, path, "centre")), listen))
+            }
+            _ => None,
+        };
+        tree.nodes().filter_map(|(path, _)| place(path)).collect()
+    }
+
     /// Resolves every value through the levels of the tree.
     pub fn resolve(&self) -> Resolved {
         let tree = self.tree();
@@ -29,7 +43,7 @@
                     }
                 }
                 Path::Host(id) => insert_host(tree, path, *id, &mut resolved.hosts),
-                Path::Root | Path::Operator(..) => {}
+                Path::Root | Path::Control(_) | Path::Operator(..) => {}
             }
         }
         resolved
--- a/lagoongauge/src/settings/schema.rs
+++ b/lagoongauge/src/settings/schema.rs
@@ -44,6 +44,8 @@
 const SERVICE: &[Level] = &[Level::Service];
 const OPERATOR: &[Level] = &[Level::Operator];
 const HOST: &[Level] = &[Level::Host];
+const CONTROL: &[Level] = &[Level::Control];
+const MACHINE: &[Level] = &[Level::Host, Level::Control];
 
 const MS_PER_DAY: u64 = 86_400_000;
 const MILLION: u64 = 1_000_000;
@@ -91,9 +93,10 @@
     "member_changes" Count UPPER Consortium 1..60000 "600" "Changes a minute that the member's operators may ask for.";
     "subtree" Path OPERATOR Own 1..1 "" "Path below which the operator may read and change.";
     "tokens" Tokens OPERATOR Own 0..2 "" "Salted hashes of the operator's tokens; two for rotation without a gap.";
-    "centre" Count HOST Consortium 0..255 "0" "Data centre of the entry host.";
+    "centre" Count MACHINE Consortium 0..255 "0" "Data centre of the host.";
     "host_group" Count HOST Consortium 0..65535 "0" "Group that the entry host belongs to.";
     "peer" Address HOST Consortium 1..1 "" "Address for messages between entry hosts, over UDP.";
+    "listen" Address CONTROL Consortium 1..1 "" "Address that the control host listens on, over TCP; a host without this entry and outside the first site may not join.";
     "drain" Flag HOST Consortium 1..1 "false" "Takes the entry host out of its group's view, so that it hands over its flows.";
 }
 
--- a/lagoongauge/src/settings/state.rs
+++ b/lagoongauge/src/settings/state.rs
@@ -11,6 +11,7 @@
 use super::tree::{Node, Tree};
 use super::value::Value;
 use crate::error::{Error, Kind, Result};
+use crate::replica::Machine;
 
 /// Answers kept per operator.
 pub const ANSWERS: usize = 64;
@@ -45,6 +46,27 @@
     at: u64,
 }
 
+impl Machine for State {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        let answer = match Command::decode(command) {
+            Ok(command) => self.execute(&command),
+            Err(error) => self.refuse(Refusal { path: String::new(), error }),
+        };
+        answer.encode()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let mut bytes = vec![FORMAT];
+        bytes.extend(postcard::to_stdvec(self).unwrap_or_default());
+        bytes
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<()> {
+        *self = Self::decode(bytes)?;
+        Ok(())
+    }
+}
+
 impl State {
     /// Returns the version of the tree; it grows by one with each accepted change.
     pub fn version(&self) -> u64 {
@@ -99,15 +121,8 @@
         Err(Error::new(Kind::InvalidValue, detail))
     }
 
-    /// Encodes the state, the same on every host that holds it.
-    pub fn snapshot(&self) -> Vec<u8> {
-        let mut bytes = vec![FORMAT];
-        bytes.extend(postcard::to_stdvec(self).unwrap_or_default());
-        bytes
-    }
-
     /// Decodes a snapshot; `StorageCorrupt` for other bytes or another format.
-    pub fn restore(bytes: &[u8]) -> Result<Self> {
+    fn decode(bytes: &[u8]) -> Result<Self> {
         match bytes.split_first() {
             Some((&FORMAT, rest)) => postcard::from_bytes(rest).map_err(|error| {
                 Error::new(Kind::StorageCorrupt, format!("the settings won't decode: {error}"))
@@ -121,7 +136,7 @@
     }
 
     /// Applies one command of the log.
-    pub fn apply(&mut self, command: &Command) -> Answer {
+    pub fn execute(&mut self, command: &Command) -> Answer {
         match command {
             Command::Begin { operator, hash } => self.begin(operator, hash),
             Command::Change { operator, at, change } => self.answer(operator, *at, change),
--- a/lagoongauge/src/settings/tree.rs
+++ b/lagoongauge/src/settings/tree.rs
@@ -161,7 +161,7 @@
             let detail = "the root can't be removed";
             return Err(Refusal::new(path, Kind::InvalidValue, detail));
         }
-        let upper = matches!(path.level(), Level::Member | Level::Host);
+        let upper = matches!(path.level(), Level::Member | Level::Host | Level::Control);
         if upper && *subtree != Path::Root {
             return Err(consortium_only(path, "remove"));
         }
@@ -181,7 +181,7 @@
         if self.nodes.contains_key(path) {
             return Ok(());
         }
-        let upper = matches!(path.level(), Level::Member | Level::Host);
+        let upper = matches!(path.level(), Level::Member | Level::Host | Level::Control);
         if upper && *subtree != Path::Root {
             return Err(consortium_only(path, "create"));
         }
@@ -206,7 +206,7 @@
                 self.last_service = self.last_service.checked_add(1).ok_or_else(spent)?;
                 Ok(self.last_service)
             }
-            Level::Consortium | Level::Operator | Level::Host => Ok(0),
+            Level::Consortium | Level::Operator | Level::Host | Level::Control => Ok(0),
         }
     }
 
--- a/lagoongauge/tests/settings_tree.rs
+++ b/lagoongauge/tests/settings_tree.rs
@@ -1,6 +1,7 @@
 //! The settings tree under changes of several operators.
 
 use lagoongauge::error::Kind;
+use lagoongauge::replica::Machine;
 use lagoongauge::settings::{
     self, ANSWERS, Answer, Change, Command, Edit, Hash, KEYS, Operation, Path, State, Token, Value,
 };
@@ -22,7 +23,7 @@
 }
 
 fn ask_at(state: &mut State, operator: &str, at: u64, change: Change) -> Answer {
-    state.apply(&Command::Change { operator: path(operator), at, change })
+    state.execute(&Command::Change { operator: path(operator), at, change })
 }
 
 fn refused(answer: Answer) -> (String, Kind) {
@@ -36,7 +37,7 @@
 fn site() -> State {
     let mut state = State::default();
     let hash = Hash::new([1; 16], "root");
-    state.apply(&Command::Begin { operator: path(ROOT), hash });
+    state.execute(&Command::Begin { operator: path(ROOT), hash });
     let ann = Hash::new([2; 16], "ann").to_string();
     let edits = vec![
         set("/tsenkher", "networks", "10.1.0.0/16"),
@@ -142,7 +143,8 @@
     let first = ask_at(&mut state, ANN, 0, change.clone());
     let second = ask_at(&mut state, ANN, 0, bad.clone());
     ask(&mut state, ROOT, "other", vec![set("/", "max_flows", "8")]);
-    let mut other = State::restore(&state.snapshot()).unwrap();
+    let mut other = State::default();
+    other.restore(&state.snapshot()).unwrap();
     assert_eq!(ask_at(&mut other, ANN, 0, change.clone()), first);
     assert_eq!(ask_at(&mut other, ANN, 0, bad), second);
     assert_eq!(other, state);
--- a/lagoongauge_schema/schema/control.capnp
+++ b/lagoongauge_schema/schema/control.capnp
@@ -88,16 +88,15 @@
 # What hosts call on a control host after they have proved to hold the cluster key.
 interface Control {
   # Tells which version is in force and asks for a later one; waits for it as long as the control
-  # host sees fit. A host without settings sends version 0 and an empty digest.
+  # host sees fit, which the answer tells in `wait`, in milliseconds. A host without settings sends version 0 and an empty digest.
   poll @0 (host :UInt32, centre :UInt8, version :UInt64, digest :Data, unconfirmed :UInt64,
            report :Text)
-    -> (fault :Fault, version :UInt64, current :Bool, update :Data, controls :List(Address));
+    -> (fault :Fault, version :UInt64, current :Bool, update :Data, controls :List(Address),
+        wait :UInt32);
   # Brings a message of the replicated log.
   step @1 (message :Data) -> ();
   # Asks the leader for the version of the settings that was current during the call.
   confirm @2 () -> (fault :Fault, version :UInt64);
   # Asks for what this control host knows at first hand.
   view @3 () -> (control :ControlView, entries :List(EntryView));
-  # Tells where the caller listens, and asks for the other control hosts.
-  greet @4 (own :Address) -> (controls :List(Address));
 }
--- /dev/null
+++ b/lagoongauged/src/control/answers.rs
@@ -0,0 +1,174 @@
+//! Answers the calls of other hosts: polls of entry hosts and messages of the log.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use capnp::Error;
+
+use lagoongauge::distribute::{Digest, Have};
+use lagoongauge::error::{Error as Fail, Kind};
+use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::replica::{Message, Store};
+use lagoongauge::time::{Instant, Span};
+use lagoongauge_schema::control_capnp::control;
+
+use super::fault::{Fault, text};
+use super::host::{Heard, Shared};
+use super::view;
+
+/// Shortest time for which a poll waits for a later version.
+const WAIT_MIN: u64 = 2000;
+
+/// Longest time for which a poll waits for a later version.
+const WAIT_MAX: u64 = 10_000;
+
+/// Time that each polling host adds to the wait, so that a control host's traffic stays bounded.
+const WAIT_PER_HOST: u64 = 50;
+
+/// Silence after which an entry host no longer adds to the wait.
+const ACTIVE: Span = Span::seconds(30);
+
+/// Answers the calls of one proven host.
+pub struct Answers<S> {
+    host: Shared<S>,
+    peer: HostId,
+}
+
+impl<S: Store + 'static> Answers<S> {
+    /// Builds the answers for a host that has proved to hold the cluster key.
+    pub fn new(host: Shared<S>, peer: HostId) -> Self {
+        Self { host, peer }
+    }
+
+    /// Waits until there is something later than what the host has, or long enough.
+    async fn wait_later(&self, have: Option<Have>) {
+        let wait = async {
+            while self.host.source.borrow().update(have).is_none() {
+                let _ = self.host.published.wait().await;
+            }
+        };
+        let _ = timeout(Duration::from_millis(self.wait_span()), wait).await;
+    }
+
+    fn wait_span(&self) -> u64 {
+        let now = self.host.clock.now();
+        let heard = self.host.heard.borrow();
+        let active = heard.values().filter(|heard| now.since(heard.at) < ACTIVE).count() as u64;
+        (active * WAIT_PER_HOST).clamp(WAIT_MIN, WAIT_MAX)
+    }
+
+    /// Tells whether a quorum confirmed, after `arrived`, the version that is handed out.
+    async fn is_current(&self, arrived: Instant, fresh: bool) -> bool {
+        let leads = self.host.engine.borrow().leads();
+        if leads {
+            let _ = self.host.confirm_own();
+        } else if fresh {
+            let version = self.host.confirm().await.unwrap_or_default();
+            self.reach_published(version).await;
+        }
+        let version = self.host.source.borrow().version();
+        let confirmed = self.host.confirmed.get();
+        version > 0 && confirmed.is_some_and(|(at, known)| at >= arrived && known == version)
+    }
+
+    async fn reach_published(&self, version: u64) {
+        let wait = async {
+            while self.host.source.borrow().version() < version {
+                let _ = self.host.published.wait().await;
+            }
+        };
+        let _ = timeout(Duration::from_secs(1), wait).await;
+    }
+}
+
+impl<S: Store + 'static> control::Server for Answers<S> {
+    async fn poll(
+        self: Rc<Self>,
+        params: control::PollParams,
+        mut results: control::PollResults,
+    ) -> Result<(), Error> {
+        let arrived = self.host.clock.now();
+        let params = params.get()?;
+        let have = read_have(params.get_version(), params.get_digest()?)?;
+        let heard = Heard {
+            centre: CentreId(params.get_centre()),
+            version: params.get_version(),
+            unconfirmed: params.get_unconfirmed(),
+            report: text(params.get_report()?)?,
+            at: arrived,
+        };
+        if HostId(params.get_host()) != self.peer {
+            let detail = format!("{} speaks for host {}", self.peer, params.get_host());
+            let fault = Fault::from(Fail::new(Kind::Forbidden, detail));
+            fault.write(results.get().init_fault());
+            return Ok(());
+        }
+        self.host.note_heard(self.peer, heard);
+        if have.is_some() {
+            self.wait_later(have).await;
+        }
+        let current = self.is_current(arrived, have.is_none()).await;
+        let source = self.host.source.borrow();
+        let mut reply = results.get();
+        reply.set_version(source.version());
+        reply.set_current(current);
+        reply.set_wait(self.wait_span() as u32);
+        if let Some(update) = source.update(have).filter(|update| update.version > 0) {
+            reply.set_update(&update.encode());
+        }
+        let book = self.host.book();
+        book.write(reply.init_controls(book.len()));
+        Ok(())
+    }
+
+    async fn step(
+        self: Rc<Self>,
+        params: control::StepParams,
+        _results: control::StepResults,
+    ) -> Result<(), Error> {
+        let bytes = params.get()?.get_message()?;
+        let message =
+            Message::from_bytes(bytes).map_err(|error| Error::failed(error.to_string()))?;
+        if message.from.host != self.peer {
+            return Err(Error::failed(format!("{} speaks for another host", self.peer)));
+        }
+        let now = self.host.clock.now();
+        self.host.engine.borrow_mut().message(now, message);
+        self.host.settle();
+        Ok(())
+    }
+
+    async fn confirm(
+        self: Rc<Self>,
+        _params: control::ConfirmParams,
+        mut results: control::ConfirmResults,
+    ) -> Result<(), Error> {
+        match self.host.confirm_own() {
+            Ok(version) => results.get().set_version(version),
+            Err(error) => Fault::from(error).write(results.get().init_fault()),
+        }
+        Ok(())
+    }
+
+    async fn view(
+        self: Rc<Self>,
+        _params: control::ViewParams,
+        mut results: control::ViewResults,
+    ) -> Result<(), Error> {
+        let mut reply = results.get();
+        view::own_control(&self.host).write(reply.reborrow().init_control());
+        let entries = view::own_entries(&self.host);
+        view::write_entries(&entries, reply.init_entries(entries.len() as u32));
+        Ok(())
+    }
+}
+
+fn read_have(version: u64, digest: &[u8]) -> Result<Option<Have>, Error> {
+    if version == 0 || digest.is_empty() {
+        return Ok(None);
+    }
+    let digest = <[u8; 16]>::try_from(digest)
+        .map_err(|_| Error::failed("a digest does not have 16 bytes".into()))?;
+    Ok(Some(Have { version, digest: Digest(u128::from_le_bytes(digest)) }))
+}
--- /dev/null
+++ b/lagoongauged/src/control/client.rs
@@ -0,0 +1,287 @@
+//! What `lagoonctl` calls: a client that finds the leader and tries again where that is safe.
+
+use std::future::Future;
+use std::pin::pin;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::executor::LocalPool;
+use futures::future::{Either, select};
+
+use lagoongauge::error::{Error, Kind};
+use lagoongauge::settings::{Change, Edit};
+use lagoongauge_schema::control_capnp::{entry, operator};
+
+use super::book::Book;
+use super::fault::{Fault, broken, text};
+use super::link;
+use super::server::host_options;
+use super::traffic::Traffic;
+use super::view::{self, ControlView, EntryView};
+
+/// Pause before the next control host is tried.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// An operator's way to the control hosts.
+#[derive(Debug, Clone)]
+pub struct Client {
+    controls: Book,
+    token: String,
+    limit: Duration,
+}
+
+/// One value of the settings.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Shown {
+    /// Path of the node.
+    pub path: String,
+    /// Name of the key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+    /// Path of the level that sets it; empty where the default holds.
+    pub origin: String,
+}
+
+/// Settings as an operator reads them.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Reading {
+    /// Version of the tree.
+    pub version: u64,
+    /// Whether a quorum confirmed that nothing later was accepted before the call.
+    pub current: bool,
+    /// The values.
+    pub entries: Vec<Shown>,
+}
+
+/// The hosts as an operator sees them.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Overview {
+    /// Version of the tree at the control host that answered.
+    pub version: u64,
+    /// The control hosts.
+    pub controls: Vec<ControlView>,
+    /// The entry hosts.
+    pub entries: Vec<EntryView>,
+}
+
+/// A read.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// Name of the operation: `get`, `dump` or `watch`.
+    pub operation: &'a str,
+    /// Path of the node.
+    pub path: &'a str,
+    /// Version that is known already, for `watch`.
+    pub since: u64,
+    /// Milliseconds to wait for a later version, for `watch`.
+    pub wait: u32,
+}
+
+impl Client {
+    /// Builds a client that gives up after `limit`.
+    pub fn new(controls: Book, token: String, limit: Duration) -> Self {
+        Self { controls, token, limit }
+    }
+
+    /// Reads settings.
+    pub fn read(&self, query: Query<'_>) -> Result<Reading> {
+        self.call(|client| self.read_at(client, query))
+    }
+
+    /// Asks for a change; safe to call again with the same request id.
+    pub fn change(&self, change: &Change) -> Result<u64> {
+        self.call(|client| self.change_at(client, change))
+    }
+
+    /// Asks for the state of all hosts.
+    pub fn status(&self) -> Result<Overview> {
+        self.call(|client| self.status_at(client))
+    }
+
+    /// Removes a control host from the voters and learners.
+    pub fn retire(&self, host: u32) -> Result<()> {
+        self.call(|client| self.retire_at(client, host))
+    }
+
+    /// Calls the control hosts in turn, the hinted leader first, until one answers for good.
+    fn call<T, F, C>(&self, call: C) -> Result<T>
+    where
+        F: Future<Output = Result<T>>,
+        C: Fn(operator::Client) -> F,
+    {
+        let silent = || {
+            let detail = "no control host answered in time";
+            Fault::from(Error::new(Kind::Unreachable, detail))
+        };
+        let mut last = silent();
+        let mut unsure = false;
+        let attempts = async {
+            loop {
+                let mut addresses: Vec<String> =
+                    self.controls.iter().map(|(_, place)| place.address.to_string()).collect();
+                while !addresses.is_empty() {
+                    let hint = addresses.iter().position(|address| *address == last.hint);
+                    let address = addresses.remove(hint.unwrap_or_default());
+                    // A call that is cut short by the limit may have run.
+                    let before = std::mem::replace(&mut last, silent());
+                    match once(&address, &call).await {
+                        Err(fault) if tries_elsewhere(fault.error.kind) => {
+                            unsure |= fault.error.kind == Kind::Unknown;
+                            last = telling(before, fault);
+                        }
+                        answer => return answer,
+                    }
+                }
+                sleep_pause().await;
+            }
+        };
+        let ended = LocalPool::new().run_until(timeout(self.limit, attempts));
+        ended.unwrap_or_else(|_| Err(if unsure { unknown(last) } else { last }))
+    }
+
+    async fn read_at(&self, client: operator::Client, query: Query<'_>) -> Result<Reading> {
+        let mut request = client.read_request();
+        let mut params = request.get();
+        params.set_token(&self.token);
+        params.set_operation(query.operation);
+        params.set_path(query.path);
+        params.set_since(query.since);
+        params.set_wait(query.wait);
+        let response = request.send().promise.await.map_err(lost)?;
+        let reader = response.get().map_err(lost)?;
+        if reader.has_fault() {
+            return Err(reader.get_fault().and_then(Fault::read).map_err(lost)?);
+        }
+        let entries = reader.get_entries().map_err(lost)?;
+        let entries: std::result::Result<Vec<Shown>, capnp::Error> =
+            entries.iter().map(shown).collect();
+        let (version, current) = (reader.get_version(), reader.get_current());
+        Ok(Reading { version, current, entries: entries.map_err(lost)? })
+    }
+
+    async fn change_at(&self, client: operator::Client, change: &Change) -> Result<u64> {
+        let mut request = client.change_request();
+        let mut params = request.get();
+        params.set_token(&self.token);
+        params.set_expect(change.expect);
+        params.set_request(&change.request);
+        let mut list = params.init_edits(change.edits.len() as u32);
+        for (index, edit) in change.edits.iter().enumerate() {
+            write_edit(edit, list.reborrow().get(index as u32));
+        }
+        let response = request.send().promise.await.map_err(lost)?;
+        let reader = response.get().map_err(lost)?;
+        if reader.has_fault() {
+            return Err(reader.get_fault().and_then(Fault::read).map_err(lost)?);
+        }
+        Ok(reader.get_version())
+    }
+
+    async fn status_at(&self, client: operator::Client) -> Result<Overview> {
+        let mut request = client.status_request();
+        request.get().set_token(&self.token);
+        let response = request.send().promise.await.map_err(lost)?;
+        let reader = response.get().map_err(lost)?;
+        if reader.has_fault() {
+            return Err(reader.get_fault().and_then(Fault::read).map_err(lost)?);
+        }
+        let controls = reader.get_controls().map_err(lost)?;
+        let controls: std::result::Result<Vec<ControlView>, capnp::Error> =
+            controls.iter().map(ControlView::read).collect();
+        let entries = reader.get_entries().and_then(view::read_entries).map_err(lost)?;
+        Ok(Overview { version: reader.get_version(), controls: controls.map_err(lost)?, entries })
+    }
+
+    async fn retire_at(&self, client: operator::Client, host: u32) -> Result<()> {
+        let mut request = client.retire_request();
+        request.get().set_token(&self.token);
+        request.get().set_host(host);
+        let response = request.send().promise.await.map_err(lost)?;
+        let reader = response.get().map_err(lost)?;
+        if reader.has_fault() {
+            return Err(reader.get_fault().and_then(Fault::read).map_err(lost)?);
+        }
+        Ok(())
+    }
+}
+
+async fn once<T, F: Future<Output = Result<T>>>(
+    address: &str,
+    call: &impl Fn(operator::Client) -> F,
+) -> Result<T> {
+    let (reader, writer) = link::dial_operator(address, &Traffic::default()).await?;
+    let side = rpc_twoparty_capnp::Side::Client;
+    let network = twoparty::VatNetwork::new(reader, writer, side, host_options());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: operator::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    match select(system, pin!(call(client))).await {
+        Either::Left((ended, _)) => {
+            let reason = ended.err().map_or_else(|| "it closed".to_string(), |e| e.to_string());
+            Err(Fault::from(Error::new(
+                Kind::Unreachable,
+                format!("control host {address} ended the connection: {reason}"),
+            )))
+        }
+        Either::Right((answer, _)) => answer,
+    }
+}
+
+async fn sleep_pause() {
+    async_std::task::sleep(PAUSE).await;
+}
+
+/// Tells whether another control host, or the same one later, may answer better.
+///
+/// A resend is safe, as a change carries its request id.
+const fn tries_elsewhere(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::NotLeader | Kind::NoQuorum | Kind::NotCurrent | Kind::Unreachable | Kind::Unknown
+    )
+}
+
+/// Returns the fault that tells more of why no control host could help.
+fn telling(before: Fault, fault: Fault) -> Fault {
+    if fault.error.kind == Kind::Unreachable && before.error.kind != Kind::Unreachable {
+        return before;
+    }
+    fault
+}
+
+fn unknown(last: Fault) -> Fault {
+    let detail = format!("the change may have been accepted; then: {}", last.error);
+    Fault::from(Error::new(Kind::Unknown, detail))
+}
+
+fn lost(error: capnp::Error) -> Fault {
+    Fault::from(broken(&error))
+}
+
+fn shown(entry: entry::Reader<'_>) -> std::result::Result<Shown, capnp::Error> {
+    Ok(Shown {
+        path: text(entry.get_path()?)?,
+        key: text(entry.get_key()?)?,
+        value: text(entry.get_value()?)?,
+        origin: text(entry.get_origin()?)?,
+    })
+}
+
+fn write_edit(edit: &Edit, mut builder: lagoongauge_schema::control_capnp::edit::Builder<'_>) {
+    builder.set_path(edit.path());
+    match edit {
+        Edit::Set { key, value, .. } => {
+            builder.set_key(key);
+            builder.set_set(value);
+        }
+        Edit::Unset { key, .. } => {
+            builder.set_key(key);
+            builder.set_unset(());
+        }
+        Edit::Remove { .. } => builder.set_remove(()),
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/control/desk.rs
@@ -0,0 +1,289 @@
+//! Answers the calls of operators.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use capnp::Error as RpcError;
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::replica::Store;
+use lagoongauge::settings::{
+    self, Answer, Change, Command, EDITS, Edit, Entry, Operation, Origin, Path, Token,
+};
+use lagoongauge_schema::control_capnp::{edit, entry, operator};
+
+use super::engine::decode;
+use super::fault::{Fault, text};
+use super::host::Shared;
+use super::survey;
+use super::view::write_entries;
+use crate::daemon::Clock;
+
+/// Time after which an unanswered change counts as of unknown outcome.
+const CHANGE: Duration = Duration::from_secs(5);
+
+/// Longest time for which a read waits for a later version, in milliseconds.
+const WATCH_MAX: u32 = 30_000;
+
+/// Answers the calls of one operator's connection.
+pub struct Desk<S> {
+    host: Shared<S>,
+}
+
+/// What a read gives.
+struct Reading {
+    version: u64,
+    current: bool,
+    entries: Vec<Entry>,
+}
+
+/// A read as an operator asks for it.
+struct Query {
+    token: String,
+    operation: String,
+    path: String,
+    since: u64,
+    wait: u32,
+}
+
+impl<S: Store + 'static> Desk<S> {
+    /// Builds the answers for one connection.
+    pub fn new(host: Shared<S>) -> Self {
+        Self { host }
+    }
+
+    /// Returns the operator's path and its subtree.
+    fn prove(&self, token: &str) -> Result<(Path, Path)> {
+        let token = Token::try_from(token)?;
+        let engine = self.host.engine.borrow();
+        if engine.state().version() == 0 {
+            return Err(Error::new(Kind::NotCurrent, "this control host has no settings yet"));
+        }
+        let subtree = engine.state().authenticate(&token)?;
+        Ok((token.operator, subtree))
+    }
+
+    async fn look(&self, query: Query) -> Result<Reading> {
+        let known = Operation::ALL.iter().find(|operation| operation.name() == query.operation);
+        let operation = *known.filter(|operation| operation.reads()).ok_or_else(|| {
+            Error::new(Kind::NotFound, format!("no read is named {:?}", query.operation))
+        })?;
+        let path = Path::try_from(query.path.as_str())?;
+        let (_, subtree) = self.prove(&query.token)?;
+        operation.check(&subtree, &path)?;
+        if operation == Operation::Watch {
+            self.wait_later(query.since, query.wait).await;
+        }
+        let confirmed = self.host.confirm().await;
+        let current = match confirmed {
+            Ok(version) => self.host.reach(version).await,
+            Err(_) => false,
+        };
+        // The operator may have lost its rights while it waited.
+        let (_, subtree) = self.prove(&query.token)?;
+        let engine = self.host.engine.borrow();
+        let tree = engine.state().tree();
+        let entries = match operation {
+            Operation::Dump => settings::dump(tree, &subtree, &path)?,
+            _ => settings::get(tree, &subtree, &path)?,
+        };
+        Ok(Reading { version: engine.state().version(), current, entries })
+    }
+
+    async fn wait_later(&self, since: u64, wait: u32) {
+        let later = async {
+            while self.host.engine.borrow().state().version() <= since {
+                let _ = self.host.accepted.wait().await;
+            }
+        };
+        let span = Duration::from_millis(u64::from(wait.min(WATCH_MAX)));
+        let _ = timeout(span, later).await;
+    }
+
+    async fn apply(&self, token: &str, change: Change) -> std::result::Result<u64, Fault> {
+        let pending = self.propose(token, change).map_err(|error| self.fault(error))?;
+        let pending = match pending {
+            Proposed::Known(answer) => return outcome(answer),
+            Proposed::Pending(pending) => pending,
+        };
+        self.host.settle();
+        let unknown = || {
+            let detail = "the change was not answered in time; resend it with the same request id";
+            self.fault(Error::new(Kind::Unknown, detail))
+        };
+        let answer = timeout(CHANGE, pending).await.map_err(|_| unknown())?;
+        let answer = decode(answer.map_err(|_| unknown())?).map_err(|error| self.fault(error))?;
+        outcome(answer)
+    }
+
+    fn propose(&self, token: &str, change: Change) -> Result<Proposed> {
+        self.check_leads()?;
+        change.check()?;
+        let (operator, _) = self.prove(token)?;
+        let mut engine = self.host.engine.borrow_mut();
+        if let Some(answer) = engine.state().recorded(&operator, &change)? {
+            return Ok(Proposed::Known(answer));
+        }
+        let at = Clock::calendar();
+        engine.state().admit(&operator, at)?;
+        let command = Command::Change { operator, at, change };
+        Ok(Proposed::Pending(engine.propose(self.host.clock.now(), &command)?))
+    }
+
+    fn check_leads(&self) -> Result<()> {
+        let engine = self.host.engine.borrow();
+        if engine.leads() {
+            return Ok(());
+        }
+        if engine.leader().is_some() {
+            return Err(Error::new(Kind::NotLeader, "another control host leads"));
+        }
+        Err(Error::new(Kind::NoQuorum, "this control host knows of no leader"))
+    }
+
+    async fn remove(&self, token: &str, host: u32) -> std::result::Result<(), Fault> {
+        let (_, subtree) = self.prove(token).map_err(|error| self.fault(error))?;
+        if subtree != Path::Root {
+            let detail = "only the consortium may remove a control host";
+            return Err(self.fault(Error::new(Kind::Forbidden, detail)));
+        }
+        let now = self.host.clock.now();
+        let pending = self.host.engine.borrow_mut().retire(now, lagoongauge::id::HostId(host));
+        self.host.settle();
+        let unknown = || self.fault(Error::new(Kind::Unknown, "the removal was not answered"));
+        let pending = pending.map_err(|error| self.fault(error))?;
+        let answer = timeout(CHANGE, pending).await.map_err(|_| unknown())?;
+        answer.map_err(|_| unknown())?.map(drop).map_err(|error| self.fault(error))
+    }
+
+    fn fault(&self, error: Error) -> Fault {
+        let hint = match error.kind {
+            Kind::NotLeader => self.host.leader_hint(),
+            _ => String::new(),
+        };
+        Fault { hint, ..Fault::from(error) }
+    }
+}
+
+enum Proposed {
+    Known(Answer),
+    Pending(super::engine::Pending),
+}
+
+fn outcome(answer: Answer) -> std::result::Result<u64, Fault> {
+    match answer {
+        Answer::Accepted { version } => Ok(version),
+        Answer::Refused { version, path, error } => {
+            Err(Fault { error, path, version, hint: String::new() })
+        }
+    }
+}
+
+impl<S: Store + 'static> operator::Server for Desk<S> {
+    async fn read(
+        self: Rc<Self>,
+        params: operator::ReadParams,
+        mut results: operator::ReadResults,
+    ) -> std::result::Result<(), RpcError> {
+        let params = params.get()?;
+        let query = Query {
+            token: text(params.get_token()?)?,
+            operation: text(params.get_operation()?)?,
+            path: text(params.get_path()?)?,
+            since: params.get_since(),
+            wait: params.get_wait(),
+        };
+        match self.look(query).await {
+            Ok(reading) => {
+                let mut reply = results.get();
+                reply.set_version(reading.version);
+                reply.set_current(reading.current);
+                let mut list = reply.init_entries(reading.entries.len() as u32);
+                for (index, entry) in reading.entries.iter().enumerate() {
+                    write_entry(entry, list.reborrow().get(index as u32));
+                }
+            }
+            Err(error) => self.fault(error).write(results.get().init_fault()),
+        }
+        Ok(())
+    }
+
+    async fn change(
+        self: Rc<Self>,
+        params: operator::ChangeParams,
+        mut results: operator::ChangeResults,
+    ) -> std::result::Result<(), RpcError> {
+        let params = params.get()?;
+        let edits = params.get_edits()?;
+        if edits.len() as usize > EDITS {
+            let detail = format!("the change has {} edits, at most {EDITS}", edits.len());
+            self.fault(Error::new(Kind::Oversized, detail)).write(results.get().init_fault());
+            return Ok(());
+        }
+        let edits: std::result::Result<Vec<Edit>, RpcError> = edits.iter().map(read_edit).collect();
+        let (expect, request) = (params.get_expect(), text(params.get_request()?)?);
+        let change = Change { expect, request, edits: edits? };
+        let token = text(params.get_token()?)?;
+        match self.apply(&token, change).await {
+            Ok(version) => results.get().set_version(version),
+            Err(fault) => fault.write(results.get().init_fault()),
+        }
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        params: operator::StatusParams,
+        mut results: operator::StatusResults,
+    ) -> std::result::Result<(), RpcError> {
+        let token = text(params.get()?.get_token()?)?;
+        let subtree = match self.prove(&token) {
+            Ok((_, subtree)) => subtree,
+            Err(error) => {
+                self.fault(error).write(results.get().init_fault());
+                return Ok(());
+            }
+        };
+        let survey = survey::survey(&self.host, &subtree).await;
+        let mut reply = results.get();
+        reply.set_version(self.host.engine.borrow().state().version());
+        let mut controls = reply.reborrow().init_controls(survey.controls.len() as u32);
+        for (index, control) in survey.controls.iter().enumerate() {
+            control.write(controls.reborrow().get(index as u32));
+        }
+        write_entries(&survey.entries, reply.init_entries(survey.entries.len() as u32));
+        Ok(())
+    }
+
+    async fn retire(
+        self: Rc<Self>,
+        params: operator::RetireParams,
+        mut results: operator::RetireResults,
+    ) -> std::result::Result<(), RpcError> {
+        let params = params.get()?;
+        let token = text(params.get_token()?)?;
+        if let Err(fault) = self.remove(&token, params.get_host()).await {
+            fault.write(results.get().init_fault());
+        }
+        Ok(())
+    }
+}
+
+fn read_edit(edit: edit::Reader<'_>) -> std::result::Result<Edit, RpcError> {
+    let path = text(edit.get_path()?)?;
+    let key = text(edit.get_key()?)?;
+    Ok(match edit.which()? {
+        edit::Set(value) => Edit::Set { path, key, value: text(value?)? },
+        edit::Unset(()) => Edit::Unset { path, key },
+        edit::Remove(()) => Edit::Remove { path },
+    })
+}
+
+fn write_entry(entry: &Entry, mut builder: entry::Builder<'_>) {
+    builder.set_path(entry.path.to_string());
+    builder.set_key(entry.key);
+    builder.set_value(&entry.value);
+    if let Origin::Set(path) = &entry.origin {
+        builder.set_origin(path.to_string());
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/control/engine.rs
@@ -0,0 +1,181 @@
+//! Drives one host's replica: carries out its actions on the store and keeps who waits for answers.
+
+use std::collections::HashMap;
+
+use futures::channel::oneshot;
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::HostId;
+use lagoongauge::replica::{Action, Change, Core, Message, ProposalId, Setup, Status, Store};
+use lagoongauge::settings::{Answer, Command, State};
+use lagoongauge::time::Instant;
+
+/// An answer that comes once the log has it.
+pub type Pending = oneshot::Receiver<Result<Vec<u8>>>;
+
+/// One host's replica with its store.
+pub struct Engine<S> {
+    core: Core<State>,
+    store: S,
+    setup: Setup,
+    first: Vec<HostId>,
+    waiting: HashMap<ProposalId, oneshot::Sender<Result<Vec<u8>>>>,
+    outgoing: Vec<Message>,
+    failure: Option<Error>,
+}
+
+impl<S: Store> Engine<S> {
+    /// Starts the replica from what the store recovers; hosts in `first` may join without an
+    /// entry in the settings.
+    ///
+    /// Returns `StorageCorrupt` where the store's parts do not fit each other.
+    pub fn new(setup: Setup, store: S, first: Vec<HostId>, now: Instant) -> Result<Self> {
+        let core = Core::new(setup.clone(), store.recover()?, State::default(), now)?;
+        let (waiting, outgoing) = (HashMap::new(), Vec::new());
+        Ok(Self { core, store, setup, first, waiting, outgoing, failure: None })
+    }
+
+    /// Returns the settings that are accepted, as far as this host knows.
+    pub fn state(&self) -> &State {
+        self.core.machine()
+    }
+
+    /// Returns the settings with all that was accepted before `now`, which has to be taken after
+    /// the request arrived.
+    ///
+    /// Returns `NotLeader`, or `NotCurrent` while no lease holds.
+    pub fn read(&self, now: Instant) -> Result<&State> {
+        self.core.read(now)
+    }
+
+    /// Returns what operators see of the replica.
+    pub fn status(&self) -> Status {
+        self.core.status()
+    }
+
+    /// Returns the host that leads, where it is known.
+    pub fn leader(&self) -> Option<HostId> {
+        self.core.leader()
+    }
+
+    /// Tells whether this host leads.
+    pub fn leads(&self) -> bool {
+        self.core.leads()
+    }
+
+    /// Returns why the store can't go on, after which the process has to end.
+    pub fn failure(&self) -> Option<&Error> {
+        self.failure.as_ref()
+    }
+
+    /// Proposes a command; `NotLeader` or `NoQuorum` if it never runs.
+    pub fn propose(&mut self, now: Instant, command: &Command) -> Result<Pending> {
+        let id = self.core.propose(now, command.encode()?)?;
+        Ok(self.wait_for(now, id))
+    }
+
+    /// Removes a control host from the voters and learners.
+    ///
+    /// Returns `NotFound` for a host that is neither, and what the replica refuses with.
+    pub fn retire(&mut self, now: Instant, host: HostId) -> Result<Pending> {
+        let configuration = self.core.configuration();
+        let identity = configuration.members().find(|identity| identity.host == host);
+        let identity = identity.ok_or_else(|| {
+            Error::new(Kind::NotFound, format!("{host} is neither voter nor learner"))
+        })?;
+        let id = self.core.change(now, Change::Remove(identity))?;
+        Ok(self.wait_for(now, id))
+    }
+
+    /// Takes a message from another replica.
+    pub fn message(&mut self, now: Instant, message: Message) {
+        self.core.message(now, message);
+        self.act(now);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        self.core.tick(now);
+        self.act(now);
+    }
+
+    /// Takes the messages that are to be sent.
+    pub fn take_messages(&mut self) -> Vec<Message> {
+        std::mem::take(&mut self.outgoing)
+    }
+
+    fn wait_for(&mut self, now: Instant, id: ProposalId) -> Pending {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(id, sender);
+        self.act(now);
+        receiver
+    }
+
+    fn act(&mut self, now: Instant) {
+        loop {
+            let actions = self.core.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.carry_out(now, action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Instant, action: Action) {
+        match action {
+            Action::Persist { mark, records } => match self.store.write(&records) {
+                Ok(()) => self.core.persisted(mark),
+                Err(error) => self.restart(now, &error),
+            },
+            Action::Send(message) => self.outgoing.push(message),
+            Action::Applied { id, answer } => self.answer(id, Ok(answer)),
+            Action::Rejected { id, error } => self.answer(id, Err(error)),
+            Action::Joining(identity) => {
+                if self.allows(identity.host) {
+                    log::info!("{identity} asks to join and is allowed to.");
+                    let _ = self.core.change(now, Change::Add(identity));
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, id: ProposalId, answer: Result<Vec<u8>>) {
+        if let Some(sender) = self.waiting.remove(&id) {
+            let _ = sender.send(answer);
+        }
+    }
+
+    fn allows(&self, host: HostId) -> bool {
+        let listed = self.state().controls().iter().any(|(id, ..)| *id == host);
+        listed || self.first.contains(&host)
+    }
+
+    /// Starts the replica anew from the store, after a write failed.
+    fn restart(&mut self, now: Instant, error: &Error) {
+        log::error!("The store refused a write: {error}.");
+        let fresh = self
+            .store
+            .recover()
+            .and_then(|recovered| Core::new(self.setup.clone(), recovered, State::default(), now));
+        let fresh = match fresh {
+            Ok(core) => core,
+            Err(error) => {
+                self.failure = Some(error);
+                return;
+            }
+        };
+        let failed = std::mem::replace(&mut self.core, fresh);
+        for action in failed.abandon(error) {
+            if let Action::Applied { .. } | Action::Rejected { .. } = action {
+                self.carry_out(now, action);
+            }
+        }
+    }
+}
+
+/// Decodes the answer of the log to a change.
+pub fn decode(answer: Result<Vec<u8>>) -> Result<Answer> {
+    Answer::decode(&answer?)
+}
--- /dev/null
+++ b/lagoongauged/src/control/fault.rs
@@ -0,0 +1,62 @@
+//! Errors on the wire: kind and detail, and where they apply path, version and leader.
+
+use lagoongauge::error::{Error, Kind};
+use lagoongauge::settings::TEXT_BYTES;
+use lagoongauge_schema::control_capnp::fault;
+
+/// An error as it crosses the wire.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The error.
+    pub error: Error,
+    /// Path of the settings that the error speaks of, or empty.
+    pub path: String,
+    /// Version of the settings when the error was found, or zero.
+    pub version: u64,
+    /// Address of the control host that leads, or empty.
+    pub hint: String,
+}
+
+impl From<Error> for Fault {
+    fn from(error: Error) -> Self {
+        Self { error, path: String::new(), version: 0, hint: String::new() }
+    }
+}
+
+impl Fault {
+    /// Reads a fault; an unknown kind, of a later program, counts as internal.
+    pub fn read(fault: fault::Reader<'_>) -> Result<Self, capnp::Error> {
+        let name = text(fault.get_kind()?)?;
+        let kind = Kind::ALL.iter().find(|kind| kind.answer().name == name);
+        let kind = kind.copied().unwrap_or(Kind::Internal);
+        Ok(Self {
+            error: Error::new(kind, text(fault.get_detail()?)?),
+            path: text(fault.get_path()?)?,
+            version: fault.get_version(),
+            hint: text(fault.get_hint()?)?,
+        })
+    }
+
+    /// Writes the fault into a message.
+    pub fn write(&self, mut fault: fault::Builder<'_>) {
+        fault.set_kind(self.error.kind.answer().name);
+        fault.set_detail(&self.error.detail);
+        fault.set_path(&self.path);
+        fault.set_version(self.version);
+        fault.set_hint(&self.hint);
+    }
+}
+
+/// Takes a text of bounded length from a message.
+pub fn text(reader: capnp::text::Reader<'_>) -> Result<String, capnp::Error> {
+    let text = reader.to_str()?;
+    if text.len() > TEXT_BYTES {
+        return Err(capnp::Error::failed(format!("a text has more than {TEXT_BYTES} bytes")));
+    }
+    Ok(text.to_string())
+}
+
+/// Turns a broken call into an error: the work may have run.
+pub fn broken(error: &capnp::Error) -> Error {
+    Error::new(Kind::Unreachable, format!("the control host did not answer: {error}"))
+}
--- /dev/null
+++ b/lagoongauged/src/control/fleet.rs
@@ -0,0 +1,150 @@
+//! Several control hosts in threads of one process, for tests, examples and measurements.
+
+use std::net::{SocketAddr, TcpListener};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::replica::{Identity, Memory, Recovered, Store};
+use lagoongauge::settings::{Change, Edit, Hash, Path, Token};
+use lagoongauge::wire::ClusterKey;
+
+use super::book::{Book, Place};
+use super::client::Client;
+use super::run::{Site, begin, run};
+use super::traffic::Traffic;
+use crate::daemon::Stop;
+
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// A control host in a thread of its own; dropping it ends the thread.
+#[derive(Debug)]
+pub struct Running {
+    /// Counts the bytes of its connections.
+    pub traffic: Traffic,
+    stop: Stop,
+    thread: Option<JoinHandle<Result<()>>>,
+}
+
+impl Running {
+    /// Starts a control host on a bound listener.
+    pub fn start<S: Store + Send + 'static>(site: Site, store: S, listener: TcpListener) -> Self {
+        let (stop, traffic) = (Stop::default(), site.traffic.clone());
+        let raised = stop.clone();
+        let thread = thread::spawn(move || run(site, store, listener, &raised));
+        Self { traffic, stop, thread: Some(thread) }
+    }
+
+    /// Ends the host and returns how it ended.
+    pub fn end(mut self) -> Result<()> {
+        self.join()
+    }
+
+    fn join(&mut self) -> Result<()> {
+        self.stop.raise();
+        let panicked = |_| Error::new(Kind::Internal, "the control host's thread panicked");
+        self.thread.take().map_or(Ok(()), |thread| thread.join().map_err(panicked)?)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.join();
+    }
+}
+
+/// Addresses, key and first token of a system whose control hosts run in this process.
+#[derive(Debug)]
+pub struct Plan {
+    /// Where the control hosts listen.
+    pub book: Book,
+    /// The cluster's key.
+    pub key: ClusterKey,
+    /// Token of the first operator, who holds the root.
+    pub token: Token,
+    listeners: Vec<(HostId, TcpListener)>,
+}
+
+impl Plan {
+    /// Binds a control host on loopback for each data centre given; they count from 1.
+    pub fn new(centres: &[CentreId]) -> std::io::Result<Self> {
+        let mut book = Book::default();
+        let mut listeners = Vec::new();
+        for (index, centre) in centres.iter().enumerate() {
+            let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+            let host = HostId(index as u32 + 1);
+            book.note(host, Place { centre: *centre, address: listener.local_addr()? });
+            listeners.push((host, listener));
+        }
+        let operator = Path::Operator(None, "root".to_string());
+        let token = Token::new(operator, rand::random());
+        Ok(Self { book, key: ClusterKey::new(rand::random()), token, listeners })
+    }
+
+    /// Returns what a host is started with, and what it recovers if it is the first.
+    pub fn site(&self, host: HostId) -> Result<(Site, Recovered)> {
+        let identity = Identity { host, incarnation: rand::random::<u64>() | 1 };
+        let (controls, key) = (self.book.clone(), self.key.clone());
+        let site = Site { identity, controls, key, traffic: Traffic::default() };
+        if host != HostId(1) {
+            return Ok((site, Recovered::default()));
+        }
+        let hash = Hash::new(rand::random(), &self.token.secret);
+        let recovered = begin(identity, self.token.operator.clone(), hash)?;
+        Ok((site, recovered))
+    }
+
+    /// Starts all hosts, with stores in memory.
+    pub fn start(&mut self) -> Result<Vec<Running>> {
+        let listeners = std::mem::take(&mut self.listeners);
+        let start = |(host, listener): (HostId, TcpListener)| {
+            let (site, recovered) = self.site(host)?;
+            Ok(Running::start(site, Memory::new(recovered), listener))
+        };
+        listeners.into_iter().map(start).collect()
+    }
+
+    /// Takes a host's bound listener, for a host that is started apart.
+    pub fn listener(&mut self, host: HostId) -> Option<TcpListener> {
+        let place = self.listeners.iter().position(|(id, _)| *id == host)?;
+        Some(self.listeners.remove(place).1)
+    }
+
+    /// Returns a client of the first operator.
+    pub fn client(&self) -> Client {
+        Client::new(self.book.clone(), self.token.reveal(), LIMIT)
+    }
+
+    /// Sets several keys in one change, at whatever version is current.
+    pub fn set(&self, request: &str, values: &[(&str, &str, &str)]) -> super::client::Result<u64> {
+        let client = self.client();
+        let query = super::client::Query { operation: "get", path: "/", since: 0, wait: 0 };
+        let expect = client.read(query)?.version;
+        let edit = |(path, key, value): &(&str, &str, &str)| Edit::Set {
+            path: (*path).to_string(),
+            key: (*key).to_string(),
+            value: (*value).to_string(),
+        };
+        let edits = values.iter().map(edit).collect();
+        client.change(&Change { expect, request: request.to_string(), edits })
+    }
+
+    /// Waits until all hosts vote and one of them leads with a lease.
+    ///
+    /// Returns `NoQuorum` if that takes longer than `limit`.
+    pub fn wait_ready(&self, limit: Duration) -> Result<()> {
+        let began = std::time::Instant::now();
+        while began.elapsed() < limit {
+            if let Ok(overview) = self.client().status() {
+                let controls = &overview.controls;
+                let voters = controls.iter().filter(|control| control.role == "voter").count();
+                if voters == self.book.len() as usize && controls.iter().any(|it| it.current) {
+                    return Ok(());
+                }
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        Err(Error::new(Kind::NoQuorum, "the control hosts did not come together in time"))
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/control/run.rs
@@ -0,0 +1,119 @@
+//! Runs one control host on the calling thread until it is asked to stop.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use futures::executor::LocalPool;
+use futures::task::LocalSpawnExt;
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::HostId;
+use lagoongauge::replica::{Entry, Identity, Payload, Position, Recovered, Setup, Store};
+use lagoongauge::settings::{Command, Hash, Path};
+use lagoongauge::wire::ClusterKey;
+
+use super::book::{Book, Place};
+use super::engine::Engine;
+use super::host::{Host, Shared};
+use super::links;
+use super::server;
+use super::traffic::Traffic;
+use crate::daemon::{Clock, Stop};
+
+/// Time between two steps of the replica.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Steps after which a follower asks the leader whether its version is current.
+const CONFIRM_TICKS: u32 = 20;
+
+/// What a control host is started with.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// The host with the incarnation of its disk.
+    pub identity: Identity,
+    /// The control hosts of the flags, this one among them.
+    pub controls: Book,
+    /// The cluster's key.
+    pub key: ClusterKey,
+    /// Counts the bytes of the host's connections.
+    pub traffic: Traffic,
+}
+
+/// Returns the state of the first control host of a new system, whose settings know one operator.
+pub fn begin(identity: Identity, operator: Path, hash: Hash) -> Result<Recovered> {
+    let mut recovered = Recovered::bootstrap(vec![identity]);
+    let payload = Payload::Command(Command::Begin { operator, hash }.encode()?);
+    let position = Position { term: 0, index: 2 };
+    recovered.entries.push(Entry { position, payload });
+    recovered.commit = position.index;
+    Ok(recovered)
+}
+
+/// Binds the address that a control host listens on; `Usage` where that can't be done.
+pub fn bind(site: &Site) -> Result<TcpListener> {
+    let address = place_of(site)?.address;
+    TcpListener::bind(address).map_err(|error| {
+        Error::new(Kind::Usage, format!("address {address} can't be listened on: {error}"))
+    })
+}
+
+/// Runs a control host until `stop` is raised.
+///
+/// Returns `StorageCorrupt` where the store can't go on.
+pub fn run<S: Store + 'static>(
+    site: Site,
+    store: S,
+    listener: TcpListener,
+    stop: &Stop,
+) -> Result<()> {
+    let own = site.identity.host;
+    let place = place_of(&site)?;
+    let listener = async_std::net::TcpListener::from(listener);
+    let host = Rc::new(build(site, store, own, place)?);
+    let mut pool = LocalPool::new();
+    let spawner = pool.spawner();
+    pool.run_until(async {
+        let _ = spawner.spawn_local(server::serve(Rc::clone(&host), listener, spawner.clone()));
+        let _ = spawner.spawn_local(confirm_all(Rc::clone(&host)));
+        log::info!("The control host listens on {}.", place.address);
+        while !stop.is_raised() {
+            links::open(&host, &spawner);
+            let now = host.clock.now();
+            host.engine.borrow_mut().tick(now);
+            host.settle();
+            if let Some(error) = host.engine.borrow().failure() {
+                return Err(error.clone());
+            }
+            sleep(TICK).await;
+        }
+        log::info!("The control host ends, as it was asked to.");
+        Ok(())
+    })
+}
+
+fn place_of(site: &Site) -> Result<Place> {
+    let own = site.identity.host;
+    site.controls.get(own).ok_or_else(|| {
+        let detail = format!("the list of control hosts does not name host {}", own.0);
+        Error::new(Kind::Usage, detail)
+    })
+}
+
+fn build<S: Store + 'static>(site: Site, store: S, own: HostId, place: Place) -> Result<Host<S>> {
+    let clock = Clock::start();
+    let first: Vec<HostId> = site.controls.iter().map(|(host, _)| host).collect();
+    let mut setup = Setup::new(site.identity, rand::random());
+    setup.seeds = first.iter().copied().filter(|host| *host != own).collect();
+    let engine = Engine::new(setup, store, first, clock.now())?;
+    Ok(Host::new(own, place, site.key, clock, engine, site.controls, site.traffic))
+}
+
+/// Keeps the follower's knowledge of the current version fresh for the entry hosts' polls.
+async fn confirm_all<S: Store + 'static>(host: Shared<S>) {
+    loop {
+        sleep(TICK * CONFIRM_TICKS).await;
+        let _ = host.confirm().await;
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/control/server.rs
@@ -0,0 +1,131 @@
+//! Takes connections of operators and hosts.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::sleep;
+use capnp::message::ReaderOptions;
+use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp, twoparty};
+use futures::executor::LocalSpawner;
+use futures::task::LocalSpawnExt;
+use futures::{AsyncRead, AsyncWrite};
+
+use lagoongauge::replica::Store;
+use lagoongauge_schema::control_capnp::{control, operator};
+
+use super::answers::Answers;
+use super::desk::Desk;
+use super::host::Shared;
+use super::link::{self, Incoming};
+
+/// Pause after the system refused to hand over a connection.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Connections that are open at a time.
+const CONNECTIONS: usize = 2048;
+
+/// Longest message from an operator, in words of 8 bytes.
+const OPERATOR_WORDS: usize = 1 << 16;
+
+/// Longest message from a host, in words of 8 bytes.
+const HOST_WORDS: usize = 1 << 20;
+
+/// Returns the bounds of messages between hosts.
+pub fn host_options() -> ReaderOptions {
+    bounded(HOST_WORDS)
+}
+
+/// Returns the bounds of messages between an operator and a control host.
+pub fn operator_options() -> ReaderOptions {
+    bounded(OPERATOR_WORDS)
+}
+
+/// Takes connections until the listener fails.
+pub async fn serve<S: Store + 'static>(
+    host: Shared<S>,
+    listener: TcpListener,
+    spawner: LocalSpawner,
+) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("A connection could not be taken: {error}.");
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let Some(slot) = Slot::take(&open) else {
+            log::warn!("A connection is closed, as {CONNECTIONS} are open.");
+            continue;
+        };
+        let host = Rc::clone(&host);
+        let task = async move {
+            let _slot = slot;
+            talk(host, stream).await;
+        };
+        let _ = spawner.spawn_local(task);
+    }
+}
+
+/// One of the connections that may be open; dropping it gives it back.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn take(open: &Rc<Cell<usize>>) -> Option<Self> {
+        if open.get() >= CONNECTIONS {
+            return None;
+        }
+        open.set(open.get() + 1);
+        Some(Self(Rc::clone(open)))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn talk<S: Store + 'static>(host: Shared<S>, stream: TcpStream) {
+    let traffic = host.traffic.clone();
+    match link::accept(stream, &host.key, &traffic).await {
+        Ok(Incoming::Operator(reader, writer)) => {
+            let client: operator::Client = new_client(Desk::new(host));
+            carry(reader, writer, operator_options(), client.client).await;
+        }
+        Ok(Incoming::Host(peer, reader, writer)) => {
+            let client: control::Client = new_client(Answers::new(host, peer));
+            carry(*reader, *writer, host_options(), client.client).await;
+        }
+        Err(error) => {
+            traffic.count_refused();
+            log::warn!("A connection was refused: {error}.");
+        }
+    }
+}
+
+async fn carry<R, W>(
+    reader: R,
+    writer: W,
+    options: ReaderOptions,
+    client: capnp::capability::Client,
+) where
+    R: AsyncRead + Unpin + 'static,
+    W: AsyncWrite + Unpin + 'static,
+{
+    let side = rpc_twoparty_capnp::Side::Server;
+    let network = twoparty::VatNetwork::new(reader, writer, side, options);
+    if let Err(error) = RpcSystem::new(Box::new(network), Some(client)).await {
+        log::debug!("A connection ended: {error}.");
+    }
+}
+
+fn bounded(words: usize) -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(words));
+    options
+}
--- /dev/null
+++ b/lagoongauged/src/control/subscribe.rs
@@ -0,0 +1,248 @@
+//! An entry host's subscription to the settings.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task::sleep;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::executor::LocalPool;
+use futures::future::{Either, select};
+
+use lagoongauge::distribute::{Offer, Outcome, Receiver, Update, order};
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::settings::Resolved;
+use lagoongauge::time::{Instant, Span};
+use lagoongauge::wire::ClusterKey;
+use lagoongauge_schema::control_capnp::control;
+
+use super::book::Book;
+use super::fault::{Fault, broken};
+use super::link;
+use super::server::host_options;
+use super::traffic::Traffic;
+use crate::daemon::{Clock, Stop};
+
+/// Time beyond the announced wait after which a control host counts as lost.
+const LATE: Duration = Duration::from_millis(1500);
+
+/// Time in which the first answer has to come.
+const FIRST_WAIT: u32 = 2000;
+
+/// Pause before the next control host is tried.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Time without a confirmation after which another control host is tried.
+const UNCONFIRMED: Span = Span::seconds(6);
+
+/// Time after which the nearest control host is tried again.
+const REORDER: Span = Span::seconds(60);
+
+/// Pause between two checks whether the subscription has to end.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// How an entry host subscribes.
+#[derive(Debug, Clone)]
+pub struct Subscriber {
+    /// The entry host.
+    pub own: HostId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Control hosts to begin with; the settings tell of others.
+    pub controls: Book,
+    /// The cluster's key.
+    pub key: ClusterKey,
+    /// Counts the bytes of the subscription.
+    pub traffic: Traffic,
+    /// Shows how far the subscription has got.
+    pub progress: Progress,
+}
+
+/// How far a subscription has got, for the threads of the entry host.
+#[derive(Debug, Clone)]
+pub struct Progress(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    version: AtomicU64,
+    confirmed: AtomicU64,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        let clock = Clock::start();
+        let confirmed = AtomicU64::new(clock.now().0);
+        Self(Arc::new(Shared { clock, version: AtomicU64::new(0), confirmed }))
+    }
+}
+
+impl Progress {
+    /// Returns the version in force; zero before there is one.
+    pub fn version(&self) -> u64 {
+        self.0.version.load(Ordering::Relaxed)
+    }
+
+    /// Returns how long that version has not been confirmed as current.
+    pub fn unconfirmed(&self) -> Span {
+        self.0.clock.now().since(Instant(self.0.confirmed.load(Ordering::Relaxed)))
+    }
+
+    fn note(&self, receiver: &Receiver) {
+        let now = self.0.clock.now();
+        let status = receiver.status(now);
+        self.0.version.store(status.version, Ordering::Relaxed);
+        self.0.confirmed.store((now - status.unconfirmed).0, Ordering::Relaxed);
+    }
+}
+
+/// Subscribes until `stop` is raised; blocks the calling thread.
+///
+/// `deliver` puts settings in force; they are acknowledged once it returns. `report` gives the
+/// host's status as a JSON object, whose `members` are shown each to its own operators; it has at
+/// most 4,096 bytes.
+pub fn subscribe<D, R>(subscriber: Subscriber, stop: &Stop, deliver: D, report: R)
+where
+    D: FnMut(Resolved),
+    R: Fn() -> String,
+{
+    let clock = subscriber.progress.0.clock;
+    let receiver = Receiver::new(clock.now());
+    let book = subscriber.controls.clone();
+    let mut session = Session { subscriber, clock, receiver, book, deliver, report };
+    let stopped = async {
+        while !stop.is_raised() {
+            sleep(STOP_CHECK).await;
+        }
+    };
+    LocalPool::new().run_until(async {
+        let _ = select(pin!(stopped), pin!(session.run())).await;
+    });
+}
+
+struct Session<D, R> {
+    subscriber: Subscriber,
+    clock: Clock,
+    receiver: Receiver,
+    book: Book,
+    deliver: D,
+    report: R,
+}
+
+impl<D: FnMut(Resolved), R: Fn() -> String> Session<D, R> {
+    async fn run(&mut self) {
+        loop {
+            let round = self.clock.now();
+            let (own, centre) = (self.subscriber.own, self.subscriber.centre);
+            for control in order(own, centre, &self.book.centres()) {
+                if let Err(error) = self.ask(control, round).await {
+                    log::warn!("The settings are asked for elsewhere: {error}.");
+                }
+                self.settle(Outcome::Unchanged);
+                sleep(PAUSE).await;
+                if self.clock.now().since(round) >= REORDER {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Polls one control host until it is lost, stays unconfirmed, or the round has to end.
+    async fn ask(&mut self, control: HostId, round: Instant) -> Result<()> {
+        let Some(place) = self.book.get(control) else { return Ok(()) };
+        let address = place.address.to_string();
+        let Subscriber { own, key, traffic, .. } = &self.subscriber;
+        let (reader, writer) = link::dial(&address, *own, key, traffic).await?;
+        let side = rpc_twoparty_capnp::Side::Client;
+        let network = twoparty::VatNetwork::new(reader, writer, side, host_options());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: control::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let polling = self.poll_all(client, round, control == self.nearest());
+        match select(system, pin!(polling)).await {
+            Either::Left((ended, _)) => ended.map_err(|error| broken(&error)),
+            Either::Right((polled, _)) => polled,
+        }
+    }
+
+    async fn poll_all(
+        &mut self,
+        client: control::Client,
+        round: Instant,
+        nearest: bool,
+    ) -> Result<()> {
+        let mut wait = FIRST_WAIT;
+        let began = self.clock.now();
+        loop {
+            let asked = self.clock.now();
+            let late = Duration::from_millis(u64::from(wait)) + LATE;
+            let answer = timeout(late, self.poll(&client)).await.map_err(|_| {
+                Error::new(Kind::Unreachable, "the control host did not answer in time")
+            })?;
+            let (offer, next) = answer?;
+            wait = next;
+            let outcome = self.receiver.offer(asked, self.clock.now(), &offer);
+            self.settle(outcome);
+            let now = self.clock.now();
+            let unconfirmed = self.receiver.status(now).unconfirmed;
+            if unconfirmed >= UNCONFIRMED && now.since(began) >= UNCONFIRMED {
+                return Err(Error::new(Kind::NotCurrent, "the control host knows of no quorum"));
+            }
+            if !nearest && now.since(round) >= REORDER {
+                return Ok(());
+            }
+            if offer.update.is_none() && self.receiver.have().is_none() {
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    async fn poll(&mut self, client: &control::Client) -> Result<(Offer, u32)> {
+        let mut request = client.poll_request();
+        self.fill(request.get());
+        let response = request.send().promise.await.map_err(|error| broken(&error))?;
+        let reader = response.get().map_err(|error| broken(&error))?;
+        if reader.has_fault() {
+            let fault = reader.get_fault().and_then(Fault::read).map_err(|error| broken(&error))?;
+            return Err(fault.error);
+        }
+        let controls = reader.get_controls().map_err(|error| broken(&error))?;
+        self.book.read(controls).map_err(|error| broken(&error))?;
+        let update = reader.get_update().map_err(|error| broken(&error))?;
+        let update = if update.is_empty() { None } else { Some(Update::decode(update)?) };
+        let (version, current) = (reader.get_version(), reader.get_current());
+        Ok((Offer { version, current, update }, reader.get_wait()))
+    }
+
+    fn fill(&self, mut request: control::poll_params::Builder<'_>) {
+        let status = self.receiver.status(self.clock.now());
+        request.set_host(self.subscriber.own.0);
+        request.set_centre(self.subscriber.centre.0);
+        request.set_version(status.version);
+        request.set_unconfirmed(status.unconfirmed.0);
+        request.set_report((self.report)());
+        if let Some(have) = self.receiver.have() {
+            request.set_digest(&have.digest.0.to_le_bytes());
+        }
+    }
+
+    /// Puts an adopted version in force, also one that was held until the patience ended.
+    fn settle(&mut self, outcome: Outcome) {
+        let held = self.receiver.tick(self.clock.now());
+        if outcome == Outcome::Adopted || held == Outcome::Adopted {
+            match self.receiver.resolved() {
+                Ok(Some(resolved)) => (self.deliver)(resolved),
+                Ok(None) => {}
+                Err(error) => log::error!("The settings can't be put in force: {error}."),
+            }
+        }
+        self.subscriber.progress.note(&self.receiver);
+    }
+
+    fn nearest(&self) -> HostId {
+        let (own, centre) = (self.subscriber.own, self.subscriber.centre);
+        order(own, centre, &self.book.centres()).first().copied().unwrap_or(own)
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/control/survey.rs
@@ -0,0 +1,92 @@
+//! Asks all control hosts what they know, once per question and not in the background.
+
+use async_std::future::timeout;
+use futures::future::join_all;
+
+use lagoongauge::id::HostId;
+use lagoongauge::replica::Store;
+use lagoongauge::settings::Path;
+use lagoongauge_schema::control_capnp::control;
+
+use super::book::Place;
+use super::host::{ANSWER, Host};
+use super::view::{self, ControlView, EntryView};
+
+/// What all control hosts know together.
+#[derive(Debug, Default)]
+pub struct Survey {
+    /// The control hosts.
+    pub controls: Vec<ControlView>,
+    /// The entry hosts, each as the control host that heard it last knows it.
+    pub entries: Vec<EntryView>,
+}
+
+/// Asks the other control hosts and shows an operator of `subtree` what it may see.
+pub async fn survey<S: Store + 'static>(host: &Host<S>, subtree: &Path) -> Survey {
+    let book = host.book();
+    let others = book.iter().filter(|(other, _)| *other != host.own);
+    let answers = join_all(others.map(|(other, place)| ask(host, other, place))).await;
+    let mut survey =
+        Survey { controls: vec![view::own_control(host)], entries: view::own_entries(host) };
+    for (control, entries) in answers {
+        survey.controls.push(control);
+        survey.entries.extend(entries);
+    }
+    survey.controls.sort_by_key(|control| control.host);
+    survey.entries.sort_by_key(|entry| (entry.host, entry.silent));
+    survey.entries.dedup_by_key(|entry| entry.host);
+    for entry in &mut survey.entries {
+        entry.report = filtered(&entry.report, subtree);
+    }
+    survey
+}
+
+async fn ask<S: Store + 'static>(
+    host: &Host<S>,
+    other: HostId,
+    place: Place,
+) -> (ControlView, Vec<EntryView>) {
+    let answer = match host.client(other) {
+        Some(client) => timeout(ANSWER, call(client)).await.ok().and_then(Result::ok),
+        None => None,
+    };
+    answer.unwrap_or_else(|| {
+        let view = ControlView {
+            host: other.0,
+            centre: place.centre.0,
+            address: place.address.to_string(),
+            role: "unreachable".into(),
+            ..ControlView::default()
+        };
+        (view, Vec::new())
+    })
+}
+
+async fn call(client: control::Client) -> Result<(ControlView, Vec<EntryView>), capnp::Error> {
+    let response = client.view_request().send().promise.await?;
+    let reader = response.get()?;
+    let control = ControlView::read(reader.get_control()?)?;
+    Ok((control, view::read_entries(reader.get_entries()?)?))
+}
+
+/// Keeps of a report what concerns the operator: for a member its own part, else all.
+fn filtered(report: &str, subtree: &Path) -> String {
+    let Some(member) = subtree.member() else { return report.to_string() };
+    let parsed: serde_json::Value = serde_json::from_str(report).unwrap_or_default();
+    let own = parsed.get("members").and_then(|members| members.get(member));
+    let own = own.cloned().unwrap_or_default();
+    serde_json::json!({ "members": { member: own } }).to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_member_sees_only_its_own_part_of_a_report() {
+        let report = r#"{"flows":9,"members":{"a":{"refused":1},"b":{"refused":2}}}"#;
+        let member = Path::try_from("/a/booking").unwrap();
+        assert_eq!(filtered(report, &member), r#"{"members":{"a":{"refused":1}}}"#);
+        assert_eq!(filtered(report, &Path::Root), report);
+    }
+}
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,6 +1,7 @@
 //! Shared parts of the programs.
 
 pub mod burn;
+pub mod control;
 pub mod daemon;
 pub mod entry;
 pub mod measure;
