--- a/lagoongauged/src/measure/capacity/settings.rs
+++ b/lagoongauged/src/measure/capacity/settings.rs
@@ -4,6 +4,7 @@
 
 use eyre::{Result, ensure, eyre};
 
+use lagoongauge::replica::Machine;
 use lagoongauge::settings::{Answer, Change, Command, Edit, Hash, Path, State};
 
 use super::row::{Basis, Resource, Role, Slope};
@@ -81,7 +82,7 @@
 fn grown(services: u32) -> Result<State> {
     let mut state = State::default();
     let operator = operator()?;
-    state.apply(&Command::Begin { operator, hash: Hash::new([1; 16], "secret") });
+    state.execute(&Command::Begin { operator, hash: Hash::new([1; 16], "secret") });
     let hosts = (f64::from(services) * TARGET.entries() / TARGET.services) as u32;
     let mut at = CALENDAR;
     for member in 0..services.div_ceil(SERVICES_A_MEMBER) {
@@ -112,7 +113,7 @@
     let expect = state.version();
     let change = Change { expect, request: format!("request-{expect}"), edits };
     let operator = operator()?;
-    let answer = state.apply(&Command::Change { operator, at, change });
+    let answer = state.execute(&Command::Change { operator, at, change });
     ensure!(matches!(answer, Answer::Accepted { .. }), "the change was answered {answer:?}");
     Ok(())
 }
