--- a/lagoongauged/src/control/book.rs
+++ b/lagoongauged/src/control/book.rs
@@ -38,6 +38,11 @@
         self.places.iter().map(|(host, place)| (*host, *place))
     }
 
+    /// Returns all addresses.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.places.values().map(|place| place.address).collect()
+    }
+
     /// Returns the hosts with their data centres.
     pub fn centres(&self) -> Vec<(HostId, CentreId)> {
         self.iter().map(|(host, place)| (host, place.centre)).collect()
--- a/lagoongauged/src/control/client.rs
+++ b/lagoongauged/src/control/client.rs
@@ -1,6 +1,7 @@
 //! What `lagoonctl` calls: a client that finds the leader and tries again where that is safe.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -13,7 +14,6 @@
 use lagoongauge::settings::{Change, Edit};
 use lagoongauge_schema::control_capnp::{entry, operator};
 
-use super::book::Book;
 use super::fault::{Fault, broken, text};
 use super::link;
 use super::server::host_options;
@@ -29,7 +29,7 @@
 /// An operator's way to the control hosts.
 #[derive(Debug, Clone)]
 pub struct Client {
-    controls: Book,
+    controls: Vec<SocketAddr>,
     token: String,
     limit: Duration,
 }
@@ -84,7 +84,7 @@
 
 impl Client {
     /// Builds a client that gives up after `limit`.
-    pub fn new(controls: Book, token: String, limit: Duration) -> Self {
+    pub fn new(controls: Vec<SocketAddr>, token: String, limit: Duration) -> Self {
         Self { controls, token, limit }
     }
 
@@ -123,10 +123,9 @@
         let attempts = async {
             loop {
                 let mut addresses: Vec<String> =
-                    self.controls.iter().map(|(_, place)| place.address.to_string()).collect();
-                while !addresses.is_empty() {
-                    let hint = addresses.iter().position(|address| *address == last.hint);
-                    let address = addresses.remove(hint.unwrap_or_default());
+                    self.controls.iter().map(ToString::to_string).collect();
+                while !addresses.is_empty() || !last.hint.is_empty() {
+                    let address = next(&mut addresses, &last.hint);
                     // A call that is cut short by the limit may have run.
                     let before = std::mem::replace(&mut last, silent());
                     match once(&address, &call).await {
@@ -231,6 +230,15 @@
     }
 }
 
+/// Takes the hinted leader, which the list may lack, or else the first address.
+fn next(addresses: &mut Vec<String>, hint: &str) -> String {
+    let known = addresses.iter().position(|address| address == hint);
+    match known {
+        None if !hint.is_empty() => hint.to_string(),
+        place => addresses.remove(place.unwrap_or_default()),
+    }
+}
+
 async fn sleep_pause() {
     async_std::task::sleep(PAUSE).await;
 }
--- a/lagoongauged/src/control/fleet.rs
+++ b/lagoongauged/src/control/fleet.rs
@@ -113,7 +113,7 @@
 
     /// Returns a client of the first operator.
     pub fn client(&self) -> Client {
-        Client::new(self.book.clone(), self.token.reveal(), LIMIT)
+        Client::new(self.book.addresses(), self.token.reveal(), LIMIT)
     }
 
     /// Sets several keys in one change, at whatever version is current.
--- a/lagoongauged/src/control/mod.rs
+++ b/lagoongauged/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod link;
 mod links;
 mod notify;
+pub mod options;
 mod run;
 mod seal;
 mod server;
--- /dev/null
+++ b/lagoongauged/src/control/options.rs
@@ -0,0 +1,212 @@
+//! Flags and environment variables of `lagoon-control`, checked before anything starts.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::HostId;
+use lagoongauge::settings::Path;
+use lagoongauge::wire::ClusterKey;
+
+use super::book::Book;
+use crate::daemon::{LogLevel, flags};
+
+const HOST: &str = "a number from 1 to 4294967295";
+const SITE: &str =
+    "control hosts as ID@CENTRE=ADDRESS:PORT with commas between, this host among them";
+const FOLDER: &str = "a folder on a disk";
+
+/// What `lagoon-control` is asked to do, unchecked.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, generate(raw_command))]
+pub enum RawCommand {
+    /// Runs a control host; the default.
+    #[bpaf(command)]
+    Run(#[bpaf(external(raw_run))] RawRun),
+    /// Makes the data folder of the first control host of a new system and prints the token of
+    /// its first operator, once.
+    #[bpaf(command)]
+    Init(#[bpaf(external(raw_init))] RawInit),
+    /// Shows what a data folder holds, without a running process.
+    #[bpaf(command)]
+    Inspect {
+        /// Data folder.
+        #[bpaf(long, env("LAGOON_FOLDER"), argument("DIR"))]
+        folder: Option<String>,
+    },
+    /// Copies a data folder, without a running process.
+    #[bpaf(command)]
+    Backup {
+        /// Data folder.
+        #[bpaf(long, env("LAGOON_FOLDER"), argument("DIR"))]
+        folder: Option<String>,
+        /// Empty or missing folder that takes the copy.
+        #[bpaf(long, env("LAGOON_TO"), argument("DIR"))]
+        to: Option<String>,
+    },
+    /// Makes a data folder from a backup, after a quorum's disks were lost; later changes are lost.
+    #[bpaf(command)]
+    Restore {
+        /// Folder of the backup.
+        #[bpaf(long, env("LAGOON_FROM"), argument("DIR"))]
+        from: Option<String>,
+        /// Data folder, empty or missing.
+        #[bpaf(long, env("LAGOON_FOLDER"), argument("DIR"))]
+        folder: Option<String>,
+        /// Key of this host.
+        #[bpaf(long, env("LAGOON_HOST"), argument("NUMBER"))]
+        host: Option<String>,
+    },
+}
+
+/// Flags of a run, unchecked.
+#[derive(Debug, Clone, Default, Bpaf)]
+pub struct RawRun {
+    /// Key of this host.
+    #[bpaf(env("LAGOON_HOST"), argument("NUMBER"))]
+    pub host: Option<String>,
+    /// Control hosts as ID@CENTRE=ADDRESS:PORT with commas between, this host among them.
+    #[bpaf(env("LAGOON_SITE"), argument("LIST"))]
+    pub site: Option<String>,
+    /// Data folder; an empty one makes this host ask the others to let it join.
+    #[bpaf(env("LAGOON_FOLDER"), argument("DIR"))]
+    pub folder: Option<String>,
+    /// Secret that all hosts share, 64 hexadecimal digits; better given by a file.
+    #[bpaf(env("LAGOON_CLUSTER_KEY"), argument("KEY"))]
+    pub cluster_key: Option<String>,
+    /// File with the secret that all hosts share.
+    #[bpaf(env("LAGOON_CLUSTER_KEY_FILE"), argument("FILE"))]
+    pub cluster_key_file: Option<String>,
+    /// Least severe level that is logged: off, error, warn, info (if not given), debug, trace.
+    #[bpaf(env("LAGOON_LOG_LEVEL"), argument("LEVEL"))]
+    pub log_level: Option<String>,
+    /// Only checks the flags.
+    pub check: bool,
+}
+
+/// Flags of `init`, unchecked.
+#[derive(Debug, Clone, Default, Bpaf)]
+pub struct RawInit {
+    /// Key of this host.
+    #[bpaf(env("LAGOON_HOST"), argument("NUMBER"))]
+    pub host: Option<String>,
+    /// Data folder, empty or missing.
+    #[bpaf(env("LAGOON_FOLDER"), argument("DIR"))]
+    pub folder: Option<String>,
+    /// Name of the first operator, root if not given.
+    #[bpaf(env("LAGOON_OPERATOR"), argument("NAME"))]
+    pub operator: Option<String>,
+}
+
+/// Checked flags of a run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Key of this host.
+    pub host: HostId,
+    /// The control hosts.
+    pub site: Book,
+    /// Data folder.
+    pub folder: PathBuf,
+    /// The cluster's key.
+    pub key: ClusterKey,
+    /// Least severe level that is logged.
+    pub level: LogLevel,
+    /// Whether only the flags are to be checked.
+    pub check: bool,
+}
+
+/// Checked flags of `init`.
+#[derive(Debug, Clone)]
+pub struct Init {
+    /// Key of this host.
+    pub host: HostId,
+    /// Data folder.
+    pub folder: PathBuf,
+    /// The first operator.
+    pub operator: Path,
+}
+
+impl TryFrom<RawRun> for Run {
+    type Error = Error;
+
+    fn try_from(raw: RawRun) -> Result<Self> {
+        let level = raw.log_level.or_else(|| Some("info".to_string()));
+        let levels = "off, error, warn, info, debug or trace";
+        let site = raw.site.ok_or_else(|| flags::missing("site", SITE))?;
+        let shown = format!("{site:?}");
+        let run = Self {
+            host: host(raw.host)?,
+            site: Book::try_from(site.as_str()).map_err(|_| flags::wrong("site", &shown, SITE))?,
+            folder: folder("folder", raw.folder)?,
+            key: flags::read_key(raw.cluster_key, raw.cluster_key_file)?,
+            level: flags::read("log-level", level, levels)?,
+            check: raw.check,
+        };
+        if run.site.get(run.host).is_none() {
+            return Err(flags::wrong("site", &shown, SITE));
+        }
+        Ok(run)
+    }
+}
+
+impl TryFrom<RawInit> for Init {
+    type Error = Error;
+
+    fn try_from(raw: RawInit) -> Result<Self> {
+        let name = raw.operator.unwrap_or_else(|| "root".to_string());
+        let operator = Path::try_from(format!("/operators/{name}").as_str()).map_err(|_| {
+            let accepted = "at most 32 of a-z, 0-9 and -, a letter first";
+            flags::wrong("operator", &format!("{name:?}"), accepted)
+        })?;
+        Ok(Self { host: host(raw.host)?, folder: folder("folder", raw.folder)?, operator })
+    }
+}
+
+/// Reads the key of a host.
+pub fn host(value: Option<String>) -> Result<HostId> {
+    let number: std::num::NonZeroU32 = flags::read("host", value, HOST)?;
+    Ok(HostId(number.get()))
+}
+
+/// Reads the path of a folder.
+pub fn folder(name: &str, value: Option<String>) -> Result<PathBuf> {
+    let text = value.ok_or_else(|| flags::missing(name, FOLDER))?;
+    if text.is_empty() {
+        return Err(Error::new(Kind::Usage, format!("--{name} is empty; accepted: {FOLDER}")));
+    }
+    Ok(PathBuf::from(text))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn raw() -> RawRun {
+        RawRun {
+            host: Some("1".into()),
+            site: Some("1@0=127.0.0.1:7400,2@1=127.0.0.1:7401".into()),
+            folder: Some("data".into()),
+            cluster_key: Some("ab".repeat(32)),
+            ..RawRun::default()
+        }
+    }
+
+    #[test]
+    fn a_wrong_flag_names_itself_its_value_and_what_is_accepted() {
+        assert!(Run::try_from(raw()).is_ok());
+        let cases = [
+            (RawRun { host: Some("0".into()), ..raw() }, "--host (LAGOON_HOST) is \"0\""),
+            (RawRun { host: Some("3".into()), ..raw() }, "--site (LAGOON_SITE) is \"1@0"),
+            (RawRun { site: Some("1".into()), ..raw() }, "--site (LAGOON_SITE) is \"1\""),
+            (RawRun { folder: None, ..raw() }, "--folder (LAGOON_FOLDER) is not given"),
+            (RawRun { cluster_key: None, ..raw() }, "one of --cluster-key"),
+            (RawRun { log_level: Some("loud".into()), ..raw() }, "--log-level (LAGOON_LOG_LEVEL)"),
+        ];
+        for (raw, text) in cases {
+            let error = Run::try_from(raw).unwrap_err();
+            assert_eq!(error.kind.answer().exit, 2);
+            assert!(error.detail.starts_with(text), "{}", error.detail);
+        }
+    }
+}
--- a/lagoongauged/src/control/subscribe.rs
+++ b/lagoongauged/src/control/subscribe.rs
@@ -1,5 +1,7 @@
 //! An entry host's subscription to the settings.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -51,8 +53,8 @@
     pub own: HostId,
     /// Its data centre.
     pub centre: CentreId,
-    /// Control hosts to begin with; the settings tell of others.
-    pub controls: Book,
+    /// Control hosts to begin with; their answers tell of all.
+    pub controls: Vec<SocketAddr>,
     /// The cluster's key.
     pub key: ClusterKey,
     /// Counts the bytes of the subscription.
@@ -111,7 +113,7 @@
 {
     let clock = subscriber.progress.0.clock;
     let receiver = Receiver::new(clock.now());
-    let book = subscriber.controls.clone();
+    let book = Book::default();
     let mut session = Session { subscriber, clock, receiver, book, deliver, report };
     let stopped = async {
         while !stop.is_raised() {
@@ -136,9 +138,8 @@
     async fn run(&mut self) {
         loop {
             let round = self.clock.now();
-            let (own, centre) = (self.subscriber.own, self.subscriber.centre);
-            for control in order(own, centre, &self.book.centres()) {
-                if let Err(error) = self.ask(control, round).await {
+            for (place, address) in self.addresses().into_iter().enumerate() {
+                if let Err(error) = self.ask(address, round, place == 0).await {
                     log::warn!("The settings are asked for elsewhere: {error}.");
                 }
                 self.settle(Outcome::Unchanged);
@@ -151,16 +152,15 @@
     }
 
     /// Polls one control host until it is lost, stays unconfirmed, or the round has to end.
-    async fn ask(&mut self, control: HostId, round: Instant) -> Result<()> {
-        let Some(place) = self.book.get(control) else { return Ok(()) };
-        let address = place.address.to_string();
+    async fn ask(&mut self, address: SocketAddr, round: Instant, nearest: bool) -> Result<()> {
+        let address = address.to_string();
         let Subscriber { own, key, traffic, .. } = &self.subscriber;
         let (reader, writer) = link::dial(&address, *own, key, traffic).await?;
         let side = rpc_twoparty_capnp::Side::Client;
         let network = twoparty::VatNetwork::new(reader, writer, side, host_options());
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: control::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-        let polling = self.poll_all(client, round, control == self.nearest());
+        let polling = self.poll_all(client, round, nearest);
         match select(system, pin!(polling)).await {
             Either::Left((ended, _)) => ended.map_err(|error| broken(&error)),
             Either::Right((polled, _)) => polled,
@@ -241,8 +241,16 @@
         self.subscriber.progress.note(&self.receiver);
     }
 
-    fn nearest(&self) -> HostId {
+    /// Returns where to ask, the nearest first; those given at the start count where the control
+    /// hosts named no others yet.
+    fn addresses(&self) -> Vec<SocketAddr> {
         let (own, centre) = (self.subscriber.own, self.subscriber.centre);
-        order(own, centre, &self.book.centres()).first().copied().unwrap_or(own)
+        let ordered = order(own, centre, &self.book.centres());
+        let known = ordered.into_iter().filter_map(|control| self.book.get(control));
+        let mut addresses: Vec<SocketAddr> = known.map(|place| place.address).collect();
+        addresses.extend(&self.subscriber.controls);
+        let mut seen = HashSet::new();
+        addresses.retain(|address| seen.insert(*address));
+        addresses
     }
 }
--- a/lagoongauged/src/control/survey.rs
+++ b/lagoongauged/src/control/survey.rs
@@ -32,6 +32,7 @@
         survey.controls.push(control);
         survey.entries.extend(entries);
     }
+    survey.entries.extend(unheard(host));
     survey.controls.sort_by_key(|control| control.host);
     survey.entries.sort_by_key(|entry| (entry.host, entry.silent));
     survey.entries.dedup_by_key(|entry| entry.host);
@@ -41,6 +42,21 @@
     survey
 }
 
+/// Returns the entry hosts of the settings as if none had been heard.
+fn unheard<S: Store + 'static>(host: &Host<S>) -> Vec<EntryView> {
+    let resolved = host.engine.borrow().state().resolve();
+    let view = |(id, entry): (&HostId, &lagoongauge::settings::Host)| EntryView {
+        host: id.0,
+        centre: entry.centre.0,
+        control: 0,
+        version: 0,
+        unconfirmed: u64::MAX,
+        silent: u64::MAX,
+        report: String::new(),
+    };
+    resolved.hosts.iter().map(view).collect()
+}
+
 async fn ask<S: Store + 'static>(
     host: &Host<S>,
     other: HostId,
--- /dev/null
+++ b/lagoongauged/src/ctl/words.rs
@@ -0,0 +1,69 @@
+//! Words of `set` as edits.
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::settings::Edit;
+
+/// Reads paths, each followed by `KEY=VALUE` and `~KEY`.
+///
+/// Returns `Usage` for a key before any path, a path without keys, or a word that is neither.
+pub fn edits(words: &[String]) -> Result<Vec<Edit>> {
+    let mut edits = Vec::new();
+    let mut path: Option<(&str, usize)> = None;
+    for word in words {
+        if word.starts_with('/') {
+            check_used(path, edits.len())?;
+            path = Some((word, edits.len()));
+            continue;
+        }
+        let (place, _) =
+            path.ok_or_else(|| Error::new(Kind::Usage, format!("{word:?} comes before any path")))?;
+        edits.push(edit(place, word)?);
+    }
+    check_used(path, edits.len())?;
+    Ok(edits)
+}
+
+fn check_used(path: Option<(&str, usize)>, count: usize) -> Result<()> {
+    match path {
+        Some((path, before)) if before == count => {
+            Err(Error::new(Kind::Usage, format!("path {path:?} is followed by no key")))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn edit(path: &str, word: &str) -> Result<Edit> {
+    let path = path.to_string();
+    if let Some(key) = word.strip_prefix('~') {
+        return Ok(Edit::Unset { path, key: key.to_string() });
+    }
+    let (key, value) = word.split_once('=').ok_or_else(|| {
+        Error::new(Kind::Usage, format!("{word:?} is none of /PATH, KEY=VALUE and ~KEY"))
+    })?;
+    Ok(Edit::Set { path, key: key.to_string(), value: value.to_string() })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(line: &str) -> Result<Vec<Edit>> {
+        edits(&line.split(' ').map(str::to_string).collect::<Vec<_>>())
+    }
+
+    #[test]
+    fn words_become_edits_of_the_path_before_them() {
+        let edits = read("/ lock=a /b ~c d=e=f").unwrap();
+        assert_eq!(edits.len(), 3);
+        let unset = Edit::Unset { path: "/b".into(), key: "c".into() };
+        let set = Edit::Set { path: "/b".into(), key: "d".into(), value: "e=f".into() };
+        assert_eq!(edits[1..], [unset, set]);
+    }
+
+    #[test]
+    fn other_words_are_refused() {
+        for line in ["a=b", "/", "/a / b=c", "/a b"] {
+            assert_eq!(read(line).unwrap_err().kind, Kind::Usage, "{line}");
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/daemon/flags.rs
@@ -0,0 +1,61 @@
+//! Checks of flags and environment variables, whose errors name the flag, its value and what is
+//! accepted.
+
+use std::fmt::Display;
+use std::fs;
+use std::str::FromStr;
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::wire::ClusterKey;
+
+/// Reads a flag that has to be given.
+///
+/// Returns `Usage` where it is missing or does not parse.
+pub fn read<T: FromStr>(name: &str, value: Option<String>, accepted: &str) -> Result<T> {
+    let value = value.ok_or_else(|| missing(name, accepted))?;
+    value.trim().parse().map_err(|_| wrong(name, &format_args!("{value:?}"), accepted))
+}
+
+/// Reads the cluster's key from its flag or from the file that another flag names; it is never
+/// shown.
+///
+/// Returns `Usage` where both or none are given, or the text is no key.
+pub fn read_key(text: Option<String>, file: Option<String>) -> Result<ClusterKey> {
+    let accepted = "64 hexadecimal digits";
+    let (name, text) = match (text, file) {
+        (Some(text), None) => ("cluster-key", text),
+        (None, Some(path)) => ("cluster-key-file", read_file(&path)?),
+        _ => {
+            let detail = format!(
+                "one of {} and {} has to be given",
+                title("cluster-key"),
+                title("cluster-key-file")
+            );
+            return Err(Error::new(Kind::Usage, detail));
+        }
+    };
+    let hidden = format!("{} characters, not shown", text.trim().len());
+    ClusterKey::try_from(text.as_str()).map_err(|_| wrong(name, &hidden, accepted))
+}
+
+/// Says that a flag is missing.
+pub fn missing(name: &str, accepted: &str) -> Error {
+    Error::new(Kind::Usage, format!("{} is not given; accepted: {accepted}", title(name)))
+}
+
+/// Says that a flag has a wrong value.
+pub fn wrong(name: &str, value: &dyn Display, accepted: &str) -> Error {
+    Error::new(Kind::Usage, format!("{} is {value}; accepted: {accepted}", title(name)))
+}
+
+/// Names a flag with its environment variable.
+fn title(name: &str) -> String {
+    format!("--{name} (LAGOON_{})", name.replace('-', "_").to_uppercase())
+}
+
+fn read_file(path: &str) -> Result<String> {
+    fs::read_to_string(path).map_err(|error| {
+        let value = format!("{path:?}, which can't be read ({error})");
+        wrong("cluster-key-file", &value, "a file with 64 hexadecimal digits")
+    })
+}
--- a/lagoongauged/src/daemon/mod.rs
+++ b/lagoongauged/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod exit;
+pub mod flags;
 mod log;
 mod signal;
 
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod burn;
 pub mod control;
+pub mod ctl;
 pub mod daemon;
 pub mod entry;
 pub mod measure;
--- a/lagoongauged/tests/control_site.rs
+++ b/lagoongauged/tests/control_site.rs
@@ -18,7 +18,7 @@
     Subscriber {
         own: HostId(id),
         centre: CentreId(0),
-        controls: plan.book.clone(),
+        controls: plan.book.addresses(),
         key: plan.key.clone(),
         traffic: Traffic::default(),
         progress: Progress::default(),
