--- a/lagoongauge/src/replica/store.rs
+++ b/lagoongauge/src/replica/store.rs
@@ -77,6 +77,31 @@
         self.entries.last().map_or(base, |entry| entry.position)
     }
 
+    /// Returns the latest configuration, which may not be committed.
+    pub fn configuration(&self) -> Configuration {
+        let found = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Configuration(configuration) => Some(configuration),
+            _ => None,
+        });
+        let base = self.snapshot.as_ref().map(Snapshot::configuration);
+        found.or(base).cloned().unwrap_or_default()
+    }
+
+    /// Returns the committed part of this state under another configuration.
+    ///
+    /// Only for a log whose quorum is lost for good: it goes on as another one, and no host of the
+    /// former one may ever be started again.
+    pub fn alone(mut self, configuration: Configuration) -> Self {
+        self.entries.retain(|entry| entry.position.index <= self.commit);
+        let term = self.last().term.max(self.ballot.term) + 1;
+        let position = Position { term, index: self.last().index + 1 };
+        let payload = Payload::Configuration(configuration);
+        self.entries.push(Entry { position, payload });
+        self.commit = position.index;
+        self.ballot = Ballot { term, vote: None };
+        self
+    }
+
     /// Takes a record in, or fails with `StorageCorrupt` if it does not follow the ones before.
     pub fn take(&mut self, record: Record) -> Result<()> {
         match record {
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod daemon;
 pub mod entry;
 pub mod measure;
+pub mod store;
--- /dev/null
+++ b/lagoongauged/src/store/mod.rs
@@ -0,0 +1,24 @@
+//! The data folder of a control host: what it has promised, kept over crashes.
+//!
+//! Files: `identity` (format version and incarnation), `ballot` (term and vote, twice), `snapshot`
+//! and the segments of the log (`log-…`), of which all but the last are sealed. Everything is
+//! checksummed. See "Data folder" in docs/OPERATING.md.
+//!
+//! Errors: `StorageCorrupt` for damage, `StorageFull` for a full disk, `StorageLocked` while
+//! another process holds the folder, `NotFound` for a folder without data, `Usage` for a folder
+//! that holds something else, `Internal` for other failures of the disk.
+
+mod ballot;
+mod files;
+mod format;
+mod frame;
+mod scan;
+mod segment;
+mod tools;
+mod volume;
+
+pub use self::files::FileStore;
+pub use self::format::{format, open_or_format, restore};
+pub use self::scan::{Report, SegmentReport};
+pub use self::tools::{backup, inspect};
+pub use self::volume::{Disk, Volume};
--- /dev/null
+++ b/lagoongauged/src/store/scan.rs
@@ -0,0 +1,177 @@
+//! Reading a whole data folder without changing anything in it.
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::replica::store::Ballot;
+use lagoongauge::replica::{Configuration, Identity, Record, Recovered, Snapshot};
+use serde::Serialize;
+
+use super::segment::{self, Line, Segment};
+use super::volume::{Volume, broken};
+use super::{ballot, format, frame};
+
+/// Name of the snapshot's file.
+pub(super) const SNAPSHOT: &str = "snapshot";
+
+/// What a segment holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SegmentReport {
+    /// Name of the file.
+    pub name: String,
+    /// Bytes of whole frames.
+    pub bytes: u64,
+    /// Bytes of a last frame whose write was cut off; the next start drops them.
+    pub torn: u64,
+}
+
+/// What a data folder holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// Version of the folder's format.
+    pub version: u32,
+    /// Whose folder it is.
+    pub identity: Identity,
+    /// Term and vote.
+    pub ballot: Ballot,
+    /// Index of the snapshot's last entry, or 0.
+    pub snapshot: u64,
+    /// Bytes of the snapshot.
+    pub snapshot_bytes: u64,
+    /// Index of the last entry.
+    pub last: u64,
+    /// Index up to which entries are known to be committed.
+    pub commit: u64,
+    /// The latest configuration, which may not be committed.
+    pub configuration: Configuration,
+    /// The log's files.
+    pub segments: Vec<SegmentReport>,
+}
+
+/// What was read of a data folder.
+#[derive(Debug)]
+pub(super) struct Scan {
+    pub(super) identity: Identity,
+    pub(super) recovered: Recovered,
+    pub(super) segments: Vec<Segment>,
+    /// Whether the ballot has to be written again.
+    pub(super) uneven: bool,
+}
+
+impl Scan {
+    /// Reads all files; fails with `StorageCorrupt` unless they add up to a state.
+    pub(super) fn read(volume: &impl Volume) -> Result<Self> {
+        let identity = format::read_identity(volume)?;
+        Self::read_as(volume, identity)
+    }
+
+    /// Reads all files but the one that says whose they are.
+    pub(super) fn read_as(volume: &impl Volume, identity: Identity) -> Result<Self> {
+        let (ballot, even) = ballot::read(volume)?;
+        let mut recovered = Recovered::default();
+        recovered.take(Record::Ballot(ballot))?;
+        if let Some(snapshot) = read_snapshot(volume)? {
+            recovered.take(Record::Snapshot(snapshot))?;
+        }
+        let segments = read_segments(volume)?;
+        for segment in &segments {
+            for line in &segment.lines {
+                recovered.take(record(line)).map_err(|error| within(segment.number, &error))?;
+            }
+        }
+        if recovered.commit > recovered.last().index {
+            let (commit, last) = (recovered.commit, recovered.last().index);
+            let detail = format!("entry {commit} was committed, but the log ends at {last}");
+            return Err(Error::new(Kind::StorageCorrupt, detail));
+        }
+        Ok(Self { identity, recovered, segments, uneven: !even })
+    }
+
+    /// Returns what operators see.
+    pub(super) fn report(&self) -> Report {
+        let snapshot = self.recovered.snapshot.as_ref();
+        let segment = |segment: &Segment| SegmentReport {
+            name: segment::name(segment.number),
+            bytes: segment.length,
+            torn: segment.torn,
+        };
+        Report {
+            version: format::VERSION,
+            identity: self.identity,
+            ballot: self.recovered.ballot,
+            snapshot: snapshot.map_or(0, |snapshot| snapshot.position().index),
+            snapshot_bytes: snapshot.map_or(0, |snapshot| snapshot.bytes().len() as u64),
+            last: self.recovered.last().index,
+            commit: self.recovered.commit,
+            configuration: self.recovered.configuration(),
+            segments: self.segments.iter().map(segment).collect(),
+        }
+    }
+}
+
+fn read_snapshot(volume: &impl Volume) -> Result<Option<Snapshot>> {
+    let names = volume.list().map_err(|error| broken("data folder can't be listed", &error))?;
+    if !names.iter().any(|name| name == SNAPSHOT) {
+        return Ok(None);
+    }
+    let bytes = volume.read(SNAPSHOT).map_err(|error| broken("snapshot can't be read", &error))?;
+    let payload = frame::sole(SNAPSHOT, &bytes)?;
+    let parsed = Snapshot::try_from(payload);
+    parsed.map(Some).map_err(|error| frame::corrupt(SNAPSHOT, 0, &error.detail))
+}
+
+/// Reads the segments in their order; only the last written one may end in a torn frame.
+fn read_segments(volume: &impl Volume) -> Result<Vec<Segment>> {
+    let names = volume.list().map_err(|error| broken("data folder can't be listed", &error))?;
+    let mut segments: Vec<Segment> = Vec::new();
+    for name in names {
+        let Some(number) = segment::number(&name) else { continue };
+        let failed = |error| broken(&format!("segment {name} can't be read"), &error);
+        let bytes = volume.read(&name).map_err(failed)?;
+        if let Some(before) = segments.last()
+            && before.number + 1 != number
+        {
+            let detail = format!("segment {} is missing", segment::name(before.number + 1));
+            return Err(Error::new(Kind::StorageCorrupt, detail));
+        }
+        segments.push(segment::parse(number, &bytes)?);
+    }
+    check_ends(&segments)?;
+    Ok(segments)
+}
+
+fn check_ends(segments: &[Segment]) -> Result<()> {
+    let Some((last, before)) = segments.split_last() else {
+        return Err(Error::new(Kind::StorageCorrupt, "the log's segments are missing"));
+    };
+    for (place, segment) in before.iter().enumerate() {
+        let fresh = place + 1 == before.len() && last.is_empty();
+        if !segment.sealed && !fresh {
+            let length = segment.length as usize;
+            let name = segment::name(segment.number);
+            return Err(frame::corrupt(&name, length, "the segment ends without a seal"));
+        }
+        if segment.sealed && segment.torn > 0 {
+            let length = segment.length as usize;
+            let name = segment::name(segment.number);
+            return Err(frame::corrupt(&name, length, "bytes follow the seal"));
+        }
+    }
+    let cut = last.length == 0 && before.last().is_none_or(|segment| segment.sealed);
+    if last.sealed || cut {
+        let detail = format!("the log's last segment {} is not whole", segment::name(last.number));
+        return Err(Error::new(Kind::StorageCorrupt, detail));
+    }
+    Ok(())
+}
+
+fn record(line: &Line) -> Record {
+    match line {
+        Line::Entries(entries) => Record::Entries(entries.clone()),
+        Line::Reset(position) => Record::Reset(*position),
+        Line::Commit(index) => Record::Commit(*index),
+        Line::Start(_) | Line::Seal => Record::Commit(0),
+    }
+}
+
+fn within(number: u64, error: &Error) -> Error {
+    Error::new(error.kind, format!("segment {}: {}", segment::name(number), error.detail))
+}
--- /dev/null
+++ b/lagoongauged/src/store/volume.rs
@@ -0,0 +1,160 @@
+//! A folder of files, as much of it as the store needs.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+use fs4::fs_std::FileExt;
+use lagoongauge::error::{Error, Kind, Result};
+
+/// Name of the file that is locked while the folder is in use.
+const LOCK: &str = "lock";
+
+/// A flat folder; nothing lasts before it is synced.
+pub trait Volume {
+    /// Lists the names of all files, sorted.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// Reads a whole file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Adds bytes to the end of a file, which is created if it is missing.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Replaces bytes within a file.
+    fn overwrite(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()>;
+
+    /// Cuts a file to a length.
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
+
+    /// Renames a file over another one.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Syncs a file's bytes and length.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Syncs the folder's list of names.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A folder on a disk, locked against other processes for as long as the value lives.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    open: Option<(String, File)>,
+    _lock: File,
+}
+
+impl Disk {
+    /// Locks a folder, which is created if it is missing.
+    pub fn create(folder: &Path) -> Result<Self> {
+        let shown = folder.display();
+        let failed = |error| broken(&format!("folder {shown} can't be created"), &error);
+        fs::create_dir_all(folder).map_err(failed)?;
+        Self::open(folder)
+    }
+
+    /// Locks an existing folder; fails with `NotFound` or `StorageLocked`.
+    pub fn open(folder: &Path) -> Result<Self> {
+        let shown = folder.display();
+        if !folder.is_dir() {
+            return Err(Error::new(Kind::NotFound, format!("there is no folder {shown}")));
+        }
+        let failed = |error| broken(&format!("folder {shown} can't be locked"), &error);
+        let path = folder.join(LOCK);
+        let options = OpenOptions::new().create(true).truncate(false).write(true).clone();
+        let lock = options.open(path).map_err(failed)?;
+        if !FileExt::try_lock_exclusive(&lock).map_err(failed)? {
+            let detail = format!("another process holds the data folder {shown}");
+            return Err(Error::new(Kind::StorageLocked, detail));
+        }
+        Ok(Self { folder: folder.to_path_buf(), open: None, _lock: lock })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        if self.open.as_ref().is_none_or(|(open, _)| open != name) {
+            let options = OpenOptions::new().create(true).truncate(false).write(true).clone();
+            let file = options.open(self.folder.join(name))?;
+            self.open = Some((name.to_string(), file));
+        }
+        let (_, file) = self.open.as_mut().expect("the file was opened above");
+        Ok(file)
+    }
+
+    fn forget(&mut self, name: &str) {
+        if self.open.as_ref().is_some_and(|(open, _)| open == name) {
+            self.open = None;
+        }
+    }
+}
+
+impl Volume for Disk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        File::open(self.folder.join(name))?.read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let file = self.file(name)?;
+        file.seek(SeekFrom::End(0))?;
+        file.write_all(bytes)
+    }
+
+    fn overwrite(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let file = self.file(name)?;
+        file.seek(SeekFrom::Start(offset))?;
+        file.write_all(bytes)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.forget(from);
+        self.forget(to);
+        fs::rename(self.folder.join(from), self.folder.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.forget(name);
+        fs::remove_file(self.folder.join(name))
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_all()
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+}
+
+/// Turns a failure of the disk into the error that it is answered with.
+pub(super) fn broken(what: &str, error: &io::Error) -> Error {
+    let kind = match error.kind() {
+        io::ErrorKind::StorageFull
+        | io::ErrorKind::QuotaExceeded
+        | io::ErrorKind::FileTooLarge
+        | io::ErrorKind::WriteZero => Kind::StorageFull,
+        io::ErrorKind::NotFound => Kind::StorageCorrupt,
+        _ => Kind::Internal,
+    };
+    Error::new(kind, format!("{what}: {error}"))
+}
--- /dev/null
+++ b/lagoongauged/tests/store/crash.rs
@@ -0,0 +1,96 @@
+//! Full disks, and crashes at any step of any write.
+
+use lagoongauge::error::Kind;
+use lagoongauge::replica::{Recovered, Store};
+use lagoongauged::store::{FileStore, format};
+use proptest::prelude::*;
+
+use crate::fake::{Fake, change, identity, initial};
+
+/// Bytes after which a segment is ended, small enough for several of them.
+const SEGMENT: u64 = 512;
+
+fn made() -> FileStore<Fake> {
+    let store = format(Fake::default(), identity(), &initial()).unwrap();
+    FileStore::with_limit(store.into_volume(), SEGMENT).unwrap()
+}
+
+fn after(state: &Recovered, index: u64) -> Recovered {
+    let mut state = state.clone();
+    for record in change(index) {
+        state.take(record).unwrap();
+    }
+    state
+}
+
+/// Whether `found` is `before` with at most the ballot and the snapshot of the next change.
+fn is_before(found: &Recovered, before: &Recovered, next: &Recovered) -> bool {
+    let entries = found.last() == before.last() || found.last() == next.last();
+    let ballot = found.ballot == before.ballot || found.ballot == next.ballot;
+    let snapshot = found.snapshot == before.snapshot || found.snapshot == next.snapshot;
+    let commit = found.commit >= before.commit && found.commit <= next.commit;
+    entries && ballot && snapshot && commit
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    #[test]
+    fn full_disk_refuses_and_leaves_the_state(
+        first in 280_u64..305, rooms in prop::collection::vec(0_usize..400, 1..30),
+    ) {
+        let mut store = made();
+        let mut state = initial();
+        for index in 2..first {
+            store.write(&change(index)).unwrap();
+            state = after(&state, index);
+        }
+        let mut index = first;
+        for room in rooms {
+            let mut fake = store.into_volume();
+            fake.room = room;
+            store = FileStore::with_limit(fake, SEGMENT).unwrap();
+            let next = after(&state, index);
+            match store.write(&change(index)) {
+                Ok(()) => {
+                    state = next;
+                    index += 1;
+                    prop_assert_eq!(&store.recover().unwrap(), &state);
+                }
+                Err(error) => {
+                    prop_assert_eq!(error.kind, Kind::StorageFull);
+                    let found = store.recover().unwrap();
+                    prop_assert!(found.snapshot == next.snapshot || found.last() == state.last());
+                    prop_assert!(is_before(&found, &state, &next));
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn crash_at_any_step_keeps_all_that_was_written(
+        first in 280_u64..305, steps in 0_usize..120, share: u8, names: bool,
+    ) {
+        let mut store = made();
+        let mut state = initial();
+        for index in 2..first {
+            store.write(&change(index)).unwrap();
+            state = after(&state, index);
+        }
+        let mut fake = store.into_volume();
+        fake.steps = steps;
+        let mut store = FileStore::with_limit(fake, SEGMENT).unwrap();
+        let mut index = first;
+        while store.write(&change(index)).is_ok() {
+            state = after(&state, index);
+            index += 1;
+        }
+        let next = after(&state, index);
+        let fake = store.into_volume().after_crash(share, names);
+        let mut store = FileStore::with_limit(fake, SEGMENT).unwrap();
+        let found = store.recover().unwrap();
+        prop_assert!(is_before(&found, &state, &next), "{found:?} after {state:?}");
+        store.write(&change(index)).unwrap();
+        prop_assert_eq!(store.recover().unwrap().last(), next.last());
+    }
+}
--- /dev/null
+++ b/lagoongauged/tests/store/fake.rs
@@ -0,0 +1,173 @@
+//! A volume in memory that runs out of room and loses what was not synced.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+
+use lagoongauge::id::HostId;
+use lagoongauge::replica::store::Ballot;
+use lagoongauge::replica::{
+    Configuration, Entry, Identity, Payload, Position, Record, Recovered, Snapshot,
+};
+use lagoongauged::store::Volume;
+
+/// A file with what of it is synced.
+#[derive(Debug, Clone, Default)]
+struct File {
+    bytes: Vec<u8>,
+    synced: Vec<u8>,
+}
+
+/// The volume.
+#[derive(Debug, Clone)]
+pub struct Fake {
+    files: Vec<File>,
+    names: BTreeMap<String, usize>,
+    synced: BTreeMap<String, usize>,
+    /// Bytes that may still be added; a write beyond is cut short.
+    pub room: usize,
+    /// Steps that change something before the process is killed.
+    pub steps: usize,
+}
+
+impl Default for Fake {
+    fn default() -> Self {
+        let (files, names, synced) = Default::default();
+        Self { files, names, synced, room: usize::MAX, steps: usize::MAX }
+    }
+}
+
+impl Fake {
+    /// The volume after its host lost power; `share` of 255 parts of what was not synced remain.
+    pub fn after_crash(&self, share: u8, names: bool) -> Self {
+        let part = |file: &File| {
+            let (old, new) = (&file.synced, &file.bytes);
+            let first = old.iter().zip(new).take_while(|(a, b)| a == b).count();
+            let reach = first + (new.len() - first) * usize::from(share) / 255;
+            let mut bytes = new[..reach].to_vec();
+            bytes.extend_from_slice(old.get(reach..).unwrap_or_default());
+            File { synced: bytes.clone(), bytes }
+        };
+        let kept = if names { &self.names } else { &self.synced };
+        Self {
+            files: self.files.iter().map(part).collect(),
+            names: kept.clone(),
+            synced: kept.clone(),
+            ..Self::default()
+        }
+    }
+
+    pub fn bytes_mut(&mut self, name: &str) -> &mut Vec<u8> {
+        let at = self.names[name];
+        &mut self.files[at].bytes
+    }
+
+    fn step(&mut self) -> io::Result<()> {
+        let killed = || io::Error::from(ErrorKind::Interrupted);
+        self.steps = self.steps.checked_sub(1).ok_or_else(killed)?;
+        Ok(())
+    }
+
+    fn file(&mut self, name: &str) -> &mut File {
+        let fresh = self.files.len();
+        let at = *self.names.entry(name.into()).or_insert(fresh);
+        if at == fresh {
+            self.files.push(File::default());
+        }
+        &mut self.files[at]
+    }
+}
+
+impl Volume for Fake {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.names.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let at = self.names.get(name).ok_or(ErrorKind::NotFound)?;
+        Ok(self.files[*at].bytes.clone())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.step()?;
+        let fits = bytes.len().min(self.room);
+        self.room -= fits;
+        self.file(name).bytes.extend_from_slice(&bytes[..fits]);
+        if fits < bytes.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn overwrite(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.step()?;
+        let offset = offset as usize;
+        self.file(name).bytes[offset..offset + bytes.len()].copy_from_slice(bytes);
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.step()?;
+        let file = self.file(name);
+        let freed = file.bytes.len() - length as usize;
+        file.bytes.truncate(length as usize);
+        self.room = self.room.saturating_add(freed);
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.step()?;
+        let at = self.names.remove(from).ok_or(ErrorKind::NotFound)?;
+        self.names.insert(to.into(), at);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.step()?;
+        let at = self.names.remove(name).ok_or(ErrorKind::NotFound)?;
+        self.room = self.room.saturating_add(self.files[at].bytes.len());
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.step()?;
+        let file = self.file(name);
+        file.synced = file.bytes.clone();
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.step()?;
+        self.synced = self.names.clone();
+        Ok(())
+    }
+}
+
+pub fn identity() -> Identity {
+    Identity { host: HostId(1), incarnation: 7 }
+}
+
+pub fn initial() -> Recovered {
+    Recovered::bootstrap(vec![identity()])
+}
+
+pub fn command(term: u64, index: u64) -> Entry {
+    let position = Position { term, index };
+    Entry { position, payload: Payload::Command(format!("change {index} of {term}").into()) }
+}
+
+/// The records of the change at `index`, with now and then a ballot, a snapshot or a commit.
+pub fn change(index: u64) -> Vec<Record> {
+    let term = 1 + index / 100;
+    let mut records = Vec::new();
+    if index.is_multiple_of(100) {
+        records.push(Record::Ballot(Ballot { term, vote: Some(identity()) }));
+    }
+    records.push(Record::Entries(vec![command(term, index)]));
+    if index.is_multiple_of(7) {
+        records.push(Record::Commit(index));
+    }
+    if index.is_multiple_of(301) {
+        let position = Position { term, index };
+        let configuration = Configuration::new(vec![identity()]);
+        let state = format!("state at {index}").into_bytes();
+        records.push(Record::Snapshot(Snapshot::new(position, configuration, &state)));
+    }
+    records
+}
