--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod daemon;
 pub mod entry;
 pub mod measure;
+pub mod store;
