Add lagoon-control with its data folder

Cause: the control host was a library only. Change: run, init, inspect, backup and restore with checked flags; lagoonctl follows a hinted leader once per round and tells a cut-short change from a refused one.

--- a/lagoongauge/src/settings/resolve.rs
+++ b/lagoongauge/src/settings/resolve.rs
@@ -26,6 +26,16 @@
         tree.nodes().filter_map(|(path, _)| place(path)).collect()
     }
 
+    /// Returns the entry hosts with their data centres, those that drain among them.
+    pub fn hosts(&self) -> Vec<(HostId, CentreId)> {
+        let tree = self.tree();
+        let place = |path: &Path| match path {
+            Path::Host(id) => Some((*id, CentreId(number(tree, path, "centre")))),
+            _ => None,
+        };
+        tree.nodes().filter_map(|(path, _)| place(path)).collect()
+    }
+
     /// Resolves every value through the levels of the tree.
     pub fn resolve(&self) -> Resolved {
         let tree = self.tree();
--- a/lagoongauged/src/bin/lagoon-control.rs
+++ b/lagoongauged/src/bin/lagoon-control.rs
@@ -1,2 +1,10 @@
-//! Placeholder.
-fn main() {}
+//! The control host; see docs/OPERATING.md.
+
+use std::process::ExitCode;
+
+use lagoongauged::control::{command, options};
+use lagoongauged::daemon::exit;
+
+fn main() -> ExitCode {
+    exit("lagoon-control", command::execute(options::parse()))
+}
--- a/lagoongauged/src/bin/lagoonctl.rs
+++ b/lagoongauged/src/bin/lagoonctl.rs
@@ -3,9 +3,10 @@
 use std::process::ExitCode;
 
 use lagoongauged::ctl::{self, Failure, Options, raw_options};
+use lagoongauged::daemon::flags;
 
 fn main() -> ExitCode {
-    let raw = raw_options().run();
+    let raw = flags::parse(raw_options());
     let json = raw.json;
     let result = Options::try_from(raw).map_err(Failure::from).and_then(ctl::run);
     match result {
--- a/lagoongauged/src/control/client.rs
+++ b/lagoongauged/src/control/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
+use async_std::task::sleep;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::executor::LocalPool;
 use futures::future::{Either, select};
@@ -114,33 +115,25 @@
         F: Future<Output = Result<T>>,
         C: Fn(operator::Client) -> F,
     {
-        let silent = || {
-            let detail = "no control host answered in time";
-            Fault::from(Error::new(Kind::Unreachable, detail))
-        };
-        let mut last = silent();
-        let mut unsure = false;
-        let attempts = async {
+        let mut attempts = Attempts::default();
+        let ended = LocalPool::new().run_until(timeout(self.limit, async {
             loop {
                 let mut addresses: Vec<String> =
                     self.controls.iter().map(ToString::to_string).collect();
-                while !addresses.is_empty() || !last.hint.is_empty() {
-                    let address = next(&mut addresses, &last.hint);
-                    // A call that is cut short by the limit may have run.
-                    let before = std::mem::replace(&mut last, silent());
-                    match once(&address, &call).await {
-                        Err(fault) if tries_elsewhere(fault.error.kind) => {
-                            unsure |= fault.error.kind == Kind::Unknown;
-                            last = telling(before, fault);
-                        }
+                while let Some(address) = attempts.next(&mut addresses) {
+                    attempts.open = true;
+                    let answer = once(&address, &call).await;
+                    attempts.open = false;
+                    match answer {
+                        Err(fault) if tries_elsewhere(fault.error.kind) => attempts.note(fault),
                         answer => return answer,
                     }
                 }
-                sleep_pause().await;
+                attempts.tried.clear();
+                sleep(PAUSE).await;
             }
-        };
-        let ended = LocalPool::new().run_until(timeout(self.limit, attempts));
-        ended.unwrap_or_else(|_| Err(if unsure { unknown(last) } else { last }))
+        }));
+        ended.unwrap_or_else(|_| Err(attempts.fault()))
     }
 
     async fn read_at(&self, client: operator::Client, query: Query<'_>) -> Result<Reading> {
@@ -209,6 +202,52 @@
     }
 }
 
+/// What became of the attempts of one call.
+#[derive(Debug, Default)]
+struct Attempts {
+    open: bool,
+    unsure: bool,
+    hint: String,
+    tried: Vec<String>,
+    last: Option<Fault>,
+}
+
+impl Attempts {
+    /// Takes the hinted leader, which the list may lack, or else the first address.
+    fn next(&mut self, addresses: &mut Vec<String>) -> Option<String> {
+        let hint = std::mem::take(&mut self.hint);
+        let address = if hint.is_empty() || self.tried.contains(&hint) {
+            (!addresses.is_empty()).then(|| addresses.remove(0))?
+        } else {
+            addresses.retain(|address| *address != hint);
+            hint
+        };
+        self.tried.push(address.clone());
+        Some(address)
+    }
+
+    /// Notes why an attempt failed; a host that did not answer tells less than one that did.
+    fn note(&mut self, fault: Fault) {
+        self.unsure |= fault.error.kind == Kind::Unknown;
+        self.hint.clone_from(&fault.hint);
+        let silent = fault.error.kind == Kind::Unreachable;
+        if !silent || self.last.is_none() {
+            self.last = Some(fault);
+        }
+    }
+
+    /// Returns why the call failed; an attempt that was cut short or not answered may have run.
+    fn fault(self) -> Fault {
+        let silent = Error::new(Kind::Unreachable, "no control host answered in time");
+        let last = self.last.unwrap_or_else(|| Fault::from(silent));
+        if !self.unsure && !self.open {
+            return last;
+        }
+        let detail = format!("the call may have run; before its end: {}", last.error);
+        Fault::from(Error::new(Kind::Unknown, detail))
+    }
+}
+
 async fn once<T, F: Future<Output = Result<T>>>(
     address: &str,
     call: &impl Fn(operator::Client) -> F,
@@ -230,19 +269,6 @@
     }
 }
 
-/// Takes the hinted leader, which the list may lack, or else the first address.
-fn next(addresses: &mut Vec<String>, hint: &str) -> String {
-    let known = addresses.iter().position(|address| address == hint);
-    match known {
-        None if !hint.is_empty() => hint.to_string(),
-        place => addresses.remove(place.unwrap_or_default()),
-    }
-}
-
-async fn sleep_pause() {
-    async_std::task::sleep(PAUSE).await;
-}
-
 /// Tells whether another control host, or the same one later, may answer better.
 ///
 /// A resend is safe, as a change carries its request id.
@@ -253,19 +279,6 @@
     )
 }
 
-/// Returns the fault that tells more of why no control host could help.
-fn telling(before: Fault, fault: Fault) -> Fault {
-    if fault.error.kind == Kind::Unreachable && before.error.kind != Kind::Unreachable {
-        return before;
-    }
-    fault
-}
-
-fn unknown(last: Fault) -> Fault {
-    let detail = format!("the change may have been accepted; then: {}", last.error);
-    Fault::from(Error::new(Kind::Unknown, detail))
-}
-
 fn lost(error: capnp::Error) -> Fault {
     Fault::from(broken(&error))
 }
--- a/lagoongauged/src/control/mod.rs
+++ b/lagoongauged/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod book;
 pub mod client;
+pub mod command;
 mod desk;
 mod engine;
 mod fault;
--- a/lagoongauged/src/control/options.rs
+++ b/lagoongauged/src/control/options.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, generate(raw_command))]
 pub enum RawCommand {
-    /// Runs a control host; the default.
+    /// Runs a control host.
     #[bpaf(command)]
     Run(#[bpaf(external(raw_run))] RawRun),
     /// Makes the data folder of the first control host of a new system and prints the token of
@@ -163,6 +163,11 @@
     }
 }
 
+/// Parses the command line; exits with code 2 on a wrong one.
+pub fn parse() -> RawCommand {
+    flags::parse(raw_command())
+}
+
 /// Reads the key of a host.
 pub fn host(value: Option<String>) -> Result<HostId> {
     let number: std::num::NonZeroU32 = flags::read("host", value, HOST)?;
--- a/lagoongauged/src/control/survey.rs
+++ b/lagoongauged/src/control/survey.rs
@@ -3,7 +3,7 @@
 use async_std::future::timeout;
 use futures::future::join_all;
 
-use lagoongauge::id::HostId;
+use lagoongauge::id::{CentreId, HostId};
 use lagoongauge::replica::Store;
 use lagoongauge::settings::Path;
 use lagoongauge_schema::control_capnp::control;
@@ -44,17 +44,16 @@
 
 /// Returns the entry hosts of the settings as if none had been heard.
 fn unheard<S: Store + 'static>(host: &Host<S>) -> Vec<EntryView> {
-    let resolved = host.engine.borrow().state().resolve();
-    let view = |(id, entry): (&HostId, &lagoongauge::settings::Host)| EntryView {
+    let view = |(id, centre): (HostId, CentreId)| EntryView {
         host: id.0,
-        centre: entry.centre.0,
+        centre: centre.0,
         control: 0,
         version: 0,
         unconfirmed: u64::MAX,
         silent: u64::MAX,
         report: String::new(),
     };
-    resolved.hosts.iter().map(view).collect()
+    host.engine.borrow().state().hosts().into_iter().map(view).collect()
 }
 
 async fn ask<S: Store + 'static>(
--- a/lagoongauged/src/ctl/commands.rs
+++ b/lagoongauged/src/ctl/commands.rs
@@ -132,7 +132,7 @@
         self.client.retire(host)?;
         match self.json {
             true => print::json(&serde_json::json!({ "retired": host })),
-            false => println!("host {host} is removed from the control hosts"),
+            false => print::line(format_args!("host {host} is removed from the control hosts")),
         }
         Ok(())
     }
@@ -156,7 +156,7 @@
                 let shown = serde_json::json!({ "token": made.token, "version": accepted.version });
                 print::json(&shown);
             }
-            false => println!("{}", made.token),
+            false => print::line(made.token),
         }
         Ok(())
     }
@@ -170,10 +170,10 @@
             print::json(&accepted);
             return Ok(());
         }
-        println!("accepted as version {}", accepted.version);
+        print::line(format_args!("accepted as version {}", accepted.version));
         if let Some(places) = accepted.places {
-            println!("in force on {:?}", places.force);
-            println!("behind: {:?}, cut off: {:?}", places.behind, places.silent);
+            print::line(format_args!("in force on {:?}", places.force));
+            print::line(format_args!("behind: {:?}, cut off: {:?}", places.behind, places.silent));
         }
         Ok(())
     }
--- a/lagoongauged/src/ctl/print.rs
+++ b/lagoongauged/src/ctl/print.rs
@@ -1,5 +1,9 @@
 //! Shows answers as tables or as JSON lines.
 
+use std::fmt::Display;
+use std::io::{Write, stdout};
+use std::process::exit;
+
 use serde::Serialize;
 
 use super::Failure;
@@ -11,13 +15,13 @@
 
 /// Prints a value as one JSON line.
 pub fn json<T: Serialize>(value: &T) {
-    println!("{}", serde_json::to_string(value).unwrap_or_default());
+    line(serde_json::to_string(value).unwrap_or_default());
 }
 
 /// Prints settings.
 pub fn reading(reading: &Reading) {
     let current = if reading.current { "" } else { ", not confirmed as current" };
-    println!("version {}{current}", reading.version);
+    line(format_args!("version {}{current}", reading.version));
     let rows = reading.entries.iter().map(|entry| {
         let origin = if entry.origin.is_empty() { "default" } else { &entry.origin };
         vec![entry.path.clone(), entry.key.clone(), entry.value.clone(), origin.to_string()]
@@ -29,14 +33,16 @@
 pub fn overview(overview: &Overview) {
     let leader = overview.controls.iter().find(|control| control.current);
     match leader {
-        Some(leader) => println!("version {}, host {} leads", leader.version, leader.host),
-        None => println!("version {}, no control host leads", overview.version),
+        Some(leader) => {
+            line(format_args!("version {}, host {} leads", leader.version, leader.host));
+        }
+        None => line(format_args!("version {}, no control host leads", overview.version)),
     }
     let controls = overview.controls.iter().map(control_row).collect();
     table(&["CONTROL", "CENTRE", "ROLE", "STATE", "VERSION", "TERM", "ADDRESS"], controls);
     hosts(overview);
     for entry in overview.entries.iter().filter(|entry| !entry.report.is_empty()) {
-        println!("host {} reports {}", entry.host, entry.report);
+        line(format_args!("host {} reports {}", entry.host, entry.report));
     }
 }
 
@@ -58,8 +64,8 @@
             "detail": fault.error.detail,
             "path": fault.path,
             "version": fault.version,
-            "ran": answer.ran,
-            "retry": answer.retry,
+            "ran": format!("{:?}", answer.ran).to_lowercase(),
+            "retry": format!("{:?}", answer.retry).to_lowercase(),
             "advice": failure.advice,
         }));
         return;
@@ -76,6 +82,13 @@
     }
 }
 
+/// Prints a line; ends the process where nobody reads it any more.
+pub fn line(text: impl Display) {
+    if writeln!(stdout(), "{text}").is_err() {
+        exit(0);
+    }
+}
+
 /// Prints rows in columns.
 pub fn table(head: &[&str], rows: Vec<Vec<String>>) {
     let head = head.iter().map(ToString::to_string).collect();
@@ -85,7 +98,7 @@
     let widths: Vec<usize> = (0..rows[0].len()).filter_map(width).collect();
     for row in &rows {
         let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
-        println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+        line(cells.collect::<Vec<_>>().join("  ").trim_end());
     }
 }
 
--- a/lagoongauged/src/daemon/flags.rs
+++ b/lagoongauged/src/daemon/flags.rs
@@ -2,12 +2,32 @@
 //! accepted.
 
 use std::fmt::Display;
-use std::fs;
 use std::str::FromStr;
+use std::{fs, process};
+
+use bpaf::{Args, OptionParser, ParseFailure};
 
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::wire::ClusterKey;
 
+/// Exit code for a command line that does not parse.
+const USAGE: i32 = 2;
+
+/// Columns of help texts.
+const WIDTH: usize = 100;
+
+/// Parses the command line; prints help, or what is wrong with it, and ends the process.
+pub fn parse<T>(parser: OptionParser<T>) -> T {
+    match parser.run_inner(Args::current_args()) {
+        Ok(value) => value,
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            let wrong = matches!(failure, ParseFailure::Stderr(_));
+            process::exit(if wrong { USAGE } else { 0 })
+        }
+    }
+}
+
 /// Reads a flag that has to be given.
 ///
 /// Returns `Usage` where it is missing or does not parse.
