Measure the data path, and relay packets in authenticated datagrams

Cause: nobody knew what a packet costs, and frames between entry hosts were plain. Change: lagoon-measure path times the decision on packets of known flows against a baseline without state, counts bytes a flow, and carries packets over loopback. entry::Link seals and opens the datagrams between entry hosts. Addresses are found by short keys and a hasher without key.

--- a/lagoongauge/src/forward/directory.rs
+++ b/lagoongauge/src/forward/directory.rs
@@ -1,9 +1,10 @@
 //! The addresses of services and targets at one moment, as an immutable snapshot.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use indexmap::IndexMap;
 
+use super::hash::AddressState;
 use super::{Addresses, Origin};
 use crate::flow::Protocol;
 use crate::id::{ServiceId, TargetId};
@@ -11,15 +12,22 @@
 /// Addresses of services and targets, built anew at each change and shared by the data threads.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
-    services: IndexMap<(Protocol, SocketAddr), ServiceId>,
-    origins: IndexMap<(Protocol, SocketAddr), Origin>,
-    targets: IndexMap<TargetId, SocketAddr>,
+    services: Table<ServiceId>,
+    origins: Table<Origin>,
+    targets: IndexMap<TargetId, SocketAddr, AddressState>,
+}
+
+/// Values by protocol, address and port, apart for each IP version so that keys stay short.
+#[derive(Debug, Clone)]
+struct Table<T> {
+    v4: IndexMap<u64, T, AddressState>,
+    v6: IndexMap<(u128, u32), T, AddressState>,
 }
 
 impl Directory {
     /// Adds a service.
     pub fn add_service(&mut self, protocol: Protocol, address: SocketAddr, service: ServiceId) {
-        self.services.insert((protocol, address), service);
+        self.services.insert(protocol, address, service);
     }
 
     /// Adds a target that packets go to and come from.
@@ -30,20 +38,53 @@
 
     /// Adds a target that has left, so that its late answers still reach their callers.
     pub fn add_former(&mut self, protocol: Protocol, address: SocketAddr, origin: Origin) {
-        self.origins.insert((protocol, address), origin);
+        self.origins.insert(protocol, address, origin);
     }
 }
 
 impl Addresses for Directory {
     fn service(&self, protocol: Protocol, address: SocketAddr) -> Option<ServiceId> {
-        self.services.get(&(protocol, address)).copied()
+        self.services.get(protocol, address).copied()
     }
 
     fn origin(&self, protocol: Protocol, address: SocketAddr) -> Option<Origin> {
-        self.origins.get(&(protocol, address)).copied()
+        self.origins.get(protocol, address).copied()
     }
 
     fn address(&self, target: TargetId) -> Option<SocketAddr> {
         self.targets.get(&target).copied()
     }
 }
+
+impl<T> Default for Table<T> {
+    fn default() -> Self {
+        Self { v4: IndexMap::default(), v6: IndexMap::default() }
+    }
+}
+
+impl<T> Table<T> {
+    fn get(&self, protocol: Protocol, address: SocketAddr) -> Option<&T> {
+        let end = end(protocol, address.port());
+        match address.ip() {
+            IpAddr::V4(ip) => self.v4.get(&(u64::from(ip.to_bits()) << 32 | u64::from(end))),
+            IpAddr::V6(ip) => self.v6.get(&(ip.to_bits(), end)),
+        }
+    }
+
+    fn insert(&mut self, protocol: Protocol, address: SocketAddr, value: T) {
+        let end = end(protocol, address.port());
+        match address.ip() {
+            IpAddr::V4(ip) => {
+                self.v4.insert(u64::from(ip.to_bits()) << 32 | u64::from(end), value);
+            }
+            IpAddr::V6(ip) => {
+                self.v6.insert((ip.to_bits(), end), value);
+            }
+        }
+    }
+}
+
+/// Returns protocol and port in one word.
+fn end(protocol: Protocol, port: u16) -> u32 {
+    u32::from(protocol.number()) << 16 | u32::from(port)
+}
--- a/lagoongauge/src/forward/mod.rs
+++ b/lagoongauge/src/forward/mod.rs
@@ -5,10 +5,12 @@
 //! docs/DESIGN.md.
 
 mod directory;
+mod hash;
 
 use std::net::SocketAddr;
 
 pub use self::directory::Directory;
+pub use self::hash::{AddressHasher, AddressState};
 use crate::flow::{FlowHash, HashKey, Protocol};
 use crate::id::{HostId, ServiceId, TargetId};
 use crate::packet::{Packet, Reason, Side, refuse, rewrite};
--- a/lagoongauged/examples/whole_path/main.rs
+++ b/lagoongauged/examples/whole_path/main.rs
@@ -12,8 +12,9 @@
 
 use lagoongauge::flow::{HashKey, Protocol};
 use lagoongauge::forward::{Directory, Origin};
-use lagoongauge::id::{ServiceId, TargetId};
-use lagoongauged::entry::{Plane, Sockets, View};
+use lagoongauge::id::{HostId, ServiceId, TargetId};
+use lagoongauge::wire::{Channel, ClusterKey, Session};
+use lagoongauged::entry::{Link, Plane, Sockets, View};
 
 use crate::caller::Callers;
 use crate::fabric::Fabric;
@@ -82,7 +83,8 @@
     let data = UdpSocket::bind("127.0.0.1:0")?;
     let address = data.local_addr()?;
     let peer = UdpSocket::bind("127.0.0.1:0")?;
-    let sockets = Sockets { data, peer, fabric: fabric.address()? };
+    let channel = Channel::new(HostId(1), Session(1), ClusterKey::new([1; 32]));
+    let sockets = Sockets { data, link: Link::new(peer, channel), fabric: fabric.address()? };
     let plane = Arc::new(Plane::new(HashKey([7; 16]), thin.clone(), sockets)?);
     plane.view.store(View { directory: directory.clone(), ..View::default() });
     let threads = plane.start(2)?;
--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 
 use lagoongauged::measure::meter::{self, Counting};
-use lagoongauged::measure::{capacity, policy};
+use lagoongauged::measure::{capacity, path, policy};
 
 /// Counts the memory that the measured structures take.
 #[global_allocator]
@@ -13,6 +13,9 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
+    /// Measures what the data path costs per packet and per flow.
+    #[bpaf(command)]
+    Path(#[bpaf(external(path::options))] path::Options),
     /// Measures the slopes behind docs/CAPACITY.md.
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::options))] capacity::Options),
@@ -23,6 +26,7 @@
 
 fn main() -> eyre::Result<()> {
     match command().run() {
+        Command::Path(options) => path::run(&options, &ALLOCATOR),
         Command::Capacity(options) => capacity::run(&options, &ALLOCATOR),
         Command::Policy(options) => policy::run(&options),
     }
--- a/lagoongauged/src/entry/mod.rs
+++ b/lagoongauged/src/entry/mod.rs
@@ -4,8 +4,8 @@
 //! what can't be carried is counted by reason. See "Data path" in docs/DESIGN.md.
 
 mod counters;
-mod frame;
 mod http;
+mod link;
 mod metrics;
 mod plane;
 mod settings;
@@ -13,7 +13,8 @@
 
 pub use self::counters::Counters;
 pub use self::http::{Api, serve};
+pub use self::link::{Link, Received};
 pub use self::metrics::{Metrics, Shown};
-pub use self::plane::{Plane, Sockets, View};
+pub use self::plane::{Plane, Sockets, View, Worker};
 pub use self::settings::{RawSettings, Settings, raw_options};
 pub use self::snapshot::{Reader, Snapshot};
--- a/lagoongauged/src/entry/plane.rs
+++ b/lagoongauged/src/entry/plane.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -13,10 +12,10 @@
 use lagoongauge::id::HostId;
 use lagoongauge::packet::Reason;
 use lagoongauge::route::Route;
-use lagoongauge::time::Instant;
 
-use super::frame::{MAX_DATAGRAM, read_relay, write_relay};
+use super::link::{Link, MAX_DATAGRAM};
 use super::{Counters, Reader, Snapshot};
+use crate::daemon::{Clock, Stop};
 
 /// How long a thread waits for a datagram before it looks whether it has to stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -36,7 +35,7 @@
     /// Carries packets from and to the fabric.
     pub data: UdpSocket,
     /// Carries relayed packets and messages between entry hosts.
-    pub peer: UdpSocket,
+    pub link: Link,
     /// Where the fabric takes packets.
     pub fabric: SocketAddr,
 }
@@ -52,41 +51,38 @@
     pub view: Snapshot<View>,
     /// Counts of what was done.
     pub counters: Counters,
-    sockets: Sockets,
-    started: std::time::Instant,
-    stopped: AtomicBool,
+    /// The data path's sockets.
+    pub sockets: Sockets,
+    /// Gives the instants.
+    pub clock: Clock,
+    stop: Stop,
 }
 
 /// One data thread's own buffers.
-struct Worker<'a, R> {
+#[derive(Debug)]
+pub struct Worker<'a, R> {
     plane: &'a Plane<R>,
     view: Reader<'a, View>,
     reply: Vec<u8>,
-    frame: Vec<u8>,
 }
 
 impl<R: Route + Send + Sync + 'static> Plane<R> {
     /// Builds the shared state around opened sockets.
     pub fn new(key: HashKey, route: R, sockets: Sockets) -> io::Result<Self> {
         sockets.data.set_read_timeout(Some(POLL))?;
-        sockets.peer.set_read_timeout(Some(POLL))?;
+        sockets.link.socket().set_read_timeout(Some(POLL))?;
         Ok(Self {
             key,
             route,
             view: Snapshot::new(View::default()),
             counters: Counters::default(),
             sockets,
-            started: std::time::Instant::now(),
-            stopped: AtomicBool::new(false),
+            clock: Clock::start(),
+            stop: Stop::default(),
         })
     }
 
-    /// Returns the current instant.
-    pub fn now(&self) -> Instant {
-        Instant(self.started.elapsed().as_millis() as u64)
-    }
-
-    /// Starts `threads` threads for the fabric's datagrams and one for those of peers.
+    /// Starts `threads` threads for the fabric's datagrams.
     pub fn start(self: &Arc<Self>, threads: usize) -> io::Result<Vec<JoinHandle<()>>> {
         let mut handles = Vec::new();
         for index in 0..threads {
@@ -94,21 +90,18 @@
             let builder = std::thread::Builder::new().name(format!("data-{index}"));
             handles.push(builder.spawn(move || plane.serve_fabric())?);
         }
-        let plane = Arc::clone(self);
-        let builder = std::thread::Builder::new().name("peer".to_owned());
-        handles.push(builder.spawn(move || plane.serve_peers())?);
         Ok(handles)
     }
 
     /// Lets the threads end once they have carried what they hold.
     pub fn stop(&self) {
-        self.stopped.store(true, Ordering::Release);
+        self.stop.raise();
     }
 
     fn serve_fabric(&self) {
         let mut worker = Worker::new(self);
         let mut buffer = vec![0; MAX_DATAGRAM];
-        while !self.stopped.load(Ordering::Acquire) {
+        while !self.stop.is_raised() {
             let Ok((len, from)) = self.sockets.data.recv_from(&mut buffer) else {
                 continue;
             };
@@ -119,41 +112,26 @@
             worker.carry(&mut buffer[..len], 0);
         }
     }
-
-    fn serve_peers(&self) {
-        let mut worker = Worker::new(self);
-        let mut buffer = vec![0; MAX_DATAGRAM];
-        while !self.stopped.load(Ordering::Acquire) {
-            let Ok((len, _)) = self.sockets.peer.recv_from(&mut buffer) else {
-                continue;
-            };
-            if let Some((hops, packet)) = read_relay(&mut buffer[..len]) {
-                worker.carry(packet, hops);
-            }
-        }
-    }
 }
 
 impl<'a, R: Route> Worker<'a, R> {
-    fn new(plane: &'a Plane<R>) -> Self {
-        Self { plane, view: plane.view.reader(), reply: Vec::new(), frame: Vec::new() }
+    /// Returns a worker for one thread.
+    pub fn new(plane: &'a Plane<R>) -> Self {
+        Self { plane, view: plane.view.reader(), reply: Vec::new() }
     }
 
     /// Decides on one packet and sends what follows from it.
-    fn carry(&mut self, bytes: &mut [u8], hops: u8) {
+    pub fn carry(&mut self, bytes: &mut [u8], hops: u8) {
         self.view.refresh();
         let plane = self.plane;
-        let now = Instant(plane.started.elapsed().as_millis() as u64);
+        let now = plane.clock.now();
         let parts = (&plane.route, &self.view.directory);
         let step = forward(now, &plane.key, parts, bytes, hops, &mut self.reply);
         plane.counters.count(&step);
         match step {
             Step::Send { len } => self.send(&bytes[..len]),
             Step::Refuse(_) => self.send(&self.reply),
-            Step::Relay { host, len } => {
-                write_relay(&mut self.frame, hops + 1, &bytes[..len]);
-                self.relay(host);
-            }
+            Step::Relay { host, len } => self.relay(host, hops + 1, &bytes[..len]),
             Step::Drop(_) => {}
         }
     }
@@ -165,12 +143,10 @@
         }
     }
 
-    fn relay(&self, host: HostId) {
-        let sent = self
-            .view
-            .peers
-            .get(&host)
-            .is_some_and(|peer| self.plane.sockets.peer.send_to(&self.frame, peer).is_ok());
+    fn relay(&self, host: HostId, hops: u8, packet: &[u8]) {
+        let sockets = &self.plane.sockets;
+        let peer = self.view.peers.get(&host);
+        let sent = peer.is_some_and(|peer| sockets.link.relay((host, *peer), hops, packet));
         if !sent {
             self.plane.counters.count_unsent();
         }
--- a/lagoongauged/src/measure/mod.rs
+++ b/lagoongauged/src/measure/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod capacity;
 pub mod meter;
+pub mod path;
 pub mod policy;
--- /dev/null
+++ b/lagoongauged/src/measure/path/decide.rs
@@ -0,0 +1,118 @@
+//! The decision per packet against a baseline without any state, at several numbers of flows.
+
+use std::hint::black_box;
+
+use lagoongauge::flow::{FlowHash, Signal};
+use lagoongauge::forward::{Step, forward};
+use lagoongauge::packet::{Packet, Side, rewrite};
+use lagoongauge::route::{Direction, Facts, Route, Verdict};
+use serde::Serialize;
+
+use super::Options;
+use super::flows::{Flows, KEY, TARGETS, directory, service, target};
+use super::known::Known;
+use crate::measure::meter::{Counting, memory, processor};
+
+/// Figures of one number of flows; times in nanoseconds, without making the packet.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    measure: &'static str,
+    flows: usize,
+    packets: usize,
+    runs: usize,
+    baseline_ns: f64,
+    decision_ns: f64,
+    ratio: f64,
+    parse_ns: f64,
+    hash_ns: f64,
+    route_ns: f64,
+    rewrite_ns: f64,
+    record_bytes_per_flow: f64,
+    bytes_per_flow: f64,
+}
+
+/// Measures decision and baseline in turns, so that both meet the same disturbances.
+pub fn measure(count: usize, options: &Options, allocator: &Counting) -> Figures {
+    let (packets, runs) = (options.packets, options.runs.max(1));
+    let mut flows = Flows::new(count);
+    let (known, bytes) = memory(allocator, || Known::new(&flows));
+    let directory = directory();
+    let now = known.now();
+    let hashes: Vec<_> = flows.opens().collect();
+    let mut times: [Vec<f64>; 6] = Default::default();
+    let mut reply = Vec::new();
+    for _ in 0..runs {
+        let make = time(&mut flows, packets, |flows, _| {
+            black_box(&flows.packet);
+        });
+        let baseline = time(&mut flows, packets, |flows, _| modulo(&mut flows.packet));
+        let decision = time(&mut flows, packets, |flows, _| {
+            let parts = (&known.router, &directory);
+            let step = forward(now, &KEY, parts, &mut flows.packet, 0, &mut reply);
+            assert!(matches!(step, Step::Send { .. }), "a known flow was not sent: {step:?}");
+        });
+        let parse = time(&mut flows, packets, |flows, _| {
+            black_box(Packet::parse(&flows.packet).is_ok());
+        });
+        let hash = time(&mut flows, packets, |flows, _| {
+            let packet = Packet::parse(&flows.packet).expect("the packet is whole");
+            black_box(FlowHash::new(&KEY, &packet.tuple(Direction::Inward, service())));
+        });
+        let route = time(&mut flows, packets, |_, index| {
+            let facts = Facts { signal: Signal::Middle, ..hashes[index] };
+            let verdict = known.router.route(now, &facts);
+            assert!(matches!(verdict, Verdict::Forward(_)));
+        });
+        let found = [baseline - make, decision - make, parse - make, hash - make, route - make];
+        for (list, value) in times.iter_mut().zip(found) {
+            list.push(value);
+        }
+        times[5].push(baseline - hash);
+    }
+    let [baseline, decision, parse, hash, route, rewrite] = times.map(median);
+    Figures {
+        measure: "decision",
+        flows: count,
+        packets,
+        runs,
+        baseline_ns: baseline,
+        decision_ns: decision,
+        ratio: decision / baseline,
+        parse_ns: parse,
+        hash_ns: hash - parse,
+        route_ns: route,
+        rewrite_ns: rewrite,
+        record_bytes_per_flow: known.record_bytes() as f64 / count as f64,
+        bytes_per_flow: bytes / count as f64,
+    }
+}
+
+/// The baseline: parse, hash to a target by modulo, rewrite.
+fn modulo(bytes: &mut [u8]) {
+    let packet = Packet::parse(bytes).expect("the packet is whole");
+    let flow = FlowHash::new(&KEY, &packet.tuple(Direction::Inward, service()));
+    let end = target((flow.0 % u64::from(TARGETS)) as u8);
+    rewrite(bytes, &packet, Side::Destination, end).expect("the packet can be rewritten");
+    black_box(bytes);
+}
+
+/// Returns the nanoseconds of processor time that `work` takes per packet, with making the packet.
+fn time(flows: &mut Flows, packets: usize, mut work: impl FnMut(&mut Flows, usize)) -> f64 {
+    let ((), seconds) = processor(|| {
+        let mut index = 0;
+        for _ in 0..packets {
+            flows.fill(index);
+            work(flows, index);
+            index += 1;
+            if index == flows.len() {
+                index = 0;
+            }
+        }
+    });
+    seconds * 1e9 / packets as f64
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
--- /dev/null
+++ b/lagoongauged/src/measure/path/known.rs
@@ -0,0 +1,112 @@
+//! The real routing of one host that knows many flows.
+
+use indexmap::IndexMap;
+use lagoongauge::flow::Protocol;
+use lagoongauge::id::{CentreId, HostId, MemberId};
+use lagoongauge::route::{Candidate, CandidateState, Election, Facts, Route, Router, Verdict};
+use lagoongauge::settings::{Host, Resolved, Service};
+use lagoongauge::time::{Instant, Span};
+
+use super::flows::{Flows, KEY, SERVICE, TARGETS, service, target_id};
+
+/// The only host of the group.
+const OWN: HostId = HostId(1);
+
+/// Logarithm to base 2 of the number of buckets.
+const BUCKET_BITS: u8 = 14;
+
+/// Time between two ticks.
+const TICK: Span = Span::millis(50);
+
+/// Most ticks until the routing serves.
+const MAX_TICKS: usize = 10_000;
+
+/// A router with a record of each flow, on the home of all buckets.
+#[derive(Debug)]
+pub struct Known {
+    /// The router.
+    pub router: Router,
+    now: Instant,
+}
+
+impl Known {
+    /// Brings a router up and opens each flow at it.
+    pub fn new(flows: &Flows) -> Self {
+        let now = Instant(Span::seconds(3600).0);
+        let router = Router::new(OWN, KEY, 1, now);
+        router.apply(now, &settings());
+        let candidates: Vec<Candidate> = (0..TARGETS)
+            .map(|index| Candidate {
+                target: target_id(index),
+                weight: 100,
+                state: CandidateState::New,
+            })
+            .collect();
+        router.targets(now, SERVICE, &candidates);
+        let mut known = Self { router, now };
+        known.settle(flows);
+        for facts in flows.opens() {
+            let verdict = known.router.route(known.now, &facts);
+            assert!(matches!(verdict, Verdict::Forward(_)), "a flow was not opened: {verdict:?}");
+        }
+        known
+    }
+
+    /// Returns the instant at which the flows are known.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Returns the bytes that the records take.
+    pub fn record_bytes(&self) -> usize {
+        self.router.status(self.now).record_bytes
+    }
+
+    /// Lets time pass until the router opens flows.
+    fn settle(&mut self, flows: &Flows) {
+        let probe = flows.opens().next().expect("there is a flow");
+        for _ in 0..MAX_TICKS {
+            self.now = self.now + TICK;
+            let until = self.now + Span::seconds(3600);
+            self.router.elect(self.now, Election { holder: Some((OWN, 1)), until });
+            self.router.tick(self.now);
+            if self.forwards(&probe) {
+                return;
+            }
+        }
+        panic!("the router opened no flow within {MAX_TICKS} ticks");
+    }
+
+    fn forwards(&self, facts: &Facts) -> bool {
+        matches!(self.router.route(self.now, facts), Verdict::Forward(_))
+    }
+}
+
+/// Returns settings with one service and one host.
+fn settings() -> Resolved {
+    let address = service();
+    let peer = address;
+    let service = Service {
+        member: MemberId(1),
+        name: "booking".to_owned(),
+        protocol: Protocol::Tcp,
+        address,
+        bucket_bits: BUCKET_BITS,
+        max_flows: u32::MAX,
+        max_rate: u32::MAX,
+        idle_limit: Span::seconds(7200),
+        drain_limit: Span::seconds(7200),
+        slow_start: Span::seconds(30),
+        established_goal: 999_000,
+        unbroken_goal: 999_900,
+        answer_goal: Span::seconds(1),
+        imbalance_goal: 1_200,
+    };
+    Resolved {
+        version: 1,
+        services: IndexMap::from([(SERVICE, service)]),
+        groups: IndexMap::from([(SERVICE, 1)]),
+        hosts: IndexMap::from([(OWN, Host { centre: CentreId(1), group: 1, peer })]),
+        ..Resolved::default()
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/measure/path/mod.rs
@@ -0,0 +1,52 @@
+//! Measures what an entry host's data path costs per packet and per flow.
+
+mod decide;
+mod flows;
+mod known;
+mod loopback;
+
+use bpaf::Bpaf;
+
+use crate::measure::meter::Counting;
+
+/// Known flows of the measurements if none are given.
+const FLOWS: [usize; 5] = [1_000, 10_000, 100_000, 300_000, 1_000_000];
+
+/// What the data path measurement runs.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Known flows, once for each measurement; five sizes up to 1,000,000 if not given.
+    #[bpaf(argument("COUNT"), many)]
+    pub flows: Vec<usize>,
+    /// Packets in each timed run.
+    #[bpaf(argument("COUNT"), fallback(2_000_000))]
+    pub packets: usize,
+    /// Timed runs of each kind; the median counts.
+    #[bpaf(argument("COUNT"), fallback(7))]
+    pub runs: usize,
+    /// Threads of the entry process over loopback.
+    #[bpaf(argument("COUNT"), fallback(2))]
+    pub threads: usize,
+    /// Length of the run over loopback in seconds; 0 leaves it out.
+    #[bpaf(argument("SECONDS"), fallback(5))]
+    pub seconds: u64,
+}
+
+/// Runs the measurement and prints one JSON line for each number of flows and one for loopback.
+///
+/// # Errors
+///
+/// Fails where no socket on loopback can be opened.
+pub fn run(options: &Options, allocator: &Counting) -> eyre::Result<()> {
+    let counts = if options.flows.is_empty() { &FLOWS } else { options.flows.as_slice() };
+    for &count in counts {
+        let figures = decide::measure(count.max(1), options, allocator);
+        println!("{}", serde_json::to_string(&figures)?);
+    }
+    if options.seconds > 0 {
+        let figures = loopback::measure(options.threads.max(1), options.seconds)?;
+        println!("{}", serde_json::to_string(&figures)?);
+    }
+    Ok(())
+}
