--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod daemon;
 pub mod entry;
 pub mod measure;
+pub mod store;
