--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balance;
 pub mod burn;
+pub mod distribute;
 pub mod error;
 pub mod flow;
 pub mod forward;
