Look logarithms up and shift weights in one table

Cause: a table of 65,536 buckets cost hundreds of milliseconds, and each target's weight changed at a time of its own. Change: the rendezvous logarithm comes from a table of 1,024 steps; weights that follow open flows change together every ten seconds and only past what chance brings about.

--- a/lagoongauge/src/balance/mod.rs
+++ b/lagoongauge/src/balance/mod.rs
@@ -27,10 +27,14 @@
 const LOW_LOAD: u16 = 700;
 /// How long a report counts after it was heard.
 const REPORT_AGE: Span = Span::seconds(15);
-/// Shortest time between two changes of one target's weight that are no drain, ramp or failure.
+/// Time between two changes of weights that are no drain, ramp or failure; all go into one table.
 const DAMPING: Span = Span::seconds(10);
-/// Ratio of a target's flows for each slot to the mean, in thousandths, that is left alone.
-const QUIET_RATIO: u64 = 1040;
+/// Least difference of a target's flows from the mean, in thousandths, that costs or brings weight.
+const QUIET: u64 = 40;
+/// Difference in thousandths that chance alone brings about, times the root of the mean of flows.
+const NOISE: u64 = 2500;
+/// Difference in thousandths that is worth one part of the weight.
+const FLOW_STEP: u64 = 20;
 /// Open flows below which a mean says nothing.
 const MIN_FLOWS: u64 = 50;
 
@@ -86,7 +90,6 @@
     since: Instant,
     new: bool,
     factor: u32,
-    changed: Instant,
     health: Health,
     load: Option<(u16, Instant)>,
     loaded: bool,
@@ -96,13 +99,13 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     targets: IndexMap<TargetId, Weighed>,
-    flows_shift: bool,
+    next_shift: Instant,
 }
 
 impl Balancer {
-    /// Builds a balancer that also moves weight away from targets with many open flows.
+    /// Builds a balancer that knows no target yet.
     pub fn new() -> Self {
-        Self { targets: IndexMap::new(), flows_shift: true }
+        Self::default()
     }
 
     /// Starts from the weights in force, such as when this host begins to plan.
@@ -136,6 +139,10 @@
         self.judge_loads(now, known);
         let mean = mean_by_slot(known);
         let settled = known.iter().any(|one| one.ready && !self.targets[&one.target].new);
+        let shifts = now >= self.next_shift;
+        if shifts {
+            self.next_shift = now + DAMPING;
+        }
         let mut shares = Vec::with_capacity(known.len());
         for one in known {
             let weighed = &mut self.targets[&one.target];
@@ -146,8 +153,7 @@
             if !settled || now.since(weighed.since) >= slow_start {
                 weighed.new = false;
             }
-            let flows = if self.flows_shift { flow_parts(one, mean) } else { 0 };
-            weighed.settle(now, slow_start, flows);
+            weighed.settle(now, slow_start, flow_parts(one, mean), shifts);
             let weight = weighed.factor * SLOT_WEIGHT / PARTS * u32::from(one.slots);
             let weight = u16::try_from(weight).unwrap_or(u16::MAX);
             shares.push(Share { target: one.target, weight });
@@ -162,7 +168,6 @@
                 since: now,
                 new: true,
                 factor: 0,
-                changed: Instant::default(),
                 health: Health::default(),
                 load: None,
                 loaded: false,
@@ -206,21 +211,19 @@
 }
 
 impl Weighed {
-    fn settle(&mut self, now: Instant, slow_start: Span, flows: i64) {
+    fn settle(&mut self, now: Instant, slow_start: Span, flows: i64, shifts: bool) {
         if self.new {
             self.factor = self.factor.max(ramp(now.since(self.since), slow_start));
             self.factor = self.factor.min(self.health.limit(PARTS));
-            self.changed = now;
             return;
         }
         let report = if self.loaded { REPORT_SHARE } else { 0 };
         let wanted = (i64::from(PARTS) + flows - i64::from(report)).max(1) as u32;
         let wanted = wanted.min(self.health.limit(PARTS + FLOW_SHARE));
         let urgent = self.factor == 0 || self.health.is_failing();
-        if self.factor == wanted || (!urgent && now.since(self.changed) < DAMPING) {
+        if !urgent && !shifts {
             return;
         }
-        self.changed = now;
         self.factor = if urgent { wanted } else { step_to(self.factor, wanted) };
     }
 }
@@ -253,15 +256,15 @@
 
 /// Returns the parts by which a target's weight differs from the full one for its open flows.
 fn flow_parts(one: &Known, mean: u64) -> i64 {
-    let ratio = ratio(one, mean) as i64;
-    let over = ratio - 1000;
-    let quiet = QUIET_RATIO as i64 - 1000;
-    if over.abs() <= quiet {
+    let ratio = ratio(one, mean);
+    let expected = mean * u64::from(one.slots) / 1000;
+    let quiet = QUIET.max(NOISE / expected.max(1).isqrt());
+    let over = ratio.abs_diff(1000);
+    if over <= quiet {
         return 0;
     }
-    // One part for each two hundredths past the quiet zone.
-    let parts = (over.abs() - quiet) / 20 + 1;
-    -over.signum() * parts.min(i64::from(FLOW_SHARE))
+    let parts = ((over - quiet) / FLOW_STEP + 1).min(u64::from(FLOW_SHARE)) as i64;
+    if ratio > 1000 { -parts } else { parts }
 }
 
 #[cfg(test)]
--- a/lagoongauge/src/route/table.rs
+++ b/lagoongauge/src/route/table.rs
@@ -10,6 +10,15 @@
 /// Fraction bits of the fixed-point logarithm.
 const FRACTION_BITS: u32 = 16;
 
+/// Steps between which the logarithm is taken as a line.
+const LOG_STEPS: usize = 1024;
+
+/// Bits of a mantissa below its step.
+const STEP_BITS: u32 = 21;
+
+/// Fractions of the logarithms of the steps from 1 to 2.
+static LOGS: [u32; LOG_STEPS + 1] = logs();
+
 /// The weighted targets of a service, from which every host works out the same buckets.
 ///
 /// A target of weight 0 takes no new flows, but its established flows go on. A target that is
@@ -79,17 +88,40 @@
 fn log_cost(x: u64) -> u32 {
     let x = x | 1;
     let zeros = x.leading_zeros();
-    let mut mantissa = (x << zeros) >> 32;
+    let mantissa = (x << zeros) >> 32;
+    let index = ((mantissa >> STEP_BITS) & (LOG_STEPS as u64 - 1)) as usize;
+    let rest = (mantissa & ((1 << STEP_BITS) - 1)) as u32;
+    let (low, high) = (LOGS[index], LOGS[index + 1]);
+    let fraction = low + (((high - low) as u64 * rest as u64) >> STEP_BITS) as u32;
+    ((zeros + 1) << FRACTION_BITS) - fraction
+}
+
+/// Works out the fractions of the logarithms of all steps, and of 2 at the end.
+const fn logs() -> [u32; LOG_STEPS + 1] {
+    let mut logs = [1 << FRACTION_BITS; LOG_STEPS + 1];
+    let mut step = 0;
+    while step < LOG_STEPS {
+        logs[step] = log_fraction((1 << 31) | (step as u64) << STEP_BITS);
+        step += 1;
+    }
+    logs
+}
+
+/// Returns the binary logarithm of `mantissa / 2^31`, which lies between 0 and 1.
+const fn log_fraction(mantissa: u64) -> u32 {
+    let mut mantissa = mantissa;
     let mut fraction = 0;
-    for _ in 0..FRACTION_BITS {
+    let mut bit = 0;
+    while bit < FRACTION_BITS {
         mantissa = (mantissa * mantissa) >> 31;
         fraction <<= 1;
         if mantissa >= 1 << 32 {
             mantissa >>= 1;
             fraction |= 1;
         }
+        bit += 1;
     }
-    ((zeros + 1) << FRACTION_BITS) - fraction
+    fraction
 }
 
 #[cfg(test)]
