--- a/lagoongauged/src/control/mod.rs
+++ b/lagoongauged/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod book;
 pub mod client;
+pub mod command;
 mod desk;
 mod engine;
 mod fault;
@@ -14,6 +15,7 @@
 mod link;
 mod links;
 mod notify;
+pub mod options;
 mod run;
 mod seal;
 mod server;
