--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -3,8 +3,7 @@
 use bpaf::Bpaf;
 
 use lagoongauged::measure::meter::{self, Counting};
-use lagoongauged::measure::{capacity, path, policy};
-use lagoongauged::measure::{capacity, policy, replica};
+use lagoongauged::measure::{capacity, path, policy, replica};
 
 /// Counts the memory that the measured structures take.
 #[global_allocator]
