--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 
 use lagoongauged::measure::meter::{self, Counting};
-use lagoongauged::measure::{capacity, path, policy};
+use lagoongauged::measure::{capacity, path, policy, replica};
 
 /// Counts the memory that the measured structures take.
 #[global_allocator]
@@ -22,6 +22,9 @@
     /// Measures the routing decisions under change, load and faults.
     #[bpaf(command)]
     Policy(#[bpaf(external(policy::options))] policy::Options),
+    /// Measures the replicated log.
+    #[bpaf(command)]
+    Replica(#[bpaf(external(replica::options))] replica::Options),
 }
 
 fn main() -> eyre::Result<()> {
@@ -29,5 +32,6 @@
         Command::Path(options) => path::run(&options, &ALLOCATOR),
         Command::Capacity(options) => capacity::run(&options, &ALLOCATOR),
         Command::Policy(options) => policy::run(&options),
+        Command::Replica(options) => replica::run(&options, &ALLOCATOR),
     }
 }
--- a/lagoongauged/src/measure/mod.rs
+++ b/lagoongauged/src/measure/mod.rs
@@ -6,3 +6,4 @@
 pub mod meter;
 pub mod path;
 pub mod policy;
+pub mod replica;
