Wait for a service's targets to gather before its first table

Cause: each target that joined at the start made a table of its own; the buckets that it moved were held for the idle limit, and flows opened in them were lost with their home. Status scans all buckets and was asked three times a tick.

--- a/lagoongauge/src/node/mod.rs
+++ b/lagoongauge/src/node/mod.rs
@@ -282,10 +282,10 @@
     }
 
     fn tick_registry(&self, now: Instant, control: &Control, actions: &mut Vec<Action>) {
-        let status = self.router.status(now);
+        let status = self.router.outline(now);
         self.router.limits().share(status.hosts.len(), &control.settings);
         let mut registry = self.write();
-        registry.view(now, status.stamp.epoch, &status.hosts, status.leased);
+        registry.view(now, status.epoch, &status.hosts, status.leased);
         registry.tick(now);
         drain(&mut registry, actions);
     }
@@ -308,7 +308,7 @@
     }
 
     fn weigh(&self, now: Instant, control: &mut Control) {
-        let planning = self.router.status(now).planning;
+        let planning = self.router.outline(now).planning;
         let Control { settings, policy, .. } = control;
         let registry = self.read();
         let mut entries = IndexMap::<ServiceId, Vec<_>>::new();
--- a/lagoongauge/src/node/policy.rs
+++ b/lagoongauge/src/node/policy.rs
@@ -13,6 +13,10 @@
 
 /// Time between two workings of the weights.
 const WEIGH_INTERVAL: Span = Span::seconds(1);
+/// How long a service's first table waits for further targets, as each table moves buckets.
+const GATHER: Span = Span::seconds(4);
+/// How long it waits at most.
+const MAX_GATHER: Span = Span::seconds(12);
 /// Most reports kept until they are taken in.
 const MAX_HEARD: usize = 4096;
 
@@ -29,6 +33,15 @@
     planning: bool,
     next: Instant,
     shares: Vec<Share>,
+    gathering: Option<Gathering>,
+}
+
+/// Targets that a service had when the newest of them was heard of.
+#[derive(Debug, Clone, Copy)]
+struct Gathering {
+    count: usize,
+    first: Instant,
+    last: Instant,
 }
 
 impl Policy {
@@ -53,14 +66,16 @@
             planning: false,
             next: now,
             shares: Vec::new(),
+            gathering: None,
         });
         let known = known(now, router, id, entries);
+        let table = router.table(id);
+        if table.is_empty() && !weigher.has_gathered(now, &known) {
+            return;
+        }
         if !planning || !weigher.planning {
-            weigher.shares = router
-                .table(id)
-                .into_iter()
-                .map(|(target, weight)| Share { target, weight })
-                .collect();
+            let share = |(target, weight)| Share { target, weight };
+            weigher.shares = table.into_iter().map(share).collect();
             weigher.balancer.follow(now, &known, &weigher.shares);
         }
         for seen in
@@ -81,6 +96,21 @@
 }
 
 impl Weigher {
+    /// Tells whether no further target came up for a while before the first table.
+    fn has_gathered(&mut self, now: Instant, known: &[Known]) -> bool {
+        let count = known.iter().filter(|one| one.ready).count();
+        if count == 0 {
+            self.gathering = None;
+            return false;
+        }
+        let gathering = self.gathering.get_or_insert(Gathering { count, first: now, last: now });
+        if count > gathering.count {
+            gathering.last = now;
+        }
+        gathering.count = count;
+        now >= gathering.last + GATHER || now >= gathering.first + MAX_GATHER
+    }
+
     fn weight(&self, one: &Known) -> u16 {
         weight(&self.shares, one.target)
     }
--- a/lagoongauge/src/route/mod.rs
+++ b/lagoongauge/src/route/mod.rs
@@ -29,7 +29,7 @@
 pub use message::{Action, Beat, Event, Gift, Gifts, Message, Part, Pins, Settled, Steps};
 pub use plan::{Layout, Plan, Stamp, Step, View};
 pub use record::{Key, Record};
-pub use router::{Candidate, CandidateState, Election, Router, Status};
+pub use router::{Candidate, CandidateState, Election, Outline, Router, Status};
 pub use table::Table;
 
 /// Which way a packet goes.
--- a/lagoongauge/src/route/router.rs
+++ b/lagoongauge/src/route/router.rs
@@ -70,6 +70,19 @@
     pub pending: u32,
 }
 
+/// What other parts of a host need to know of its routing at each tick.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outline {
+    /// Epoch of the planner that added the last step.
+    pub epoch: u64,
+    /// Whether the host may act.
+    pub leased: bool,
+    /// Whether the host plans for its group.
+    pub planning: bool,
+    /// The homes of the view.
+    pub hosts: Vec<HostId>,
+}
+
 /// Routing of one entry host; `A` are the limits that it asks before it opens a flow.
 #[derive(Debug)]
 pub struct Router<A = Unlimited> {
@@ -123,6 +136,17 @@
         core.follower.leaving && out && known && !core.giving() && !core.handover.busy()
     }
 
+    /// Returns what other parts of the host need to know at each tick.
+    pub fn outline(&self, now: Instant) -> Outline {
+        let core = self.read();
+        Outline {
+            epoch: core.plan.stamp.epoch,
+            leased: core.leased(now),
+            planning: core.planner.as_ref().is_some_and(|p| p.active() && p.until > now),
+            hosts: core.plan.view.hosts.clone(),
+        }
+    }
+
     /// Returns the router's state for operators.
     pub fn status(&self, now: Instant) -> Status {
         let core = self.read();
