Run the whole path with real control hosts and entry hosts

Cause: the example's routing and settings were stand-ins, and lagoon-entry did not exist. Change: entry::EntryHost joins the node, the authenticated link, the subscription to the settings, HTTP, and a planned stop; lagoon-entry is a thin program around it. The example whole_path starts 3 control hosts and 4 entry hosts in 2 data centres over real TCP and UDP on loopback, adds and drains a target, stops an entry host and changes a setting.

--- a/lagoongauge/src/forward/mod.rs
+++ b/lagoongauge/src/forward/mod.rs
@@ -11,10 +11,11 @@
 
 pub use self::directory::Directory;
 pub use self::hash::{AddressHasher, AddressState};
-use crate::flow::{FlowHash, HashKey, Protocol};
+use crate::flow::{FlowHash, HashKey, Protocol, Signal};
 use crate::id::{HostId, ServiceId, TargetId};
+use crate::node::{Node, Observation};
 use crate::packet::{Packet, Reason, Side, refuse, rewrite};
-use crate::route::{Direction, Facts, Route, Verdict};
+use crate::route::{Admit, Direction, Facts, Route, Router, Verdict};
 use crate::time::Instant;
 
 /// Relays after which a packet is dropped, so that hosts that disagree never pass it in a circle.
@@ -43,6 +44,20 @@
     fn address(&self, target: TargetId) -> Option<SocketAddr>;
 }
 
+/// Takes note of what targets do; by default of nothing.
+pub trait Observe {
+    /// Notes what a target did.
+    fn observe(&self, _target: TargetId, _observation: Observation) {}
+}
+
+impl<A: Admit> Observe for Router<A> {}
+
+impl Observe for Node {
+    fn observe(&self, target: TargetId, observation: Observation) {
+        Self::observe(self, target, observation);
+    }
+}
+
 /// What to do with a packet once it was decided on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -67,7 +82,7 @@
 /// Decides on the packet in `bytes`, which `hops` entry hosts have relayed so far.
 ///
 /// The packet is rewritten in place; a refusal is built in `reply`.
-pub fn forward<R: Route, A: Addresses>(
+pub fn forward<R: Route + Observe, A: Addresses>(
     now: Instant,
     key: &HashKey,
     (route, addresses): (&R, &A),
@@ -82,12 +97,12 @@
     let Some((facts, address)) = facts(key, addresses, &packet, hops) else {
         return Step::Drop(Reason::Stray);
     };
-    let (side, end) = match route.route(now, &facts) {
+    let (side, end, target) = match route.route(now, &facts) {
         Verdict::Forward(target) => match addresses.address(target) {
-            Some(end) => (Side::Destination, end),
+            Some(end) => (Side::Destination, end, Some(target)),
             None => return Step::Drop(Reason::Stray),
         },
-        Verdict::Answer => (Side::Source, address),
+        Verdict::Answer => (Side::Source, address, facts.source),
         Verdict::Relay(_) if hops >= MAX_RELAYS => return Step::Drop(Reason::Relays),
         Verdict::Relay(host) => return Step::Relay { host, len: packet.len },
         Verdict::Refuse(kind) if refuse(bytes, &packet, reply) => return Step::Refuse(kind),
@@ -97,10 +112,29 @@
     if wrong {
         return Step::Drop(Reason::Verdict(crate::error::Kind::Internal));
     }
-    match rewrite(bytes, &packet, side, end) {
-        Ok(()) => Step::Send { len: packet.len },
-        Err(reason) => Step::Drop(reason),
+    if let Err(reason) = rewrite(bytes, &packet, side, end) {
+        return Step::Drop(reason);
     }
+    if let Some((target, observation)) = observation(&packet, &facts, target) {
+        route.observe(target, observation);
+    }
+    Step::Send { len: packet.len }
+}
+
+/// Returns what a packet that is sent on tells of its target.
+fn observation(
+    packet: &Packet,
+    facts: &Facts,
+    target: Option<TargetId>,
+) -> Option<(TargetId, Observation)> {
+    let seen = match (facts.direction, packet.signal) {
+        (Direction::Inward, Signal::Open | Signal::OpenData) => Observation::Opened,
+        (Direction::Outward, _) if packet.accepts => Observation::Answered,
+        (Direction::Outward, Signal::Reset) => Observation::Reset,
+        (Direction::Outward, _) if packet.is_error() => Observation::Silent,
+        _ => return None,
+    };
+    Some((target?, seen))
 }
 
 /// Finds what the routing needs to know, and the service's address.
--- a/lagoongauge/tests/packet.rs
+++ b/lagoongauge/tests/packet.rs
@@ -8,7 +8,7 @@
 };
 use lagoongauge::error::Kind;
 use lagoongauge::flow::{FlowHash, HashKey, Protocol, Signal, Tuple};
-use lagoongauge::forward::{Directory, MAX_RELAYS, Origin, Step, forward};
+use lagoongauge::forward::{Directory, MAX_RELAYS, Observe, Origin, Step, forward};
 use lagoongauge::id::{HostId, ServiceId, TargetId};
 use lagoongauge::packet::{Packet, Reason, Side, rewrite};
 use lagoongauge::route::{Direction, Facts, Route, Verdict};
@@ -106,6 +106,10 @@
     }
 }
 
+impl Observe for Always {}
+
+impl Observe for Path {}
+
 fn directory(protocol: Protocol) -> Directory {
     let mut directory = Directory::default();
     for (v6, target) in [(false, TargetId(5)), (true, TargetId(6))] {
@@ -117,7 +121,7 @@
     directory
 }
 
-fn carry<R: Route>(route: &R, bytes: &mut [u8], hops: u8) -> (Step, Vec<u8>) {
+fn carry<R: Route + Observe>(route: &R, bytes: &mut [u8], hops: u8) -> (Step, Vec<u8>) {
     let protocol = Packet::parse(bytes).map_or(Protocol::Tcp, |packet| packet.protocol);
     let mut reply = Vec::new();
     let directory = directory(protocol);
--- a/lagoongauged/examples/whole_path/caller.rs
+++ b/lagoongauged/examples/whole_path/caller.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use smoltcp::iface::SocketHandle;
@@ -13,7 +13,7 @@
 use crate::stack::{Stack, socket};
 
 /// Length of a request and of an answer, in bytes.
-pub const REQUEST: usize = 64;
+pub const REQUEST: usize = 16;
 
 /// Pause between an answer and the next request.
 const PAUSE: Duration = Duration::from_millis(40);
@@ -26,26 +26,20 @@
 pub struct Request {
     pub flow: u32,
     pub round: u32,
-    pub service: u16,
-    pub target: u16,
+    pub service: u32,
+    pub target: u32,
 }
 
 impl Request {
     /// Reads a request or an answer.
-    pub fn read(bytes: &[u8; REQUEST]) -> Self {
-        let half = |at| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
-        let word = |at| u32::from(half(at)) << 16 | u32::from(half(at + 2));
-        Self { flow: word(0), round: word(4), service: half(8), target: half(10) }
+    pub fn read(bytes: [u8; REQUEST]) -> Self {
+        let word = |at: usize| u32::from_be_bytes(bytes.as_chunks().0[at]);
+        Self { flow: word(0), round: word(1), service: word(2), target: word(3) }
     }
 
     /// Writes a request or an answer.
-    pub fn write(self) -> [u8; REQUEST] {
-        let mut bytes = [0; REQUEST];
-        bytes[..4].copy_from_slice(&self.flow.to_be_bytes());
-        bytes[4..8].copy_from_slice(&self.round.to_be_bytes());
-        bytes[8..10].copy_from_slice(&self.service.to_be_bytes());
-        bytes[10..12].copy_from_slice(&self.target.to_be_bytes());
-        bytes
+    pub fn write(self) -> Vec<u8> {
+        [self.flow, self.round, self.service, self.target].map(u32::to_be_bytes).concat()
     }
 }
 
@@ -64,11 +58,10 @@
     thread: JoinHandle<Outcome>,
 }
 
-/// One connection.
 struct Flow {
     handle: SocketHandle,
     request: Request,
-    target: Option<u16>,
+    target: Option<u32>,
     rounds: u32,
     waiting: bool,
     since: Instant,
@@ -78,15 +71,14 @@
     /// Opens `count` flows to a service; every second one ends and begins anew now and then.
     pub fn start(
         ip: IpAddr,
-        service: (SocketAddr, u16),
+        service: (SocketAddr, u32),
         count: usize,
         fabric: &Arc<Fabric>,
     ) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
         let stack = Stack::new(ip, u64::from(service.1), fabric);
         let stop = Arc::clone(&stopped);
-        let thread = std::thread::spawn(move || call(stack, service, count, &stop));
-        Self { stopped, thread }
+        Self { stopped, thread: thread::spawn(move || call(stack, service, count, &stop)) }
     }
 
     /// Lets every flow end with its last answer, and returns what was seen.
@@ -98,24 +90,22 @@
 
 fn call(
     mut stack: Stack,
-    service: (SocketAddr, u16),
+    (address, service): (SocketAddr, u32),
     count: usize,
     stopped: &AtomicBool,
 ) -> Outcome {
     let mut outcome = Outcome::default();
     let mut flows: Vec<Flow> = Vec::new();
-    let mut next = 0;
     loop {
         stack.poll();
         let stop = stopped.load(Ordering::Acquire);
         if !stop && flows.len() < count {
-            flows.push(open(&mut stack, service.0, next));
+            flows.push(open(&mut stack, address, outcome.flows as u32));
             outcome.flows += 1;
-            next += 1;
         }
         flows.retain_mut(|flow| {
             let socket = stack.sockets.get_mut::<tcp::Socket>(flow.handle);
-            let keep = flow.step(socket, service.1, stop, &mut outcome);
+            let keep = flow.step(socket, service, stop, &mut outcome);
             if !keep {
                 stack.sockets.remove(flow.handle);
             }
@@ -130,9 +120,8 @@
 fn open(stack: &mut Stack, service: SocketAddr, flow: u32) -> Flow {
     let mut socket = socket();
     let port = 1024 + (flow % 60_000) as u16;
-    socket
-        .connect(stack.iface.context(), (service.ip(), service.port()), port)
-        .expect("the socket is new");
+    let end = (service.ip(), service.port());
+    socket.connect(stack.iface.context(), end, port).expect("the socket is new");
     let rounds = if flow.is_multiple_of(2) { u32::MAX } else { 20 + flow % 50 };
     let request = Request { flow, ..Request::default() };
     let handle = stack.sockets.add(socket);
@@ -144,25 +133,13 @@
     fn step(
         &mut self,
         socket: &mut tcp::Socket<'_>,
-        service: u16,
+        service: u32,
         stop: bool,
         outcome: &mut Outcome,
     ) -> bool {
-        if !socket.is_open() || socket.state() == tcp::State::TimeWait {
-            let whole = self.rounds == 0;
-            if !whole {
-                eprintln!(
-                    "broken flow {:?} after {:?} {:?}",
-                    self.request,
-                    self.since.elapsed(),
-                    socket.state()
-                );
-            }
-            outcome.broken += u64::from(!whole);
-            return false;
-        }
-        if self.since.elapsed() > PATIENCE {
-            outcome.broken += 1;
+        let ended = !socket.is_open() || socket.state() == tcp::State::TimeWait;
+        if ended || self.since.elapsed() > PATIENCE {
+            outcome.broken += u64::from(!ended || self.rounds > 0);
             return false;
         }
         if self.waiting && socket.recv_queue() >= REQUEST {
@@ -171,7 +148,6 @@
         let idle = !self.waiting && socket.may_send();
         if idle && (stop || self.rounds == 0) {
             self.rounds = 0;
-            self.since = Instant::now();
             socket.close();
         } else if idle && self.since.elapsed() >= PAUSE {
             let _ = socket.send_slice(&self.request.write());
@@ -181,13 +157,12 @@
         true
     }
 
-    fn take(&mut self, socket: &mut tcp::Socket<'_>, service: u16, outcome: &mut Outcome) {
+    fn take(&mut self, socket: &mut tcp::Socket<'_>, service: u32, outcome: &mut Outcome) {
         let mut bytes = [0; REQUEST];
         let _ = socket.recv_slice(&mut bytes);
-        let answer = Request::read(&bytes);
-        let own = Request { service, target: answer.target, ..self.request };
+        let answer = Request::read(bytes);
         let target = *self.target.get_or_insert(answer.target);
-        outcome.misrouted += u64::from(answer != own || target != answer.target);
+        outcome.misrouted += u64::from(answer != Request { service, target, ..self.request });
         outcome.answers += 1;
         self.request.round += 1;
         self.rounds -= 1;
--- a/lagoongauged/examples/whole_path/main.rs
+++ b/lagoongauged/examples/whole_path/main.rs
@@ -1,109 +1,162 @@
 //! The main job: callers reach targets through entry hosts while everything around them changes.
+//!
+//! Three control hosts, four entry hosts in two data centres, and targets of two members run in
+//! threads of this process over loopback. The fabric, the callers and the targets are fakes on a
+//! TCP stack of its own. One JSON line tells what happened; the exit code is not zero if a flow
+//! broke or went astray.
 
 mod caller;
 mod fabric;
+mod site;
 mod stack;
 mod target;
-mod thin;
 
-use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
-use lagoongauge::flow::{HashKey, Protocol};
-use lagoongauge::forward::{Directory, Origin};
-use lagoongauge::id::{HostId, ServiceId, TargetId};
-use lagoongauge::wire::{Channel, ClusterKey, Session};
-use lagoongauged::entry::{Link, Plane, Sockets, View};
+use eyre::ensure;
+use lagoongauge::id::CentreId;
+use serde::Serialize;
 
-use crate::caller::Callers;
+use crate::caller::{Callers, Outcome};
 use crate::fabric::Fabric;
+use crate::site::{Site, wait};
 use crate::target::Target;
-use crate::thin::Thin;
 
+/// Seed of the order in which the fabric sprays.
 const SEED: u64 = 20_261_203;
 
+/// Callers of each service at a time.
+const CALLERS: usize = 150;
+
+/// Pause between two changes.
+const PAUSE: Duration = Duration::from_secs(6);
+
+/// How long a drained target may still get new flows.
+const DRAIN_DELAY: Duration = Duration::from_secs(5);
+
+/// Targets at the start, three for each service; the last one of the first service joins later.
+const TARGETS: [(usize, &str); 7] = [
+    (0, "10.1.0.1:8443"),
+    (0, "10.1.0.2:8443"),
+    (0, "10.1.0.3:8443"),
+    (1, "[fd00:2::1]:8443"),
+    (1, "[fd00:2::2]:8443"),
+    (1, "[fd00:2::3]:8443"),
+    (0, "10.1.0.4:8443"),
+];
+
+/// What happened; times in milliseconds.
+#[derive(Debug, Default, Serialize)]
+struct Report {
+    flows: u64,
+    answers: u64,
+    broken: u64,
+    misrouted: u64,
+    imbalance: f64,
+    imbalance_before_changes: f64,
+    control_bytes_per_host_per_second: f64,
+    flows_of_added_target: usize,
+    late_flows_of_drained_target: usize,
+    setting_in_force_ms: u128,
+    host_left_clean: bool,
+    packets: u64,
+    relayed: u64,
+    dropped: u64,
+    seconds: f64,
+}
+
 fn main() -> eyre::Result<()> {
-    let fabric = Arc::new(Fabric::new(SEED)?);
-    let delivery = fabric.start();
-    let services: [(SocketAddr, u16); 2] =
-        [("10.99.0.1:443".parse()?, 1), ("[fd00:99::1]:443".parse()?, 2)];
-    let targets = targets(&fabric)?;
-    let mut directory = Directory::default();
-    let mut thin = Thin::default();
-    for (address, service) in services {
-        directory.add_service(Protocol::Tcp, address, ServiceId(u32::from(service)));
-    }
-    for (index, (service, target)) in targets.iter().enumerate() {
-        let id = TargetId(index as u64 + 1);
-        let (address, number) = services[*service];
-        let service = ServiceId(u32::from(number));
-        directory.add_target(
-            Protocol::Tcp,
-            target.address,
-            Origin { target: id, service, address },
-        );
-        thin.add(service, id, 100);
-    }
-    let mut hosts = Vec::new();
-    for _ in 0..4 {
-        hosts.push(host(&fabric, &thin, &directory)?);
-    }
-    fabric.set_hosts(hosts.iter().map(|host| host.0).collect());
+    let begun = Instant::now();
+    let fabric = Fabric::start(SEED)?;
+    let centres = [1, 1, 2, 2].map(CentreId);
+    let mut site = Site::start(&centres, fabric.address()?)?;
+    fabric.set_hosts(site.data());
+    let targets: Vec<_> = TARGETS[..6].iter().map(|one| start(one, &site, &fabric)).collect();
+    wait("the targets are known", || site.knows(6))?;
+    sleep(PAUSE / 2);
+
     let callers: Vec<Callers> = [("192.0.2.1", 0), ("2001:db8::1", 1)]
         .into_iter()
         .map(|(ip, service)| {
-            let ip: IpAddr = ip.parse().expect("an address");
-            Callers::start(ip, services[service], 150, &fabric)
+            let ip: IpAddr = ip.parse().expect("the address is well-formed");
+            Callers::start(ip, site.services[service], CALLERS, &fabric)
         })
         .collect();
-    std::thread::sleep(Duration::from_secs(8));
-    let open: Vec<_> =
-        targets.iter().map(|(_, target)| (target.open(), target.accepted())).collect();
-    let outcomes: Vec<_> = callers.into_iter().map(Callers::stop).collect();
-    for (_, plane, threads) in hosts {
-        plane.stop();
-        println!("sent {} dropped {}", plane.counters.sent(), plane.counters.all_dropped());
-        threads.into_iter().for_each(|thread| thread.join().expect("a data thread panicked"));
-    }
-    targets.into_iter().for_each(|(_, target)| target.stop());
-    fabric.stop();
-    delivery.join().expect("the fabric's thread panicked");
-    println!("{open:?} {outcomes:?}");
-    let failed = outcomes.iter().any(|outcome| outcome.broken + outcome.misrouted > 0);
-    if failed {
-        eyre::bail!("a flow broke or went astray");
+    let (start_bytes, start_time) = (site.control_bytes(), Instant::now());
+    sleep(PAUSE);
+    let mut report = Report { imbalance_before_changes: imbalance(&targets), ..Report::default() };
+    report.change(&mut site, &fabric, targets)?;
+    let elapsed = start_time.elapsed().as_secs_f64();
+    let bytes = site.control_bytes() - start_bytes;
+    report.control_bytes_per_host_per_second = bytes as f64 / elapsed / centres.len() as f64;
+    for callers in callers {
+        report.count(callers.stop());
     }
+    (report.packets, report.relayed, report.dropped) = site.packets();
+    site.stop();
+    report.seconds = begun.elapsed().as_secs_f64();
+    println!("{}", serde_json::to_string(&report)?);
+    ensure!(report.broken + report.misrouted == 0, "a flow broke or went astray");
     Ok(())
 }
 
-type Host = (SocketAddr, Arc<Plane<Thin>>, Vec<std::thread::JoinHandle<()>>);
-
-fn host(fabric: &Arc<Fabric>, thin: &Thin, directory: &Directory) -> eyre::Result<Host> {
-    let data = UdpSocket::bind("127.0.0.1:0")?;
-    let address = data.local_addr()?;
-    let peer = UdpSocket::bind("127.0.0.1:0")?;
-    let channel = Channel::new(HostId(1), Session(1), ClusterKey::new([1; 32]));
-    let sockets = Sockets { data, link: Link::new(peer, channel), fabric: fabric.address()? };
-    let plane = Arc::new(Plane::new(HashKey([7; 16]), thin.clone(), sockets)?);
-    plane.view.store(View { directory: directory.clone(), ..View::default() });
-    let threads = plane.start(2)?;
-    Ok((address, plane, threads))
-}
+impl Report {
+    /// Adds a target, drains one, stops an entry host and changes a setting.
+    fn change(
+        &mut self,
+        site: &mut Site,
+        fabric: &Arc<Fabric>,
+        mut targets: Vec<Arc<Target>>,
+    ) -> eyre::Result<()> {
+        let added = start(&TARGETS[6], site, fabric);
+        targets.push(Arc::clone(&added));
+        sleep(PAUSE);
+
+        let drained = targets.remove(4);
+        *drained.state.lock().expect("no thread panicked") = "draining";
+        sleep(DRAIN_DELAY);
+        let accepted = drained.accepted.load(Ordering::Relaxed);
+
+        let leaver = site.leave();
+        fabric.set_hosts(site.data());
+        self.host_left_clean = leaver.shut_down();
+        sleep(PAUSE);
+
+        let changed = Instant::now();
+        site.set("rate", &[("/tsenkher/booking", "max_rate", "5000")])?;
+        self.setting_in_force_ms = changed.elapsed().as_millis();
+        sleep(PAUSE);
+        self.imbalance = imbalance(&targets);
+        self.flows_of_added_target = added.accepted.load(Ordering::Relaxed);
+        self.late_flows_of_drained_target = drained.accepted.load(Ordering::Relaxed) - accepted;
+        Ok(())
+    }
 
-fn targets(fabric: &Arc<Fabric>) -> eyre::Result<Vec<(usize, Target)>> {
-    let addresses = [
-        ("10.1.0.1:8443", 0),
-        ("10.1.0.2:8443", 0),
-        ("10.1.0.3:8443", 0),
-        ("[fd00:2::1]:8443", 1),
-        ("[fd00:2::2]:8443", 1),
-        ("[fd00:2::3]:8443", 1),
-    ];
-    let mut targets = Vec::new();
-    for (index, (address, service)) in addresses.into_iter().enumerate() {
-        let number = service as u16 + 1;
-        targets.push((service, Target::start(address.parse()?, number, index as u16, fabric)));
+    fn count(&mut self, outcome: Outcome) {
+        self.flows += outcome.flows;
+        self.answers += outcome.answers;
+        self.broken += outcome.broken;
+        self.misrouted += outcome.misrouted;
     }
-    Ok(targets)
+}
+
+fn start((service, address): &(usize, &str), site: &Site, fabric: &Arc<Fabric>) -> Arc<Target> {
+    let address: SocketAddr = address.parse().expect("the address is well-formed");
+    let name = TARGETS.iter().position(|one| one.1.parse() == Ok(address)).unwrap_or(0) as u32;
+    Target::start(address, (site.services[*service].1, name), fabric, &site.http())
+}
+
+/// Returns the worst ratio of the fullest target's open flows to the mean over the services.
+fn imbalance(targets: &[Arc<Target>]) -> f64 {
+    let ratio = |service: u32| {
+        let own = targets.iter().filter(|target| target.service == service);
+        let open: Vec<usize> = own.map(|one| one.open.load(Ordering::Relaxed)).collect();
+        let most = open.iter().max().copied().unwrap_or(0);
+        (most * open.len()) as f64 / open.iter().sum::<usize>().max(1) as f64
+    };
+    targets.iter().map(|target| ratio(target.service)).fold(0.0, f64::max)
 }
--- /dev/null
+++ b/lagoongauged/examples/whole_path/site.rs
@@ -0,0 +1,164 @@
+//! The real parts: control hosts and entry hosts in threads of this process, over loopback.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use eyre::{OptionExt, bail};
+use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::settings::Hash;
+use lagoongauge::time::Span;
+use lagoongauged::control::fleet::{Plan, Running};
+use lagoongauged::daemon::LogLevel;
+use lagoongauged::entry::{Bound, EntryHost, Settings};
+
+/// Longest wait for something that has to come about.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Key of the first entry host.
+const FIRST_HOST: u32 = 11;
+
+/// Paths of the services with their addresses.
+const SERVICES: [(&str, &str); 2] =
+    [("/tsenkher/booking", "10.99.0.1:443"), ("/columbia/queue", "[fd00:99::1]:443")];
+
+/// A running system.
+pub struct Site {
+    /// Address and key of each service.
+    pub services: Vec<(SocketAddr, u32)>,
+    plan: Plan,
+    controls: Vec<Running>,
+    hosts: Vec<(EntryHost, SocketAddr, SocketAddr)>,
+}
+
+impl Site {
+    /// Starts three control hosts and an entry host for each data centre given.
+    pub fn start(centres: &[CentreId], fabric: SocketAddr) -> eyre::Result<Self> {
+        let mut plan = Plan::new(&[1, 1, 2].map(CentreId))?;
+        let controls = plan.start()?;
+        plan.wait_ready(PATIENCE)?;
+        let mut site = Self { services: Vec::new(), plan, controls, hosts: Vec::new() };
+        let mut values = Vec::new();
+        for (index, centre) in centres.iter().enumerate() {
+            let host = HostId(FIRST_HOST + index as u32);
+            let peer = site.start_host(host, *centre, fabric)?;
+            let path = format!("/hosts/{}", host.0);
+            values.push((path.clone(), "centre", centre.0.to_string()));
+            values.push((path, "peer", peer.to_string()));
+        }
+        for ((path, address), networks) in SERVICES.iter().zip(["10.1.0.0/16", "fd00:2::/64"]) {
+            let member = path.rsplit_once('/').map_or("", |(member, _)| member);
+            values.push((member.to_owned(), "networks", networks.to_owned()));
+            values.push((member.to_owned(), "slow_start", "2s".to_owned()));
+            values.push(((*path).to_owned(), "address", (*address).to_owned()));
+        }
+        let values: Vec<_> = values.iter().map(|(a, b, c)| (a.as_str(), *b, c.as_str())).collect();
+        site.set("begin", &values)?;
+        site.admit_targets()?;
+        wait("the entry hosts are ready", || site.hosts.iter().all(|host| host.0.is_ready()))?;
+        Ok(site)
+    }
+
+    /// Returns the addresses of the fabric's side of the entry hosts.
+    pub fn data(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.1).collect()
+    }
+
+    /// Returns the addresses that targets announce themselves at.
+    pub fn http(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.2).collect()
+    }
+
+    /// Returns whether every entry host knows so many targets.
+    pub fn knows(&self, targets: usize) -> bool {
+        self.hosts.iter().all(|host| host.0.targets() == targets)
+    }
+
+    /// Returns the bytes that the entry hosts spent on control so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.hosts.iter().map(|host| host.0.control_bytes()).sum()
+    }
+
+    /// Returns the packets that were sent, relayed and dropped.
+    pub fn packets(&self) -> (u64, u64, u64) {
+        self.hosts.iter().map(|host| &host.0.plane().counters).fold((0, 0, 0), |sum, one| {
+            (sum.0 + one.sent(), sum.1 + one.relayed(), sum.2 + one.all_dropped())
+        })
+    }
+
+    /// Sets values and waits until they are in force at every entry host.
+    pub fn set(&self, request: &str, values: &[(&str, &str, &str)]) -> eyre::Result<()> {
+        let version = self.plan.set(request, values).map_err(|fault| fault.error)?;
+        wait("the settings are in force", || {
+            self.hosts.iter().all(|host| host.0.version() >= version)
+        })
+    }
+
+    /// Takes the last entry host out and lets it leave.
+    pub fn leave(&mut self) -> EntryHost {
+        let (host, ..) = self.hosts.pop().expect("there is an entry host");
+        host.leave();
+        host
+    }
+
+    /// Ends everything.
+    pub fn stop(self) {
+        self.hosts.into_iter().for_each(|host| host.0.end());
+        drop(self.controls);
+    }
+
+    fn start_host(
+        &mut self,
+        host: HostId,
+        centre: CentreId,
+        fabric: SocketAddr,
+    ) -> eyre::Result<SocketAddr> {
+        let bound = Bound {
+            data: UdpSocket::bind("127.0.0.1:0")?,
+            peer: UdpSocket::bind("127.0.0.1:0")?,
+            http: TcpListener::bind("127.0.0.1:0")?,
+        };
+        let (data, peer) = (bound.data.local_addr()?, bound.peer.local_addr()?);
+        let http = bound.http.local_addr()?;
+        let settings = Settings {
+            host,
+            centre,
+            data,
+            fabric,
+            peer,
+            http,
+            control: self.plan.book.addresses(),
+            cluster_key: self.plan.key.clone(),
+            threads: 2,
+            drain_limit: Span::seconds(10),
+            log_level: LogLevel(log::LevelFilter::Off),
+        };
+        self.hosts.push((EntryHost::start(&settings, bound)?, data, http));
+        Ok(peer)
+    }
+
+    /// Gives the targets of each service's member their token.
+    fn admit_targets(&mut self) -> eyre::Result<()> {
+        let known = self.hosts[0].0.services();
+        for (path, address) in SERVICES {
+            let (_, key) = known.iter().find(|one| one.0 == path).ok_or_eyre("no such service")?;
+            self.services.push((address.parse()?, key.0));
+            let member = path.rsplit_once('/').map_or("", |(member, _)| member);
+            let hash = Hash::new([7; 16], &format!("secret-{}", key.0)).to_string();
+            self.set(path, &[(member, "target_tokens", &hash)])?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until `done` holds.
+pub fn wait(what: &str, done: impl Fn() -> bool) -> eyre::Result<()> {
+    let begun = Instant::now();
+    while begun.elapsed() < PATIENCE {
+        if done() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(20));
+    }
+    bail!("waited in vain until {what}")
+}
--- a/lagoongauged/examples/whole_path/stack.rs
+++ b/lagoongauged/examples/whole_path/stack.rs
@@ -1,6 +1,5 @@
 //! A smoltcp stack with one address behind the fabric.
 
-use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
@@ -14,13 +13,10 @@
 
 use crate::fabric::Fabric;
 
-/// Longest wait for a packet between two polls.
-const WAIT: Duration = Duration::from_millis(1);
-
 /// A network interface on the fabric.
 struct Port {
     inbox: Receiver<Vec<u8>>,
-    queue: VecDeque<Vec<u8>>,
+    next: Option<Vec<u8>>,
     fabric: Arc<Fabric>,
 }
 
@@ -34,8 +30,7 @@
 impl Stack {
     /// Attaches a stack with this address to the fabric.
     pub fn new(ip: IpAddr, seed: u64, fabric: &Arc<Fabric>) -> Self {
-        let inbox = fabric.attach(ip);
-        let mut port = Port { inbox, queue: VecDeque::new(), fabric: Arc::clone(fabric) };
+        let mut port = Port { inbox: fabric.attach(ip), next: None, fabric: Arc::clone(fabric) };
         let mut config = Config::new(HardwareAddress::Ip);
         config.random_seed = seed;
         let mut iface = Interface::new(config, &mut port, Instant::now());
@@ -45,10 +40,7 @@
 
     /// Waits shortly for packets and lets the sockets act on them.
     pub fn poll(&mut self) {
-        if let Ok(packet) = self.port.inbox.recv_timeout(WAIT) {
-            self.port.queue.push_back(packet);
-        }
-        self.port.queue.extend(self.port.inbox.try_iter());
+        self.port.next = self.port.inbox.recv_timeout(Duration::from_millis(1)).ok();
         self.iface.poll(Instant::now(), &mut self.port, &mut self.sockets);
     }
 }
@@ -63,15 +55,15 @@
 
 impl Device for Port {
     type RxToken<'a> = Received;
-    type TxToken<'a> = Outgoing<'a>;
+    type TxToken<'a> = &'a Fabric;
 
-    fn receive(&mut self, _: Instant) -> Option<(Received, Outgoing<'_>)> {
-        let packet = self.queue.pop_front()?;
-        Some((Received(packet), Outgoing(&self.fabric)))
+    fn receive(&mut self, _: Instant) -> Option<(Received, &Fabric)> {
+        let packet = self.next.take().or_else(|| self.inbox.try_recv().ok())?;
+        Some((Received(packet), &*self.fabric))
     }
 
-    fn transmit(&mut self, _: Instant) -> Option<Outgoing<'_>> {
-        Some(Outgoing(&self.fabric))
+    fn transmit(&mut self, _: Instant) -> Option<&Fabric> {
+        Some(&*self.fabric)
     }
 
     fn capabilities(&self) -> DeviceCapabilities {
@@ -90,13 +82,11 @@
     }
 }
 
-struct Outgoing<'a>(&'a Fabric);
-
-impl TxToken for Outgoing<'_> {
+impl TxToken for &Fabric {
     fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, len: usize, f: F) -> R {
         let mut packet = vec![0; len];
         let result = f(&mut packet);
-        self.0.spray(&packet);
+        self.spray(&packet);
         result
     }
 }
--- a/lagoongauged/examples/whole_path/target.rs
+++ b/lagoongauged/examples/whole_path/target.rs
@@ -1,9 +1,11 @@
-//! Targets: smoltcp servers that answer each request with their own name.
+//! Targets: smoltcp servers that answer each request with their own name and announce themselves.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread::JoinHandle;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
 
 use smoltcp::socket::tcp;
 
@@ -14,84 +16,96 @@
 /// Sockets that wait for a SYN.
 const LISTENERS: usize = 192;
 
-/// A running target.
+/// A target as the scenario sees it.
 pub struct Target {
-    pub address: SocketAddr,
-    open: Arc<AtomicUsize>,
-    accepted: Arc<AtomicUsize>,
-    stopped: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
+    pub service: u32,
+    pub state: Mutex<&'static str>,
+    pub open: AtomicUsize,
+    pub accepted: AtomicUsize,
+    pub announced: AtomicU16,
 }
 
 impl Target {
-    /// Starts a target of a service; `name` goes into each answer.
-    pub fn start(address: SocketAddr, service: u16, name: u16, fabric: &Arc<Fabric>) -> Self {
-        let open = Arc::new(AtomicUsize::new(0));
-        let accepted = Arc::new(AtomicUsize::new(0));
-        let stopped = Arc::new(AtomicBool::new(false));
+    /// Starts a target that announces itself to each of the entry hosts in turn.
+    pub fn start(
+        address: SocketAddr,
+        (service, name): (u32, u32),
+        fabric: &Arc<Fabric>,
+        hosts: &[SocketAddr],
+    ) -> Arc<Self> {
+        let target = Arc::new(Self {
+            service,
+            state: Mutex::new("ready"),
+            open: AtomicUsize::new(0),
+            accepted: AtomicUsize::new(0),
+            announced: AtomicU16::new(0),
+        });
         let stack = Stack::new(address.ip(), u64::from(name), fabric);
-        let (counts, stop) = ((Arc::clone(&open), Arc::clone(&accepted)), Arc::clone(&stopped));
-        let thread = std::thread::spawn(move || {
-            serve(stack, address.port(), [service, name], &counts, &stop);
+        let (server, hosts) = (Arc::clone(&target), hosts.to_vec());
+        thread::spawn(move || server.serve(stack, address.port(), name));
+        let announcer = Arc::clone(&target);
+        thread::spawn(move || {
+            for host in hosts.iter().cycle() {
+                let status = announcer.announce(*host, address).unwrap_or(0);
+                announcer.announced.store(status, Ordering::Relaxed);
+                thread::sleep(Duration::from_millis(300));
+            }
         });
-        Self { address, open, accepted, stopped, thread }
-    }
-
-    /// Returns the connections that are open now.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+        target
     }
 
-    /// Returns the connections that were ever accepted.
-    pub fn accepted(&self) -> usize {
-        self.accepted.load(Ordering::Relaxed)
+    /// Announces the target over HTTP and returns the answer's status.
+    fn announce(&self, host: SocketAddr, address: SocketAddr) -> Option<u16> {
+        let (service, state) = (self.service, *self.state.lock().unwrap());
+        let body = format!(
+            "service={service}&protocol=tcp&address={address}&state={state}&generation=1&slots=2"
+        );
+        let head = format!(
+            "POST /announce HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\
+             Authorization: Bearer secret-{service}\r\nContent-Length: {}\r\n\
+             Content-Type: application/x-www-form-urlencoded\r\n\r\n",
+            body.len()
+        );
+        let mut stream = TcpStream::connect_timeout(&host, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
+        let mut status = [0; 12];
+        stream.read_exact(&mut status).ok()?;
+        str::from_utf8(&status[9..]).ok()?.parse().ok()
     }
 
-    /// Ends the target.
-    pub fn stop(self) {
-        self.stopped.store(true, Ordering::Release);
-        let _ = self.thread.join();
-    }
-}
-
-fn serve(
-    mut stack: Stack,
-    port: u16,
-    name: [u16; 2],
-    (open, accepted): &(Arc<AtomicUsize>, Arc<AtomicUsize>),
-    stopped: &AtomicBool,
-) {
-    // A socket that waits for a SYN stands behind all others, so that a repeated SYN meets its own.
-    let mut handles = Vec::new();
-    let mut began = 0;
-    while !stopped.load(Ordering::Acquire) {
-        while handles.len() < began + LISTENERS {
-            handles.push(stack.sockets.add(socket()));
-            let _ = stack.sockets.get_mut::<tcp::Socket>(handles[handles.len() - 1]).listen(port);
-        }
-        stack.poll();
-        began = 0;
-        let mut count = 0;
-        for &handle in &handles {
-            let socket = stack.sockets.get_mut::<tcp::Socket>(handle);
-            answer(socket, name);
-            began += usize::from(!socket.is_listening());
-            count += usize::from(socket.may_send() && socket.may_recv());
+    fn serve(&self, mut stack: Stack, port: u16, name: u32) {
+        // A socket that waits for a SYN stands behind all others: a repeated SYN meets its own.
+        let mut handles = Vec::new();
+        let mut began = 0;
+        loop {
+            while handles.len() < began + LISTENERS {
+                let mut socket = socket();
+                socket.listen(port).expect("the port is not zero");
+                handles.push(stack.sockets.add(socket));
+            }
+            stack.poll();
+            let sockets = handles.iter().map(|handle| {
+                let socket = stack.sockets.get_mut::<tcp::Socket>(*handle);
+                answer(socket, [self.service, name]);
+                (!socket.is_listening(), socket.may_send() && socket.may_recv())
+            });
+            let (taken, open): (Vec<_>, Vec<_>) = sockets.unzip();
+            began = taken.into_iter().filter(|taken| *taken).count();
+            self.accepted.store(began, Ordering::Relaxed);
+            self.open.store(open.into_iter().filter(|open| *open).count(), Ordering::Relaxed);
         }
-        accepted.store(began, Ordering::Relaxed);
-        open.store(count, Ordering::Relaxed);
     }
 }
 
-fn answer(socket: &mut tcp::Socket<'_>, name: [u16; 2]) {
+fn answer(socket: &mut tcp::Socket<'_>, [service, target]: [u32; 2]) {
     if socket.state() == tcp::State::CloseWait && socket.recv_queue() == 0 {
         socket.close();
     }
-    while socket.recv_queue() >= REQUEST && socket.send_capacity() - socket.send_queue() >= REQUEST
-    {
+    while socket.recv_queue() >= REQUEST {
         let mut bytes = [0; REQUEST];
         let _ = socket.recv_slice(&mut bytes);
-        let answer = Request { service: name[0], target: name[1], ..Request::read(&bytes) };
+        let answer = Request { service, target, ..Request::read(bytes) };
         let _ = socket.send_slice(&answer.write());
     }
 }
--- a/lagoongauged/src/bin/lagoon-entry.rs
+++ b/lagoongauged/src/bin/lagoon-entry.rs
@@ -1,2 +1,32 @@
-//! Placeholder.
-fn main() {}
+//! The entry host; see docs/OPERATING.md.
+
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use lagoongauged::daemon::{Stop, exit, flags, init_log};
+use lagoongauged::entry::{Bound, EntryHost, RawSettings, Settings, raw_options};
+
+/// Pause between two looks whether the program has to end.
+const POLL: Duration = Duration::from_millis(100);
+
+fn main() -> ExitCode {
+    exit("lagoon-entry", run(flags::parse(raw_options())))
+}
+
+fn run(raw: RawSettings) -> eyre::Result<()> {
+    let check = raw.check;
+    let settings = Settings::try_from(raw)?;
+    if check {
+        return Ok(());
+    }
+    init_log(settings.log())?;
+    let stop = Stop::on_signals()?;
+    let host = EntryHost::start(&settings, Bound::try_from(&settings)?)?;
+    log::info!("The entry host takes packets at {}.", settings.data);
+    while !stop.is_raised() {
+        thread::sleep(POLL);
+    }
+    host.shut_down();
+    Ok(())
+}
--- a/lagoongauged/src/entry/metrics.rs
+++ b/lagoongauged/src/entry/metrics.rs
@@ -14,6 +14,9 @@
     unsent: IntCounter,
     control: IntCounter,
     version: IntGauge,
+    records: IntGauge,
+    targets: IntGauge,
+    leased: IntGauge,
 }
 
 /// What is shown beside the data path's counters.
@@ -21,6 +24,12 @@
 pub struct Shown {
     /// Version of the settings in force.
     pub version: u64,
+    /// Records of flows.
+    pub records: u64,
+    /// Targets whose announcements hold.
+    pub targets: u64,
+    /// Whether the host may act on its own.
+    pub leased: bool,
 }
 
 impl Metrics {
@@ -45,12 +54,18 @@
         )?;
         let version =
             IntGauge::new("lagoon_entry_settings_version", "Version of the settings in force.")?;
+        let records = IntGauge::new("lagoon_entry_flow_records", "Records of flows held here.")?;
+        let targets = IntGauge::new("lagoon_entry_targets", "Targets whose announcements hold.")?;
+        let leased = IntGauge::new("lagoon_entry_leased", "1 while the host may act, else 0.")?;
         registry.register(Box::new(packets.clone()))?;
         registry.register(Box::new(dropped.clone()))?;
         registry.register(Box::new(unsent.clone()))?;
         registry.register(Box::new(control.clone()))?;
         registry.register(Box::new(version.clone()))?;
-        Ok(Self { registry, packets, dropped, unsent, control, version })
+        registry.register(Box::new(records.clone()))?;
+        registry.register(Box::new(targets.clone()))?;
+        registry.register(Box::new(leased.clone()))?;
+        Ok(Self { registry, packets, dropped, unsent, control, version, records, targets, leased })
     }
 
     /// Renders the metrics with the counters' values of now.
@@ -69,6 +84,9 @@
         raise(&self.unsent, counters.unsent());
         raise(&self.control, counters.control_bytes());
         self.version.set(shown.version as i64);
+        self.records.set(shown.records as i64);
+        self.targets.set(shown.targets as i64);
+        self.leased.set(i64::from(shown.leased));
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(String::from_utf8_lossy(&text).into_owned())
--- a/lagoongauged/src/entry/mod.rs
+++ b/lagoongauged/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! what can't be carried is counted by reason. See "Data path" in docs/DESIGN.md.
 
 mod counters;
+mod host;
 mod http;
 mod link;
 mod metrics;
@@ -12,6 +13,7 @@
 mod snapshot;
 
 pub use self::counters::Counters;
+pub use self::host::{Bound, EntryHost};
 pub use self::http::{Api, serve};
 pub use self::link::{Link, Received};
 pub use self::metrics::{Metrics, Shown};
--- a/lagoongauged/src/entry/plane.rs
+++ b/lagoongauged/src/entry/plane.rs
@@ -8,10 +8,11 @@
 
 use indexmap::IndexMap;
 use lagoongauge::flow::HashKey;
-use lagoongauge::forward::{Directory, Step, forward};
+use lagoongauge::forward::{Directory, Observe, Step, forward};
 use lagoongauge::id::HostId;
 use lagoongauge::packet::Reason;
 use lagoongauge::route::Route;
+use lagoongauge::time::Instant;
 
 use super::link::{Link, MAX_DATAGRAM};
 use super::{Counters, Reader, Snapshot};
@@ -66,18 +67,23 @@
     reply: Vec<u8>,
 }
 
-impl<R: Route + Send + Sync + 'static> Plane<R> {
-    /// Builds the shared state around opened sockets.
-    pub fn new(key: HashKey, route: R, sockets: Sockets) -> io::Result<Self> {
+impl<R: Route + Observe + Send + Sync + 'static> Plane<R> {
+    /// Builds the shared state around opened sockets; `route` builds the decisions at an instant.
+    pub fn new(
+        key: HashKey,
+        route: impl FnOnce(Instant) -> R,
+        sockets: Sockets,
+    ) -> io::Result<Self> {
+        let clock = Clock::start();
         sockets.data.set_read_timeout(Some(POLL))?;
         sockets.link.socket().set_read_timeout(Some(POLL))?;
         Ok(Self {
             key,
-            route,
+            route: route(clock.now()),
             view: Snapshot::new(View::default()),
             counters: Counters::default(),
             sockets,
-            clock: Clock::start(),
+            clock,
             stop: Stop::default(),
         })
     }
@@ -114,7 +120,7 @@
     }
 }
 
-impl<'a, R: Route> Worker<'a, R> {
+impl<'a, R: Route + Observe> Worker<'a, R> {
     /// Returns a worker for one thread.
     pub fn new(plane: &'a Plane<R>) -> Self {
         Self { plane, view: plane.view.reader(), reply: Vec::new() }
--- a/lagoongauged/src/entry/settings.rs
+++ b/lagoongauged/src/entry/settings.rs
@@ -1,16 +1,15 @@
 //! Flags and environment variables of `lagoon-entry`, checked before anything starts.
 
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
 use bpaf::Bpaf;
-use lagoongauge::error::{Error, Kind};
+use lagoongauge::error::Error;
 use lagoongauge::id::{CentreId, HostId};
 use lagoongauge::time::Span;
 use lagoongauge::wire::ClusterKey;
 
-use crate::daemon::LogLevel;
+use crate::daemon::{LogLevel, LogSetup, flags};
 
 /// Most threads for the fabric's datagrams.
 const MAX_THREADS: usize = 64;
@@ -47,9 +46,12 @@
     /// Addresses of control hosts or relays, with commas between them.
     #[bpaf(env("LAGOON_CONTROL"), argument("ADDRESSES"))]
     pub control: Option<String>,
-    /// Secret that all hosts share, 64 hexadecimal digits.
+    /// Secret that all hosts share, 64 hexadecimal digits; better given by a file.
     #[bpaf(env("LAGOON_CLUSTER_KEY"), argument("KEY"))]
     pub cluster_key: Option<String>,
+    /// File with the secret that all hosts share.
+    #[bpaf(env("LAGOON_CLUSTER_KEY_FILE"), argument("FILE"))]
+    pub cluster_key_file: Option<String>,
     /// Threads for the fabric's datagrams, 2 if not given.
     #[bpaf(env("LAGOON_THREADS"), argument("COUNT"))]
     pub threads: Option<String>,
@@ -102,29 +104,29 @@
         let default = |value: Option<String>, text: &str| value.or_else(|| Some(text.to_owned()));
 
         let settings = Self {
-            host: HostId(read("host", raw.host, "a number from 0 to 4294967295")?),
-            centre: CentreId(read("centre", raw.centre, "a number from 0 to 255")?),
-            data: read("data", raw.data, ADDRESS)?,
-            fabric: read("fabric", raw.fabric, ADDRESS)?,
-            peer: read("peer", raw.peer, ADDRESS)?,
-            http: read("http", raw.http, ADDRESS)?,
-            control: read::<Addresses>("control", raw.control, &control)?.0,
-            cluster_key: read_key(raw.cluster_key)?,
-            threads: read::<Bounded<1, MAX_THREADS>>(
+            host: HostId(flags::read("host", raw.host, "a number from 0 to 4294967295")?),
+            centre: CentreId(flags::read("centre", raw.centre, "a number from 0 to 255")?),
+            data: flags::read("data", raw.data, ADDRESS)?,
+            fabric: flags::read("fabric", raw.fabric, ADDRESS)?,
+            peer: flags::read("peer", raw.peer, ADDRESS)?,
+            http: flags::read("http", raw.http, ADDRESS)?,
+            control: flags::read::<Addresses>("control", raw.control, &control)?.0,
+            cluster_key: flags::read_key(raw.cluster_key, raw.cluster_key_file)?,
+            threads: flags::read::<Bounded<1, MAX_THREADS>>(
                 "threads",
                 default(raw.threads, "2"),
                 &threads,
             )?
             .0,
             drain_limit: Span::seconds(
-                read::<Bounded<0, { MAX_DRAIN as usize }>>(
+                flags::read::<Bounded<0, { MAX_DRAIN as usize }>>(
                     "drain-limit",
                     default(raw.drain_limit, "20"),
                     &drain,
                 )?
                 .0 as u64,
             ),
-            log_level: read("log-level", default(raw.log_level, "info"), level)?,
+            log_level: flags::read("log-level", default(raw.log_level, "info"), level)?,
         };
         settings.check_families()?;
         Ok(settings)
@@ -132,13 +134,18 @@
 }
 
 impl Settings {
+    /// Returns what the logs of this host carry.
+    pub fn log(&self) -> LogSetup {
+        LogSetup { host: self.host, centre: self.centre, level: self.log_level }
+    }
+
     /// Checks that the fabric can be reached from the address that takes its datagrams.
     fn check_families(&self) -> Result<(), Error> {
         if self.data.is_ipv4() == self.fabric.is_ipv4() {
             return Ok(());
         }
         let accepted = "an address of the same IP version as --data";
-        Err(wrong("fabric", &self.fabric, accepted))
+        Err(flags::wrong("fabric", &self.fabric, accepted))
     }
 }
 
@@ -167,31 +174,6 @@
     }
 }
 
-fn read<T: FromStr>(name: &str, value: Option<String>, accepted: &str) -> Result<T, Error> {
-    let value = value.ok_or_else(|| missing(name, accepted))?;
-    value.trim().parse().map_err(|_| wrong(name, &format_args!("{value:?}"), accepted))
-}
-
-fn read_key(value: Option<String>) -> Result<ClusterKey, Error> {
-    let accepted = "64 hexadecimal digits";
-    let value = value.ok_or_else(|| missing("cluster-key", accepted))?;
-    let hidden = format!("{} characters, not shown", value.len());
-    ClusterKey::try_from(value.as_str()).map_err(|_| wrong("cluster-key", &hidden, accepted))
-}
-
-fn missing(name: &str, accepted: &str) -> Error {
-    let detail = format!("{} is not given; accepted: {accepted}", title(name));
-    Error::new(Kind::Usage, detail)
-}
-
-fn wrong(name: &str, value: &dyn Display, accepted: &str) -> Error {
-    Error::new(Kind::Usage, format!("{} is {value}; accepted: {accepted}", title(name)))
-}
-
-fn title(name: &str) -> String {
-    format!("--{name} (LAGOON_{})", name.replace('-', "_").to_uppercase())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/lagoongauged/src/entry/snapshot.rs
+++ b/lagoongauged/src/entry/snapshot.rs
@@ -38,7 +38,13 @@
 
     /// Replaces the value.
     pub fn store(&self, value: T) {
-        *self.value.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(value);
+        self.update(|_| value);
+    }
+
+    /// Replaces the value by one that is made of it; no other replacement comes between.
+    pub fn update(&self, make: impl FnOnce(&T) -> T) {
+        let mut value = self.value.lock().unwrap_or_else(PoisonError::into_inner);
+        *value = Arc::new(make(&value));
         self.version.fetch_add(1, Ordering::Release);
     }
 }
--- a/lagoongauged/src/measure/path/loopback.rs
+++ b/lagoongauged/src/measure/path/loopback.rs
@@ -56,7 +56,7 @@
     let key = ClusterKey::new([1; 32]);
     let link = Link::new(peer, Channel::new(HostId(1), Session(1), key));
     let sockets = Sockets { data, link, fabric: fabric.local_addr()? };
-    let plane = Arc::new(Plane::new(KEY, known.router, sockets)?);
+    let plane = Arc::new(Plane::new(KEY, |_| known.router, sockets)?);
     plane.view.store(View { directory: directory(), ..View::default() });
     let workers = plane.start(threads)?;
 
