--- a/lagoongauged/src/control/client.rs
+++ b/lagoongauged/src/control/client.rs
@@ -18,7 +18,7 @@
 use super::fault::{Fault, broken, text};
 use super::link;
 use super::server::host_options;
-use super::traffic::Traffic;
+use super::traffic::{Counted, Traffic};
 use super::view::{self, ControlView, EntryView};
 
 /// Pause before the next control host is tried.
@@ -121,10 +121,7 @@
                 let mut addresses: Vec<String> =
                     self.controls.iter().map(ToString::to_string).collect();
                 while let Some(address) = attempts.next(&mut addresses) {
-                    attempts.open = true;
-                    let answer = once(&address, &call).await;
-                    attempts.open = false;
-                    match answer {
+                    match attempts.once(&address, &call).await {
                         Err(fault) if tries_elsewhere(fault.error.kind) => attempts.note(fault),
                         answer => return answer,
                     }
@@ -226,9 +223,23 @@
         Some(address)
     }
 
+    /// Makes one attempt; once it is connected, the call may run whatever happens then.
+    async fn once<T, F: Future<Output = Result<T>>>(
+        &mut self,
+        address: &str,
+        call: &impl Fn(operator::Client) -> F,
+    ) -> Result<T> {
+        let link = link::dial_operator(address, &Traffic::default()).await?;
+        self.open = true;
+        let answer = talk(link, call).await;
+        self.open = false;
+        let lost = |fault: &Fault| matches!(fault.error.kind, Kind::Unreachable | Kind::Unknown);
+        self.unsure |= answer.as_ref().is_err_and(lost);
+        answer
+    }
+
     /// Notes why an attempt failed; a host that did not answer tells less than one that did.
     fn note(&mut self, fault: Fault) {
-        self.unsure |= fault.error.kind == Kind::Unknown;
         self.hint.clone_from(&fault.hint);
         let silent = fault.error.kind == Kind::Unreachable;
         if !silent || self.last.is_none() {
@@ -248,11 +259,10 @@
     }
 }
 
-async fn once<T, F: Future<Output = Result<T>>>(
-    address: &str,
+async fn talk<T, F: Future<Output = Result<T>>>(
+    (reader, writer): (Counted, Counted),
     call: &impl Fn(operator::Client) -> F,
 ) -> Result<T> {
-    let (reader, writer) = link::dial_operator(address, &Traffic::default()).await?;
     let side = rpc_twoparty_capnp::Side::Client;
     let network = twoparty::VatNetwork::new(reader, writer, side, host_options());
     let mut system = RpcSystem::new(Box::new(network), None);
@@ -260,10 +270,8 @@
     match select(system, pin!(call(client))).await {
         Either::Left((ended, _)) => {
             let reason = ended.err().map_or_else(|| "it closed".to_string(), |e| e.to_string());
-            Err(Fault::from(Error::new(
-                Kind::Unreachable,
-                format!("control host {address} ended the connection: {reason}"),
-            )))
+            let detail = format!("a control host ended the connection: {reason}");
+            Err(Fault::from(Error::new(Kind::Unreachable, detail)))
         }
         Either::Right((answer, _)) => answer,
     }
--- a/lagoongauged/src/control/host.rs
+++ b/lagoongauged/src/control/host.rs
@@ -21,6 +21,7 @@
 use super::fault::{Fault, broken};
 use super::notify::Notify;
 use super::traffic::Traffic;
+use super::view::EntryView;
 use crate::daemon::Clock;
 
 /// Entry hosts that a control host remembers.
@@ -75,6 +76,8 @@
     pub source: RefCell<Source>,
     /// Entry hosts that asked it.
     pub heard: RefCell<IndexMap<HostId, Heard>>,
+    /// What the other control hosts last told of the entry hosts.
+    pub views: RefCell<IndexMap<HostId, (Instant, Vec<EntryView>)>>,
     /// The control hosts named by its flags.
     pub first: Book,
     /// Ways to the other control hosts.
@@ -110,6 +113,7 @@
             engine: RefCell::new(engine),
             source: RefCell::default(),
             heard: RefCell::default(),
+            views: RefCell::default(),
             first,
             links: RefCell::default(),
             accepted: Notify::default(),
--- a/lagoongauged/src/control/link.rs
+++ b/lagoongauged/src/control/link.rs
@@ -18,7 +18,7 @@
 use super::seal::{SealedReader, SealedWriter};
 use super::traffic::{Counted, Traffic};
 
-/// First bytes of an operator's connection.
+/// First bytes of an operator's connection, which the control host sends back.
 const OPERATOR: [u8; 8] = *b"LAGOONO1";
 
 /// First bytes of a host's connection.
@@ -86,8 +86,12 @@
 /// Opens an operator's connection; `Unreachable` where nobody answers in time.
 pub async fn dial_operator(address: &str, traffic: &Traffic) -> Result<(Counted, Counted)> {
     let hello = async {
-        let (reader, mut writer) = connect(address, traffic).await?;
+        let (mut reader, mut writer) = connect(address, traffic).await?;
         writer.write_all(&OPERATOR).await?;
+        let answer: [u8; 8] = read(&mut reader).await?;
+        if answer != OPERATOR {
+            return Err(std::io::ErrorKind::InvalidData.into());
+        }
         Ok::<_, std::io::Error>((reader, writer))
     };
     let unreachable = |reason: String| {
@@ -110,10 +114,13 @@
 async fn accept_any(stream: TcpStream, key: &ClusterKey, traffic: &Traffic) -> Result<Incoming> {
     let _ = stream.set_nodelay(true);
     let mut reader = Counted::new(stream.clone(), traffic);
-    let writer = Counted::new(stream, traffic);
+    let mut writer = Counted::new(stream, traffic);
     let magic: [u8; 8] = read(&mut reader).await.map_err(broken)?;
     match magic {
-        OPERATOR => Ok(Incoming::Operator(reader, writer)),
+        OPERATOR => {
+            writer.write_all(&OPERATOR).await.map_err(broken)?;
+            Ok(Incoming::Operator(reader, writer))
+        }
         HOST => accept_host(reader, writer, key).await,
         _ => Err(Error::new(Kind::Malformed, "the first bytes name no protocol")),
     }
--- a/lagoongauged/src/control/run.rs
+++ b/lagoongauged/src/control/run.rs
@@ -19,6 +19,7 @@
 use super::host::{Host, Shared};
 use super::links;
 use super::server;
+use super::survey::survey;
 use super::traffic::Traffic;
 use crate::daemon::{Clock, Stop};
 
@@ -28,6 +29,9 @@
 /// Steps after which a follower asks the leader whether its version is current.
 const CONFIRM_TICKS: u32 = 20;
 
+/// Steps after which the leader asks the other control hosts for their entry hosts.
+const SURVEY_TICKS: u32 = 300;
+
 /// What a control host is started with.
 #[derive(Debug, Clone)]
 pub struct Site {
@@ -77,6 +81,7 @@
     pool.run_until(async {
         let _ = spawner.spawn_local(server::serve(Rc::clone(&host), listener, spawner.clone()));
         let _ = spawner.spawn_local(confirm_all(Rc::clone(&host)));
+        let _ = spawner.spawn_local(survey_all(Rc::clone(&host)));
         log::info!("The control host listens on {}.", place.address);
         while !stop.is_raised() {
             links::open(&host, &spawner);
@@ -110,6 +115,17 @@
     Ok(Host::new(own, place, site.key, clock, engine, site.controls, site.traffic))
 }
 
+/// Lets the leader know the entry hosts of each control host before that is cut off.
+async fn survey_all<S: Store + 'static>(host: Shared<S>) {
+    loop {
+        sleep(TICK * SURVEY_TICKS).await;
+        let leads = host.engine.borrow().leads();
+        if leads {
+            let _ = survey(&host, &Path::Root).await;
+        }
+    }
+}
+
 /// Keeps the follower's knowledge of the current version fresh for the entry hosts' polls.
 async fn confirm_all<S: Store + 'static>(host: Shared<S>) {
     loop {
--- a/lagoongauged/src/control/survey.rs
+++ b/lagoongauged/src/control/survey.rs
@@ -1,4 +1,4 @@
-//! Asks all control hosts what they know, once per question and not in the background.
+//! Asks all control hosts what they know, and remembers what those told that are cut off now.
 
 use async_std::future::timeout;
 use futures::future::join_all;
@@ -65,16 +65,34 @@
         Some(client) => timeout(ANSWER, call(client)).await.ok().and_then(Result::ok),
         None => None,
     };
-    answer.unwrap_or_else(|| {
-        let view = ControlView {
-            host: other.0,
-            centre: place.centre.0,
-            address: place.address.to_string(),
-            role: "unreachable".into(),
-            ..ControlView::default()
-        };
-        (view, Vec::new())
-    })
+    if let Some((control, entries)) = answer {
+        host.views.borrow_mut().insert(other, (host.clock.now(), entries.clone()));
+        return (control, entries);
+    }
+    let view = ControlView {
+        host: other.0,
+        centre: place.centre.0,
+        address: place.address.to_string(),
+        role: "unreachable".into(),
+        ..ControlView::default()
+    };
+    (view, remembered(host, other))
+}
+
+/// Returns what a control host told when it was last reached, with the silence since then.
+fn remembered<S>(host: &Host<S>, other: HostId) -> Vec<EntryView>
+where
+    S: Store + 'static,
+{
+    let views = host.views.borrow();
+    let Some((at, entries)) = views.get(&other) else { return Vec::new() };
+    let passed = host.clock.now().since(*at).0;
+    let aged = |entry: &EntryView| EntryView {
+        unconfirmed: entry.unconfirmed.saturating_add(passed),
+        silent: entry.silent.saturating_add(passed),
+        ..entry.clone()
+    };
+    entries.iter().map(aged).collect()
 }
 
 async fn call(client: control::Client) -> Result<(ControlView, Vec<EntryView>), capnp::Error> {
--- a/lagoongauged/tests/control_site.rs
+++ b/lagoongauged/tests/control_site.rs
@@ -1,16 +1,21 @@
 //! Control hosts over real TCP on loopback.
 
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
 use lagoongauge::error::Kind;
 use lagoongauge::id::{CentreId, HostId};
-use lagoongauge::settings::Resolved;
-use lagoongauged::control::client::Query;
-use lagoongauged::control::fleet::Plan;
-use lagoongauged::control::{Progress, Subscriber, Traffic, subscribe};
+use lagoongauge::settings::{Change, Edit, Hash, Operation, Path, Resolved, Token};
+use lagoongauge::wire::ClusterKey;
+use lagoongauged::control::client::{Client, Query};
+use lagoongauged::control::fleet::{Plan, Running};
+use lagoongauged::control::{Progress, Subscriber, Traffic, bind, subscribe};
 use lagoongauged::daemon::Stop;
+use lagoongauged::store::open_or_format;
 
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -61,3 +66,136 @@
         host.end().unwrap();
     }
 }
+
+#[test]
+fn no_call_of_a_member_reaches_a_rival() {
+    let mut plan = Plan::new(&[CentreId(0)]).unwrap();
+    let _hosts = plan.start().unwrap();
+    plan.wait_ready(LIMIT).unwrap();
+    let token = Token::new(path("/tsenkher/operators/ann"), [7; 32]);
+    let hash = Hash::new([1; 16], &token.secret).to_string();
+    plan.set(
+        "site",
+        &[
+            ("/tsenkher", "networks", "10.1.0.0/16"),
+            ("/columbia", "networks", "10.2.0.0/16"),
+            ("/columbia/queue", "address", "192.0.2.2:443"),
+            ("/columbia/operators/bob", "subtree", "/columbia"),
+            ("/hosts/100", "peer", "127.0.0.1:1"),
+            ("/controls/9", "listen", "127.0.0.1:2"),
+            ("/tsenkher/operators/ann", "subtree", "/tsenkher"),
+            ("/tsenkher/operators/ann", "tokens", &hash),
+        ],
+    )
+    .unwrap();
+    let ann = Client::new(plan.book.addresses(), token.reveal(), LIMIT);
+    let whole = plan.client().read(query("dump", "/")).unwrap();
+    let own = path("/tsenkher");
+    let rivals: BTreeSet<String> = whole
+        .entries
+        .iter()
+        .map(|entry| entry.path.clone())
+        .filter(|place| place != "/" && !own.contains(&path(place)))
+        .chain(["/columbia".to_string(), "/nobody".to_string()])
+        .collect();
+    assert!(rivals.len() > 5);
+    for place in &rivals {
+        for operation in Operation::ALL {
+            let kind = attempt(&ann, *operation, place, whole.version);
+            assert_eq!(kind, Some(Kind::Forbidden), "{operation:?} {place}");
+        }
+    }
+    for entry in ann.read(query("dump", "/")).unwrap().entries {
+        assert!(entry.path == "/" || own.contains(&path(&entry.path)), "{entry:?}");
+    }
+    assert_eq!(ann.retire(1).unwrap_err().error.kind, Kind::Forbidden);
+    assert_eq!(plan.client().read(query("dump", "/")).unwrap(), whole);
+}
+
+/// Tries one operation; the match names every operation, so that a new one can't be forgotten.
+fn attempt(client: &Client, operation: Operation, place: &str, expect: u64) -> Option<Kind> {
+    let place = place.to_string();
+    let key = "max_flows".to_string();
+    let edit = match operation {
+        Operation::Get | Operation::Dump | Operation::Watch => {
+            let read = client.read(query(operation.name(), &place));
+            return read.err().map(|fault| fault.error.kind);
+        }
+        Operation::Set => Edit::Set { path: place.clone(), key, value: "1".to_string() },
+        Operation::Unset => Edit::Unset { path: place.clone(), key },
+        Operation::Remove => Edit::Remove { path: place.clone() },
+    };
+    let request = format!("{} {place}", operation.name());
+    let change = Change { expect, request, edits: vec![edit] };
+    client.change(&change).err().map(|fault| fault.error.kind)
+}
+
+fn query<'a>(operation: &'a str, path: &'a str) -> Query<'a> {
+    Query { operation, path, since: 0, wait: 0 }
+}
+
+fn path(text: &str) -> Path {
+    Path::try_from(text).unwrap()
+}
+
+#[test]
+fn garbage_and_wrong_keys_are_refused_counted_and_harm_no_one() {
+    let mut plan = Plan::new(&[CentreId(0)]).unwrap();
+    let hosts = plan.start().unwrap();
+    plan.wait_ready(LIMIT).unwrap();
+    let address = plan.book.addresses()[0];
+    for bytes in [vec![0; 64], vec![0xff; 4096], b"GET / HTTP/1.0\r\n\r\n".to_vec()] {
+        let mut stream = TcpStream::connect(address).unwrap();
+        let _ = stream.write_all(&bytes);
+        let _ = stream.read_to_end(&mut Vec::new());
+    }
+    assert_eq!(hosts[0].traffic.refused(), 3);
+    // Bytes that follow the first ones of an operator close that connection alone.
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(b"LAGOONO1").unwrap();
+    let _ = stream.write_all(&[0xff; 4096]);
+    let _ = stream.read_to_end(&mut Vec::new());
+    let stop = Stop::default();
+    let raised = stop.clone();
+    let stranger = Subscriber { key: ClusterKey::new([9; 32]), ..subscriber(&plan, 100) };
+    let progress = stranger.progress.clone();
+    let thread = thread::spawn(move || subscribe(stranger, &raised, drop, String::new));
+    while hosts[0].traffic.refused() < 5 {
+        thread::sleep(Duration::from_millis(20));
+    }
+    stop.raise();
+    thread.join().unwrap();
+    assert_eq!(progress.version(), 0);
+    plan.set("after", &[("/", "max_flows", "3")]).unwrap();
+}
+
+#[test]
+fn settings_and_first_answers_outlive_a_restart_of_all_hosts() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut plan = Plan::new(&[CentreId(0), CentreId(1), CentreId(2)]).unwrap();
+    (1..=3).for_each(|n| drop(plan.listener(HostId(n))));
+    let start = || -> Vec<Running> { (1..=3).map(|n| boot(&plan, folder.path(), n)).collect() };
+    let hosts = start();
+    plan.wait_ready(LIMIT).unwrap();
+    let first = plan.set("first", &[("/", "max_flows", "5")]).unwrap();
+    let second = plan.set("second", &[("/", "max_rate", "6")]).unwrap();
+    hosts.into_iter().for_each(|host| host.end().unwrap());
+    let _hosts = start();
+    plan.wait_ready(LIMIT).unwrap();
+    assert_eq!(plan.client().read(query("get", "/")).unwrap().version, second);
+    let edits = vec![Edit::Set { path: "/".into(), key: "max_flows".into(), value: "5".into() }];
+    let resend = Change { expect: first - 1, request: "first".to_string(), edits };
+    assert_eq!(plan.client().change(&resend).unwrap(), first);
+    assert_eq!(plan.client().read(query("get", "/")).unwrap().version, second);
+}
+
+/// Starts a control host on its folder, which is made at its first start.
+fn boot(plan: &Plan, folder: &std::path::Path, host: u32) -> Running {
+    let (mut site, recovered) = plan.site(HostId(host)).unwrap();
+    let fresh = site.identity.incarnation;
+    let folder = folder.join(host.to_string());
+    let store = open_or_format(&folder, HostId(host), fresh, |_| recovered).unwrap();
+    site.identity = store.identity();
+    let listener = bind(&site).unwrap();
+    Running::start(site, store, listener)
+}
