--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod balance;
 pub mod burn;
+pub mod distribute;
 pub mod error;
 pub mod flow;
 pub mod forward;
 pub mod group;
 pub mod id;
 pub mod limit;
+pub mod node;
 pub mod packet;
 pub mod replica;
 pub mod route;
--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 
 use lagoongauged::measure::meter::{self, Counting};
-use lagoongauged::measure::{capacity, policy};
+use lagoongauged::measure::{capacity, path, policy, replica};
 
 /// Counts the memory that the measured structures take.
 #[global_allocator]
@@ -13,17 +13,25 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 enum Command {
+    /// Measures what the data path costs per packet and per flow.
+    #[bpaf(command)]
+    Path(#[bpaf(external(path::options))] path::Options),
     /// Measures the slopes behind docs/CAPACITY.md.
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::options))] capacity::Options),
     /// Measures the routing decisions under change, load and faults.
     #[bpaf(command)]
     Policy(#[bpaf(external(policy::options))] policy::Options),
+    /// Measures the replicated log.
+    #[bpaf(command)]
+    Replica(#[bpaf(external(replica::options))] replica::Options),
 }
 
 fn main() -> eyre::Result<()> {
     match command().run() {
+        Command::Path(options) => path::run(&options, &ALLOCATOR),
         Command::Capacity(options) => capacity::run(&options, &ALLOCATOR),
         Command::Policy(options) => policy::run(&options),
+        Command::Replica(options) => replica::run(&options, &ALLOCATOR),
     }
 }
--- a/lagoongauged/src/measure/mod.rs
+++ b/lagoongauged/src/measure/mod.rs
@@ -4,4 +4,6 @@
 
 pub mod capacity;
 pub mod meter;
+pub mod path;
 pub mod policy;
+pub mod replica;
