Send no chunks to hosts that are down, and test the replica's rules one by one

Change: heartbeats to such a host ask how much has arrived and bring nothing; tests of single rules, of slow and full disks, of cut links, of growth by joining and of the time to a new leader.

--- a/lagoongauge/src/replica/lead.rs
+++ b/lagoongauge/src/replica/lead.rs
@@ -25,6 +25,8 @@
     pub(super) probing: bool,
     /// How many bytes of the current snapshot have arrived, while one is being sent.
     pub(super) offset: Option<u64>,
+    /// Round of the last chunk that brought bytes.
+    pub(super) chunk: Option<Instant>,
     /// Latest round that it answered.
     pub(super) answered: Option<Instant>,
     /// When the last message was sent.
@@ -35,8 +37,8 @@
 
 impl Peer {
     fn new(next: u64) -> Self {
-        let (answered, sent, paced) = Default::default();
-        Self { matched: 0, next, probing: true, offset: None, answered, sent, paced }
+        let (chunk, answered, sent, paced) = Default::default();
+        Self { matched: 0, next, probing: true, offset: None, chunk, answered, sent, paced }
     }
 
     /// Tells whether entries up to `last` may be sent now.
@@ -211,7 +213,7 @@
         let Role::Leading(lead) = &self.role else { return };
         let Some(peer) = lead.peers.get(&to) else { return };
         if peer.offset.is_some() || peer.next <= self.log.base().index {
-            self.send_chunk(to);
+            self.send_chunk(to, 0);
             return;
         }
         let room = (peer.matched + self.setup.limits.window + 1).saturating_sub(peer.next);
--- a/lagoongauge/src/replica/transfer.rs
+++ b/lagoongauge/src/replica/transfer.rs
@@ -42,8 +42,9 @@
         self.log.compact(self.applied.saturating_sub(limits.keep));
     }
 
-    /// Sends the next chunk of the latest snapshot.
-    pub(super) fn send_chunk(&mut self, to: Identity) {
+    /// Sends up to so many bytes of the latest snapshot; none only asks how many have arrived, so
+    /// a host that is down costs no more than heartbeats.
+    pub(super) fn send_chunk(&mut self, to: Identity, most: usize) {
         let position = self.snapshot.position();
         let total = self.snapshot.bytes().len() as u64;
         let round = self.now;
@@ -51,8 +52,11 @@
         let Some(peer) = lead.peers.get_mut(&to) else { return };
         peer.mark_sent(round);
         let offset = (*peer.offset.get_or_insert(0)).min(total);
-        let end = (offset as usize + self.setup.limits.chunk).min(total as usize);
+        let end = (offset as usize + most).min(total as usize);
         let data = self.snapshot.bytes()[offset as usize..end].to_vec();
+        if !data.is_empty() {
+            peer.chunk = Some(round);
+        }
         let checksum = self.snapshot.checksum();
         let chunk = Chunk { position, round, total, checksum, offset, data };
         self.send(to, Body::Chunk(chunk));
@@ -67,23 +71,19 @@
     ) {
         let current = self.snapshot.position();
         let total = self.snapshot.bytes().len() as u64;
+        let most = self.setup.limits.chunk;
         let Role::Leading(lead) = &mut self.role else { return };
         let Some(peer) = lead.peers.get_mut(&from) else { return };
         peer.note(round);
-        if peer.offset.is_none() {
-            return;
-        }
-        if position != current || offset > total {
-            peer.offset = Some(0);
-            self.send_chunk(from);
-            return;
-        }
-        if peer.offset == Some(offset) && offset < total {
+        let Some(sent) = peer.offset else { return };
+        let offset = if position == current { offset.min(total) } else { 0 };
+        let lost = peer.chunk.is_none_or(|chunk| chunk < round);
+        if offset <= sent && !lost {
             return;
         }
         peer.offset = Some(offset);
         if offset < total {
-            self.send_chunk(from);
+            self.send_chunk(from, most);
             return;
         }
         peer.offset = None;
--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -3,4 +3,5 @@
 mod codec;
 mod model;
 mod paths;
+mod rules;
 mod world;
--- a/lagoongauge/tests/replica/model.rs
+++ b/lagoongauge/tests/replica/model.rs
@@ -25,6 +25,8 @@
     Change(u16),
     /// A host's disk has synced all that was written.
     Sync(usize),
+    /// A host's disk no longer syncs on its own, or does so again.
+    Slow(usize, bool),
     /// A process dies with some of its unsynced batches on the disk.
     Crash(usize, usize),
     /// A process starts.
@@ -33,6 +35,14 @@
     Isolate(usize),
     /// A host can be reached again.
     Return(usize),
+    /// Two hosts can't reach each other.
+    Cut(usize, usize),
+    /// All hosts that aren't isolated can reach each other.
+    Mend,
+    /// A host's disk has no room.
+    Fill(usize),
+    /// A host's disk has room again.
+    Free(usize),
     /// A host's disk is lost, and the host starts with an empty one.
     Replace(usize),
     /// All faults end.
@@ -49,10 +59,15 @@
         4 => (0..count, any::<u16>()).prop_map(|(at, value)| Event::Propose(at, value)),
         10 => any::<u16>().prop_map(Event::Change),
         6 => (0..count).prop_map(Event::Sync),
-        4 => (0..count, 0_usize..4).prop_map(|(at, kept)| Event::Crash(at, kept)),
-        6 => (0..count).prop_map(Event::Start),
+        5 => (0..count, any::<bool>()).prop_map(|(at, slow)| Event::Slow(at, slow)),
+        5 => (0..count, 0_usize..3).prop_map(|(at, kept)| Event::Crash(at, kept)),
+        8 => (0..count).prop_map(Event::Start),
         4 => (0..count).prop_map(Event::Isolate),
         5 => (0..count).prop_map(Event::Return),
+        4 => (0..count, 1..count).prop_map(move |(at, by)| Event::Cut(at, (at + by) % count)),
+        2 => Just(Event::Mend),
+        2 => (0..count).prop_map(Event::Fill),
+        3 => (0..count).prop_map(Event::Free),
         4 => (0..count).prop_map(Event::Replace),
         1 => Just(Event::Settle),
     ]
@@ -116,18 +131,23 @@
             world.receive(&bytes);
         }),
         Event::Propose(at, value) => {
-            world.propose(at, &value.to_le_bytes());
+            propose(world, at, value);
         }
         Event::Change(value) => {
             if let Some(at) = world.current() {
-                world.propose(at, &value.to_le_bytes());
+                propose(world, at, value);
             }
         }
         Event::Sync(at) => world.sync(at),
+        Event::Slow(at, slow) => world.hosts[at].slow = slow,
         Event::Crash(at, kept) => world.crash(at, kept),
         Event::Start(at) => world.start(at),
         Event::Isolate(at) => world.hosts[at].isolated = true,
         Event::Return(at) => world.hosts[at].isolated = false,
+        Event::Cut(first, second) => world.cuts.push([first, second]),
+        Event::Mend => world.cuts.clear(),
+        Event::Fill(at) => world.hosts[at].full = true,
+        Event::Free(at) => world.hosts[at].full = false,
         Event::Replace(at) => {
             if world.can_lose(at) {
                 world.lose_disk(at);
@@ -139,6 +159,13 @@
     world.check();
 }
 
+/// Proposes a command that no other one equals.
+fn propose(world: &mut World, at: usize, value: u16) {
+    world.commands += 1;
+    let command = format!("{} {value}", world.commands);
+    world.propose(at, command.as_bytes());
+}
+
 fn with_message(world: &mut World, place: usize, act: impl FnOnce(&mut World, usize)) {
     if !world.network.is_empty() {
         let place = place % world.network.len();
@@ -147,7 +174,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config { cases: 48, max_shrink_iters: 512, ..Config::default() })]
+    #![proptest_config(Config { cases: 64, max_shrink_iters: 512, ..Config::default() })]
 
     #[test]
     fn three_hosts_lose_nothing(sequential 1..120 => Replicas<3>);
--- a/lagoongauge/tests/replica/paths.rs
+++ b/lagoongauge/tests/replica/paths.rs
@@ -213,3 +213,104 @@
     world.run(1);
     assert_eq!(world.accepted.len(), 1);
 }
+
+#[test]
+fn change_counts_only_where_it_is_synced() {
+    for slow in [0, 1] {
+        let mut world = World::new(3);
+        let at = leader(&mut world);
+        let [cut, follower] = others(&world, at)[..] else { panic!("three hosts") };
+        world.hosts[cut].isolated = true;
+        world.hosts[[at, follower][slow]].slow = true;
+        world.propose(at, b"unsynced").unwrap().unwrap();
+        world.run(15);
+        assert!(world.accepted.is_empty());
+    }
+}
+
+#[test]
+fn host_that_hears_the_leader_helps_no_other() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    world.cuts.push([at, others(&world, at)[0]]);
+    for _ in 0..400 {
+        world.run(1);
+        assert!(world.reads(at), "the leader keeps its lead with the one that hears it");
+    }
+}
+
+#[test]
+fn restarted_host_helps_no_other_while_a_lease_may_hold() {
+    for rounds in 40..80 {
+        let mut world = World::new(3);
+        let at = leader(&mut world);
+        let [cut, hears] = others(&world, at)[..] else { panic!("three hosts") };
+        world.cuts.push([at, cut]);
+        world.run(rounds);
+        world.crash(hears, usize::MAX);
+        world.start(hears);
+        for _ in 0..100 {
+            world.run(1);
+            assert!(!(world.reads(at) && world.reads(cut)), "two hosts serve reads as current");
+        }
+    }
+}
+
+#[test]
+fn one_host_grows_to_seven_by_joining() {
+    let mut world = World::growing(7);
+    let at = leader(&mut world);
+    world.propose(at, b"first").unwrap().unwrap();
+    world.settle();
+}
+
+#[test]
+fn another_host_leads_within_five_seconds_after_a_loss() {
+    for count in [3, 5, 7] {
+        let mut world = World::new(count);
+        for _ in 0..10 {
+            let at = leader(&mut world);
+            world.crash(at, 0);
+            let start = world.time;
+            while world.current().is_none() {
+                world.run(1);
+                assert!(world.time - start < 5000, "{count} hosts without a leader");
+            }
+            world.start(at);
+        }
+    }
+}
+
+#[test]
+fn full_disk_refuses_and_the_rest_goes_on() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    world.hosts[at].full = true;
+    let id = world.propose(at, b"refused").unwrap().unwrap();
+    world.run(1);
+    assert_eq!(world.rejected, [(id, Kind::StorageFull)]);
+    world.run(200);
+    let next = world.current().expect("a host with room leads");
+    assert_ne!(next, at);
+    world.propose(next, b"kept").unwrap().unwrap();
+    world.settle();
+    assert!(world.accepted.values().all(|command| command != b"refused"));
+}
+
+#[test]
+fn host_that_is_down_is_sent_no_chunks() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    let down = others(&world, at)[0];
+    world.crash(down, 0);
+    for number in 0..100_u8 {
+        world.propose(at, &[number; 20]).unwrap().unwrap();
+        world.run(1);
+    }
+    world.chunk_bytes = 0;
+    world.run(100);
+    assert_eq!(world.chunk_bytes, 0);
+    world.start(down);
+    world.settle();
+    assert!(world.chunk_bytes > 0);
+}
--- a/lagoongauge/tests/replica/world.rs
+++ b/lagoongauge/tests/replica/world.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::error::{Error, Kind, Ran, Result};
 use lagoongauge::id::HostId;
 use lagoongauge::replica::{
     Action, Body, Change, Core, Identity, Limits, Machine, Mark, Memory, Message, ProposalId,
@@ -42,6 +42,10 @@
     pub identity: Identity,
     pub core: Option<Core<Journal>>,
     pub isolated: bool,
+    /// The disk has no room.
+    pub full: bool,
+    /// The disk syncs nothing unless it is asked to by name.
+    pub slow: bool,
     disk: Memory,
     batches: VecDeque<(Mark, Vec<Record>)>,
     started: u64,
@@ -58,9 +62,13 @@
     pub rejected: Vec<(ProposalId, Kind)>,
     pub limits: Limits,
     pub barred: Vec<HostId>,
+    /// Pairs of hosts that can't reach each other.
+    pub cuts: Vec<[usize; 2]>,
     pub timing: Timing,
     pub time: u64,
     pub appends: usize,
+    pub chunk_bytes: usize,
+    pub commands: usize,
     truth: BTreeMap<u64, Vec<u8>>,
     checked: Vec<usize>,
     leaders: BTreeMap<u64, Identity>,
@@ -80,6 +88,8 @@
             identity: *identity,
             core: None,
             isolated: false,
+            full: false,
+            slow: false,
             disk: Memory::new(Recovered::bootstrap(identities.clone())),
             batches: VecDeque::new(),
             started: 0,
@@ -93,9 +103,12 @@
             rejected: Vec::new(),
             limits,
             barred: Vec::new(),
+            cuts: Vec::new(),
             timing,
             time: 0,
             appends: 0,
+            chunk_bytes: 0,
+            commands: 0,
             truth: BTreeMap::new(),
             checked: vec![0; count],
             leaders: BTreeMap::new(),
@@ -108,6 +121,21 @@
         world
     }
 
+    /// One host that votes alone, and others with empty disks.
+    pub fn growing(count: usize) -> Self {
+        let mut world = Self::new(count);
+        for at in 0..count {
+            world.lose_disk(at);
+        }
+        let first = world.hosts[0].identity;
+        world.hosts[0].disk = Memory::new(Recovered::bootstrap(vec![first]));
+        world.network.clear();
+        for at in 0..count {
+            world.start(at);
+        }
+        world
+    }
+
     /// The host's own clock, which runs up to one percent fast or slow.
     pub fn now(&self, at: usize) -> Instant {
         let host = &self.hosts[at];
@@ -173,6 +201,11 @@
 
     pub fn sync(&mut self, at: usize) {
         while let Some((mark, records)) = self.hosts[at].batches.pop_front() {
+            let grows = records.iter().any(|record| !matches!(record, Record::Ballot(_)));
+            if self.hosts[at].full && grows {
+                self.fail(at);
+                return;
+            }
             let host = &mut self.hosts[at];
             host.disk.write(&records).unwrap();
             host.core.as_mut().unwrap().persisted(mark);
@@ -180,6 +213,16 @@
         }
     }
 
+    /// The store has refused a batch: the replica ends, and a new one starts from the disk.
+    fn fail(&mut self, at: usize) {
+        let error = Error::new(Kind::StorageFull, "no room");
+        let core = self.hosts[at].core.take().unwrap();
+        self.hosts[at].batches.clear();
+        let actions = core.abandon(&error);
+        self.carry_out(at, actions);
+        self.start(at);
+    }
+
     pub fn propose(&mut self, at: usize, command: &[u8]) -> Option<Result<ProposalId>> {
         let now = self.now(at);
         let core = self.hosts[at].core.as_mut()?;
@@ -219,7 +262,8 @@
         let message = Message::from_bytes(bytes).unwrap();
         let to = message.to.host.0 as usize - 1;
         let from = message.from.host.0 as usize - 1;
-        if self.hosts[to].isolated || self.hosts[from].isolated {
+        let cut = self.cuts.iter().any(|ends| ends.contains(&to) && ends.contains(&from));
+        if cut || self.hosts[to].isolated || self.hosts[from].isolated {
             return;
         }
         let now = self.now(to);
@@ -241,7 +285,9 @@
             self.advance(ROUND);
             for _ in 0..4 {
                 for at in 0..self.hosts.len() {
-                    self.sync(at);
+                    if !self.hosts[at].slow {
+                        self.sync(at);
+                    }
                 }
                 self.deliver_all();
             }
@@ -251,8 +297,11 @@
 
     /// Ends all faults and checks that the hosts come to one state that holds all accepted.
     pub fn settle(&mut self) {
+        self.cuts.clear();
         for at in 0..self.hosts.len() {
             self.hosts[at].isolated = false;
+            self.hosts[at].full = false;
+            self.hosts[at].slow = false;
             self.start(at);
         }
         self.run(600);
@@ -278,6 +327,11 @@
         for (id, command) in &self.accepted {
             assert_eq!(self.truth.get(&id.index), Some(command), "{id:?} was accepted");
         }
+        for (id, kind) in &self.rejected {
+            let Some(command) = self.proposed.get(id) else { continue };
+            let ran = self.truth.get(&id.index) == Some(command);
+            assert!(!ran || kind.answer().ran != Ran::No, "{id:?} ran and was refused: {kind}");
+        }
     }
 
     fn check_host(&mut self, at: usize) {
@@ -306,13 +360,22 @@
 
     fn drain(&mut self, at: usize) {
         let Some(core) = &mut self.hosts[at].core else { return };
+        let actions = core.take_actions();
+        self.carry_out(at, actions);
+        self.check_host(at);
+    }
+
+    fn carry_out(&mut self, at: usize, actions: Vec<Action>) {
         let mut joining = Vec::new();
-        for action in core.take_actions() {
+        for action in actions {
             match action {
                 Action::Persist { mark, records } => {
                     self.hosts[at].batches.push_back((mark, records));
                 }
                 Action::Send(message) => {
+                    if let Body::Chunk(chunk) = &message.body {
+                        self.chunk_bytes += chunk.data.len();
+                    }
                     self.appends += usize::from(matches!(message.body, Body::Append { .. }));
                     self.network.push(message.to_bytes());
                 }
@@ -329,7 +392,6 @@
         for identity in joining {
             self.admit(at, identity);
         }
-        self.check_host(at);
     }
 
     fn admit(&mut self, at: usize, identity: Identity) {
