--- /dev/null
+++ b/spec/agreement.pml
@@ -0,0 +1,271 @@
+/*
+ * Agreement of the replicated log with lost disks and replaced hosts.
+ *
+ * Three hosts; what lagoongauge/src/replica does is cut down to what decides whether an accepted
+ * entry can be lost:
+ *
+ * - An identity is a host with one incarnation of its disk. Identity h in 0..2 is host h with its
+ *   first disk, h + 3 the same host with its second one, which knows and has granted nothing.
+ * - An identity that votes in its own latest configuration stands in a term new to it, and leads
+ *   with the votes of a majority of that configuration. Any identity grants one vote a term, and
+ *   only to one whose log is not behind its own.
+ * - A leader writes entries. Others take its whole log if they have seen no later term. Entries are
+ *   accepted once a majority of the leader's configuration has taken a log that ends in an entry
+ *   of the leader's own term.
+ * - An entry may change the configuration, in force once written: a lost identity is removed, or
+ *   an identity that has taken the leader's whole log gets a vote once the host's former identity
+ *   has none. A leader makes a change only when its whole log is accepted and ends in its own term.
+ *
+ * A request and its answer are one step, which may come in any order with all others or never; so
+ * lost, late and reordered messages and silent isolation are steps that never or late happen. A
+ * durable change is part of its step, as nothing is told before it is synced. A vote or an
+ * acknowledgement counts even if its giver's disk was lost since. Leases and clocks are not part
+ * of the model.
+ *
+ * Properties, as assertions: one leader a term; a leader holds all accepted entries when it is
+ * elected; accepted entries are never replaced by others.
+ *
+ * -DREACH: asserts that no replaced host is ever elected after the loss of a second disk, which
+ * has to be found false, or the bounds would be too narrow to say anything.
+ * -DWRONG: a host that lost its disk goes on under its former identity.
+ */
+
+#ifndef TERMS
+#define TERMS 3                 /* terms that may be stood in */
+#endif
+#ifndef LENGTH
+#define LENGTH 3                /* entries that a log may hold */
+#endif
+#ifndef LOSSES
+#define LOSSES 2                /* disks that may be lost */
+#endif
+
+#define HOSTS 3
+#define IDS 6
+#define NONE 255
+#define FIRST 7                 /* the first configuration: identities 0, 1 and 2 */
+
+#define BIT(id) (1 << (id))
+#define COUNT(set) (((set) & 1) + (((set) >> 1) & 1) + (((set) >> 2) & 1) \
+    + (((set) >> 3) & 1) + (((set) >> 4) & 1) + (((set) >> 5) & 1))
+#define MAJORITY(some, set) (2 * COUNT((some) & (set)) > COUNT(set))
+
+typedef Log {
+    byte term[LENGTH];
+    byte voters[LENGTH];        /* the configuration from this entry on */
+    byte size
+};
+
+typedef Identity {
+    bool alive;                 /* its disk exists */
+    byte term;                  /* latest term that it has seen */
+    byte vote;                  /* whom it voted for in that term */
+    byte voters;                /* configuration of its last entry */
+    byte last;                  /* term of its last entry */
+    bool leads;                 /* it leads in its term */
+    byte granted;               /* who voted for it in its term */
+    byte taken;                 /* who has taken its whole log in its term */
+    bool done                   /* its whole log is accepted */
+};
+
+Identity id[IDS];
+Log log[IDS];
+Log truth;                      /* what is accepted */
+byte accepted_in[LENGTH];       /* the term of the leader that accepted it */
+byte winner[TERMS + 1];
+byte losses;
+bool stood;                     /* somebody has stood */
+
+#define STANDS(c) (id[c].alive && id[c].vote == c && !id[c].leads && id[c].granted != 0)
+#define CURRENT(c, v) (id[c].last > id[v].last \
+    || (id[c].last == id[v].last && log[c].size >= log[v].size))
+
+inline step_down(me) {
+    id[me].leads = false;
+    id[me].granted = 0;
+    id[me].taken = 0;
+    id[me].done = false
+}
+
+inline clear(me, set) {
+    i = 0;
+    do
+    :: i < LENGTH ->
+        log[me].term[i] = 0;
+        log[me].voters[i] = 0;
+        i++
+    :: else -> break
+    od;
+    i = 0;
+    log[me].size = 0;
+    id[me].alive = true;
+    id[me].term = 0;
+    id[me].vote = NONE;
+    id[me].voters = set;
+    id[me].last = 0;
+    step_down(me)
+}
+
+inline write(me, set) {
+    log[me].term[log[me].size] = id[me].term;
+    log[me].voters[log[me].size] = set;
+    log[me].size++;
+    id[me].voters = set;
+    id[me].last = id[me].term;
+    id[me].taken = BIT(me);
+    id[me].done = false
+}
+
+inline copy(from, to) {
+    i = 0;
+    do
+    :: i < LENGTH ->
+        log[to].term[i] = log[from].term[i];
+        log[to].voters[i] = log[from].voters[i];
+        i++
+    :: else -> break
+    od;
+    i = 0;
+    log[to].size = log[from].size;
+    id[to].voters = id[from].voters;
+    id[to].last = id[from].last
+}
+
+/* The log of `me` and what is accepted don't contradict each other. */
+inline check_truth(me) {
+    i = 0;
+    do
+    :: i < truth.size && i < log[me].size ->
+        assert(log[me].term[i] == truth.term[i]);
+        assert(log[me].voters[i] == truth.voters[i]);
+        i++
+    :: else -> break
+    od;
+    i = 0
+}
+
+/* The log of `me` holds all that leaders of earlier terms accepted. */
+inline check_complete(me) {
+    i = 0;
+    do
+    :: i < truth.size ->
+        assert(accepted_in[i] >= id[me].term ||
+            (i < log[me].size && log[me].term[i] == truth.term[i]));
+        i++
+    :: else -> break
+    od;
+    i = 0
+}
+
+inline accept(me) {
+    check_truth(me);
+    i = truth.size;
+    do
+    :: i < log[me].size ->
+        truth.term[i] = log[me].term[i];
+        truth.voters[i] = log[me].voters[i];
+        accepted_in[i] = id[me].term;
+        i++
+    :: else -> break
+    od;
+    i = 0;
+    truth.size = (log[me].size > truth.size -> log[me].size : truth.size);
+    id[me].done = true
+}
+
+/* `me` grants its vote to c. */
+#define GRANT(c) \
+    :: d_step { me != c && id[me].alive && STANDS(c) && CURRENT(c, me) \
+        && (id[me].term < id[c].term || (id[me].term == id[c].term && id[me].vote == NONE)) -> \
+        step_down(me); \
+        id[me].term = id[c].term; \
+        id[me].vote = c; \
+        id[c].granted = id[c].granted | BIT(me) }
+
+/* `me` takes the log of the leader l. */
+#define TAKE(l) \
+    :: d_step { me != l && id[me].alive && id[l].alive && id[l].leads \
+        && id[me].term <= id[l].term && !(id[l].taken & BIT(me)) -> \
+        step_down(me); \
+        if \
+        :: id[me].term < id[l].term -> id[me].term = id[l].term; id[me].vote = NONE \
+        :: else -> skip \
+        fi; \
+        copy(l, me); \
+        id[l].taken = id[l].taken | BIT(me) }
+
+#define CHANGES (id[me].alive && id[me].leads && id[me].done && log[me].size < LENGTH)
+
+/* The leader `me` removes the lost identity r. */
+#define REMOVE(r) \
+    :: d_step { CHANGES && !id[r].alive && (id[me].voters & BIT(r)) -> \
+        write(me, id[me].voters & ~BIT(r)) }
+
+/* The leader `me` gives a vote to n, the second identity of its host. */
+#define PROMOTE(n) \
+    :: d_step { CHANGES && id[n].alive && (id[me].taken & BIT(n)) \
+        && !(id[me].voters & BIT(n)) && !(id[me].voters & BIT(n - HOSTS)) -> \
+        write(me, id[me].voters | BIT(n)) }
+
+active [IDS] proctype identity() {
+    byte me = _pid;
+    byte i = 0;
+
+    d_step {
+        id[me].vote = NONE;
+        if
+        :: me < HOSTS -> id[me].alive = true; id[me].voters = FIRST
+        :: else -> skip
+        fi
+    }
+
+end:
+    do
+    /* Stands in the next term; the hosts are alike, so the first one to do so is called 0. */
+    :: d_step { id[me].alive && (id[me].voters & BIT(me)) && id[me].term < TERMS &&
+        (stood || me == 0) ->
+        stood = true;
+        step_down(me);
+        id[me].term++;
+        id[me].vote = me;
+        id[me].granted = BIT(me) }
+
+    /* Wins and leads. */
+    :: d_step { STANDS(me) && MAJORITY(id[me].granted, id[me].voters) ->
+        assert(winner[id[me].term] == 0 || winner[id[me].term] == me + 1);
+        winner[id[me].term] = me + 1;
+        check_complete(me);
+#ifdef REACH
+        assert(me < HOSTS || losses < 2 || truth.size < LENGTH);
+#endif
+        id[me].leads = true;
+        id[me].granted = 0;
+        id[me].taken = BIT(me) }
+
+    /* Writes an operator's change. */
+    :: d_step { id[me].alive && id[me].leads && log[me].size < LENGTH ->
+        write(me, id[me].voters) }
+
+    /* Learns that a majority has taken the log. */
+    :: d_step { id[me].alive && id[me].leads && !id[me].done && id[me].last == id[me].term &&
+        MAJORITY(id[me].taken, id[me].voters) ->
+        accept(me) }
+
+    /* The disk is lost. */
+    :: d_step { me < HOSTS && id[me].alive && losses < LOSSES ->
+        losses++;
+#ifdef WRONG
+        clear(me, FIRST)
+#else
+        clear(me, 0);
+        id[me].alive = false;
+        clear(me + HOSTS, 0)
+#endif
+       }
+
+    GRANT(0) GRANT(1) GRANT(2) GRANT(3) GRANT(4) GRANT(5)
+    TAKE(0) TAKE(1) TAKE(2) TAKE(3) TAKE(4) TAKE(5)
+    REMOVE(0) REMOVE(1) REMOVE(2)
+    PROMOTE(3) PROMOTE(4) PROMOTE(5)
+    od
+}
