--- /dev/null
+++ b/lagoongauged/examples/one_connection/main.rs
@@ -0,0 +1,90 @@
+//! Carries one connection through programs that were started by hand; see README.md.
+//!
+//! Plays the fabric, a target that announces itself, and a caller.
+
+#[allow(dead_code)]
+#[path = "../whole_path/caller.rs"]
+mod caller;
+#[allow(dead_code)]
+#[path = "../whole_path/fabric.rs"]
+mod fabric;
+#[path = "../whole_path/stack.rs"]
+mod stack;
+#[allow(dead_code)]
+#[path = "../whole_path/target.rs"]
+mod target;
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use eyre::ensure;
+
+use crate::caller::Callers;
+use crate::fabric::Fabric;
+use crate::target::Target;
+
+/// Longest wait until the target's announcement is accepted.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Time from the announcement until the caller connects, and from there to its end.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// Addresses of the programs and of the two ends.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Address of the fabric, as given to the entry host.
+    #[bpaf(argument("ADDRESS"))]
+    fabric: SocketAddr,
+    /// Address at which the entry host takes the fabric's datagrams.
+    #[bpaf(argument("ADDRESS"))]
+    data: SocketAddr,
+    /// Address at which the entry host takes announcements.
+    #[bpaf(argument("ADDRESS"))]
+    http: SocketAddr,
+    /// Address of the service.
+    #[bpaf(argument("ADDRESS"))]
+    address: SocketAddr,
+    /// Key of the service, as the entry host's `/status` shows it.
+    #[bpaf(argument("NUMBER"))]
+    service: u32,
+    /// Token of the member's targets.
+    #[bpaf(argument("TOKEN"))]
+    token: String,
+    /// Address of the target, in the member's networks.
+    #[bpaf(argument("ADDRESS"))]
+    target: SocketAddr,
+    /// IP address of the caller.
+    #[bpaf(argument("IP"))]
+    caller: IpAddr,
+}
+
+fn main() -> eyre::Result<()> {
+    let options = options().run();
+    let fabric = Fabric::start(options.fabric, 1)?;
+    fabric.set_hosts(vec![options.data]);
+    let names = (options.service, 1);
+    let target = Target::start(options.target, names, &options.token, &fabric, &[options.http]);
+    wait_announced(&target)?;
+    sleep(PAUSE);
+    let caller = Callers::start(options.caller, (options.address, options.service), 1, &fabric);
+    sleep(PAUSE);
+    let outcome = caller.stop();
+    println!("{outcome:?}");
+    ensure!(outcome.answers > 0 && outcome.broken == 0, "the connection was not carried");
+    Ok(())
+}
+
+fn wait_announced(target: &Arc<Target>) -> eyre::Result<()> {
+    let begun = Instant::now();
+    while target.announced.load(Ordering::Relaxed) != 200 {
+        let status = target.announced.load(Ordering::Relaxed);
+        ensure!(begun.elapsed() < PATIENCE, "the announcement was answered with status {status}");
+        sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
--- a/lagoongauged/examples/whole_path/caller.rs
+++ b/lagoongauged/examples/whole_path/caller.rs
@@ -68,7 +68,7 @@
 }
 
 impl Callers {
-    /// Opens `count` flows to a service; every second one ends and begins anew now and then.
+    /// Keeps `count` flows to a service open; the first half stays, others end and are replaced.
     pub fn start(
         ip: IpAddr,
         service: (SocketAddr, u32),
@@ -100,7 +100,14 @@
         stack.poll();
         let stop = stopped.load(Ordering::Acquire);
         if !stop && flows.len() < count {
-            flows.push(open(&mut stack, address, outcome.flows as u32));
+            let flow = outcome.flows as u32;
+            let stays = outcome.flows < count as u64 / 2;
+            flows.push(open(
+                &mut stack,
+                address,
+                flow,
+                if stays { u32::MAX } else { 20 + flow % 50 },
+            ));
             outcome.flows += 1;
         }
         flows.retain_mut(|flow| {
@@ -117,12 +124,11 @@
     }
 }
 
-fn open(stack: &mut Stack, service: SocketAddr, flow: u32) -> Flow {
+fn open(stack: &mut Stack, service: SocketAddr, flow: u32, rounds: u32) -> Flow {
     let mut socket = socket();
     let port = 1024 + (flow % 60_000) as u16;
     let end = (service.ip(), service.port());
     socket.connect(stack.iface.context(), end, port).expect("the socket is new");
-    let rounds = if flow.is_multiple_of(2) { u32::MAX } else { 20 + flow % 50 };
     let request = Request { flow, ..Request::default() };
     let handle = stack.sockets.add(socket);
     Flow { handle, request, target: None, rounds, waiting: false, since: Instant::now() }
--- a/lagoongauged/examples/whole_path/fabric.rs
+++ b/lagoongauged/examples/whole_path/fabric.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -21,9 +21,9 @@
 
 impl Fabric {
     /// Starts a fabric that sprays in an order that follows from `seed`.
-    pub fn start(seed: u64) -> io::Result<Arc<Self>> {
+    pub fn start(address: SocketAddr, seed: u64) -> io::Result<Arc<Self>> {
         let fabric = Arc::new(Self {
-            socket: UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?,
+            socket: UdpSocket::bind(address)?,
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
             hosts: Mutex::default(),
             stacks: Mutex::default(),
--- a/lagoongauged/examples/whole_path/main.rs
+++ b/lagoongauged/examples/whole_path/main.rs
@@ -33,7 +33,7 @@
 const CALLERS: usize = 150;
 
 /// Pause between two changes.
-const PAUSE: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_secs(4);
 
 /// How long a drained target may still get new flows.
 const DRAIN_DELAY: Duration = Duration::from_secs(5);
@@ -49,7 +49,7 @@
     (0, "10.1.0.4:8443"),
 ];
 
-/// What happened; times in milliseconds.
+/// What happened.
 #[derive(Debug, Default, Serialize)]
 struct Report {
     flows: u64,
@@ -71,7 +71,7 @@
 
 fn main() -> eyre::Result<()> {
     let begun = Instant::now();
-    let fabric = Fabric::start(SEED)?;
+    let fabric = Fabric::start(SocketAddr::from(([127, 0, 0, 1], 0)), SEED)?;
     let centres = [1, 1, 2, 2].map(CentreId);
     let mut site = Site::start(&centres, fabric.address()?)?;
     fabric.set_hosts(site.data());
@@ -147,7 +147,8 @@
 fn start((service, address): &(usize, &str), site: &Site, fabric: &Arc<Fabric>) -> Arc<Target> {
     let address: SocketAddr = address.parse().expect("the address is well-formed");
     let name = TARGETS.iter().position(|one| one.1.parse() == Ok(address)).unwrap_or(0) as u32;
-    Target::start(address, (site.services[*service].1, name), fabric, &site.http())
+    let key = site.services[*service].1;
+    Target::start(address, (key, name), site::TOKENS[*service], fabric, &site.http())
 }
 
 /// Returns the worst ratio of the fullest target's open flows to the mean over the services.
--- a/lagoongauged/examples/whole_path/site.rs
+++ b/lagoongauged/examples/whole_path/site.rs
@@ -22,6 +22,9 @@
 const SERVICES: [(&str, &str); 2] =
     [("/tsenkher/booking", "10.99.0.1:443"), ("/columbia/queue", "[fd00:99::1]:443")];
 
+/// Tokens that the targets of each service announce themselves with.
+pub const TOKENS: [&str; 2] = ["token of tsenkher's targets", "token of columbia's targets"];
+
 /// A running system.
 pub struct Site {
     /// Address and key of each service.
@@ -46,15 +49,22 @@
             values.push((path.clone(), "centre", centre.0.to_string()));
             values.push((path, "peer", peer.to_string()));
         }
-        for ((path, address), networks) in SERVICES.iter().zip(["10.1.0.0/16", "fd00:2::/64"]) {
+        for (index, networks) in ["10.1.0.0/16", "fd00:2::/64"].into_iter().enumerate() {
+            let (path, address) = SERVICES[index];
+            let hash = Hash::new([7; 16], TOKENS[index]).to_string();
             let member = path.rsplit_once('/').map_or("", |(member, _)| member);
             values.push((member.to_owned(), "networks", networks.to_owned()));
+            values.push((member.to_owned(), "target_tokens", hash));
             values.push((member.to_owned(), "slow_start", "2s".to_owned()));
-            values.push(((*path).to_owned(), "address", (*address).to_owned()));
+            values.push((path.to_owned(), "address", address.to_owned()));
         }
         let values: Vec<_> = values.iter().map(|(a, b, c)| (a.as_str(), *b, c.as_str())).collect();
         site.set("begin", &values)?;
-        site.admit_targets()?;
+        let known = site.hosts[0].0.services();
+        for (path, address) in SERVICES {
+            let (_, key) = known.iter().find(|one| one.0 == path).ok_or_eyre("no such service")?;
+            site.services.push((address.parse()?, key.0));
+        }
         wait("the entry hosts are ready", || site.hosts.iter().all(|host| host.0.is_ready()))?;
         Ok(site)
     }
@@ -136,19 +146,6 @@
         self.hosts.push((EntryHost::start(&settings, bound)?, data, http));
         Ok(peer)
     }
-
-    /// Gives the targets of each service's member their token.
-    fn admit_targets(&mut self) -> eyre::Result<()> {
-        let known = self.hosts[0].0.services();
-        for (path, address) in SERVICES {
-            let (_, key) = known.iter().find(|one| one.0 == path).ok_or_eyre("no such service")?;
-            self.services.push((address.parse()?, key.0));
-            let member = path.rsplit_once('/').map_or("", |(member, _)| member);
-            let hash = Hash::new([7; 16], &format!("secret-{}", key.0)).to_string();
-            self.set(path, &[(member, "target_tokens", &hash)])?;
-        }
-        Ok(())
-    }
 }
 
 /// Waits until `done` holds.
--- a/lagoongauged/examples/whole_path/target.rs
+++ b/lagoongauged/examples/whole_path/target.rs
@@ -19,6 +19,7 @@
 /// A target as the scenario sees it.
 pub struct Target {
     pub service: u32,
+    pub token: String,
     pub state: Mutex<&'static str>,
     pub open: AtomicUsize,
     pub accepted: AtomicUsize,
@@ -30,11 +31,13 @@
     pub fn start(
         address: SocketAddr,
         (service, name): (u32, u32),
+        token: &str,
         fabric: &Arc<Fabric>,
         hosts: &[SocketAddr],
     ) -> Arc<Self> {
         let target = Arc::new(Self {
             service,
+            token: token.to_owned(),
             state: Mutex::new("ready"),
             open: AtomicUsize::new(0),
             accepted: AtomicUsize::new(0),
@@ -62,8 +65,9 @@
         );
         let head = format!(
             "POST /announce HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\
-             Authorization: Bearer secret-{service}\r\nContent-Length: {}\r\n\
+             Authorization: Bearer {}\r\nContent-Length: {}\r\n\
              Content-Type: application/x-www-form-urlencoded\r\n\r\n",
+            self.token,
             body.len()
         );
         let mut stream = TcpStream::connect_timeout(&host, Duration::from_secs(1)).ok()?;
