--- a/lagoongauge/src/route/core.rs
+++ b/lagoongauge/src/route/core.rs
@@ -10,6 +10,7 @@
 use super::plan::{Plan, Stamp, Step};
 use super::planner::Planner;
 use super::table::Table;
+use crate::forward::AddressState;
 use crate::id::{HostId, ServiceId};
 use crate::settings::Resolved;
 use crate::time::{Instant, Span};
@@ -38,7 +39,7 @@
     /// The tables that this host would plan.
     pub wanted: IndexMap<ServiceId, Table>,
     pub plan: Plan,
-    pub ledgers: IndexMap<ServiceId, Ledger>,
+    pub ledgers: IndexMap<ServiceId, Ledger, AddressState>,
     pub follower: Follower,
     pub planner: Option<Planner>,
     pub handover: Handover,
@@ -57,7 +58,7 @@
             served: IndexMap::new(),
             wanted: IndexMap::new(),
             plan: Plan::default(),
-            ledgers: IndexMap::new(),
+            ledgers: IndexMap::default(),
             follower: Follower::new(seed, now),
             planner: None,
             handover: Handover::default(),
--- a/lagoongauged/examples/whole_path/main.rs
+++ b/lagoongauged/examples/whole_path/main.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::ensure;
+use indexmap::IndexMap;
 use lagoongauge::id::CentreId;
 use serde::Serialize;
 
@@ -63,9 +64,10 @@
     late_flows_of_drained_target: usize,
     setting_in_force_ms: u128,
     host_left_clean: bool,
+    host_left_after_ms: u128,
     packets: u64,
     relayed: u64,
-    dropped: u64,
+    dropped: IndexMap<&'static str, u64>,
     seconds: f64,
 }
 
@@ -96,7 +98,8 @@
     for callers in callers {
         report.count(callers.stop());
     }
-    (report.packets, report.relayed, report.dropped) = site.packets();
+    (report.packets, report.relayed) = site.packets();
+    report.dropped = site.dropped();
     site.stop();
     report.seconds = begun.elapsed().as_secs_f64();
     println!("{}", serde_json::to_string(&report)?);
@@ -123,7 +126,9 @@
 
         let leaver = site.leave();
         fabric.set_hosts(site.data());
+        let leaving = Instant::now();
         self.host_left_clean = leaver.shut_down();
+        self.host_left_after_ms = leaving.elapsed().as_millis();
         sleep(PAUSE);
 
         let changed = Instant::now();
