--- a/lagoongauge/src/route/core.rs
+++ b/lagoongauge/src/route/core.rs
@@ -12,6 +12,7 @@
 use super::plan::{Plan, Stamp, Step};
 use super::planner::Planner;
 use super::table::Table;
+use crate::forward::AddressState;
 use crate::id::{HostId, ServiceId};
 use crate::settings::Resolved;
 use crate::time::{Instant, Span};
@@ -46,7 +47,7 @@
     /// The last steps, and the stamp before the first of them.
     pub log: VecDeque<(Stamp, Step)>,
     pub log_base: Stamp,
-    pub ledgers: IndexMap<ServiceId, Ledger>,
+    pub ledgers: IndexMap<ServiceId, Ledger, AddressState>,
     pub follower: Follower,
     pub planner: Option<Planner>,
     pub handover: Handover,
@@ -67,7 +68,7 @@
             plan: Plan::default(),
             log: VecDeque::new(),
             log_base: Stamp::default(),
-            ledgers: IndexMap::new(),
+            ledgers: IndexMap::default(),
             follower: Follower::new(seed, now),
             planner: None,
             handover: Handover::default(),
