Let entry hosts that are cut off serve, and bring their flows back

Cause: a host without a lease only relayed, so a data centre that was cut off served nothing. Change: after 6 s without a planner a host decides by the last table and the targets in its reach. On return it tells the homes of the flows that the table can't tell, and the planner holds their buckets by the new step Hold.

--- a/lagoongauge/src/route/codec.rs
+++ b/lagoongauge/src/route/codec.rs
@@ -121,6 +121,7 @@
             write_stamp(settled.stamp, 0, to.reborrow().init_stamp());
             to.set_service(settled.service.0);
             to.set_buckets(&pack_deltas(&settled.buckets));
+            to.set_stray(settled.stray);
         }
         Message::Gifts(gifts) => {
             let mut to = to.init_gifts();
@@ -210,8 +211,8 @@
             let settled = settled?;
             let (stamp, service) =
                 (read_stamp(settled.get_stamp()?), ServiceId(settled.get_service()));
-            let list = unpack_deltas(settled.get_buckets()?);
-            list.map(|buckets| Message::Settled(Settled { stamp, service, buckets }))
+            let (list, stray) = (unpack_deltas(settled.get_buckets()?), settled.get_stray());
+            list.map(|buckets| Message::Settled(Settled { stamp, service, buckets, stray }))
         }
         Which::Gifts(gifts) => read_gifts(gifts?)?,
         Which::Taken(taken) => {
--- a/lagoongauge/src/route/core.rs
+++ b/lagoongauge/src/route/core.rs
@@ -132,6 +132,15 @@
                 self.plan.apply(stamp, step);
                 Vec::new()
             }
+            Step::Hold { service, buckets } => {
+                self.plan.apply(stamp, step);
+                if let Some(ledger) = self.ledgers.get_mut(service) {
+                    let known = buckets.iter().copied().filter(|&b| b < ledger.count());
+                    let known: Vec<_> = known.collect();
+                    ledger.watch(now, &known);
+                }
+                Vec::new()
+            }
             Step::View { .. } => self.change_view(stamp, step, limits),
             Step::Settle => {
                 self.plan.apply(stamp, step);
@@ -213,10 +222,12 @@
             let pins = ledger.take_pins(now, layout);
             let bits = layout.bits;
             self.handover.replicate(service, bits, self.plan.stamp, &pins, &self.plan.view);
-            if sweep.settled.is_empty() || !self.plan.settled {
+            if !self.plan.settled {
                 continue;
             }
-            reports.push(self.follower.report(now, self.plan.stamp, service, sweep.settled));
+            let stamp = self.plan.stamp;
+            reports.push(self.follower.report(now, stamp, service, sweep.settled, false));
+            reports.push(self.follower.report(now, stamp, service, sweep.stray, true));
         }
         reports.into_iter().flatten().collect()
     }
@@ -256,8 +267,12 @@
         for (service, ledger) in &mut self.ledgers {
             let (prior, view) = (&self.plan.prior, &self.plan.view);
             let dropped = ledger.change_view(self.own, present, prior, view, limits);
-            if let Some(layout) = self.plan.services.get(service) {
-                self.handover.leave_behind(ledger, layout, stamp, &dropped, view);
+            if let Some(layout) = self.plan.services.get(service)
+                && !present
+            {
+                ledger.set_aside(&dropped, layout);
+                self.follower.was_alone = true;
+                self.follower.returns = 0;
             }
             ledger.discard(&dropped, limits);
             ledger.change_backups(prior, view);
--- a/lagoongauge/src/route/decide.rs
+++ b/lagoongauge/src/route/decide.rs
@@ -45,7 +45,13 @@
         forward(layout, record.target())
     }
 
-    fn note(&self, record: &mut Record, now: Instant, facts: &Facts, limits: &impl Admit) {
+    pub(super) fn note(
+        &self,
+        record: &mut Record,
+        now: Instant,
+        facts: &Facts,
+        limits: &impl Admit,
+    ) {
         let open = !record.closed();
         record.touch(second(now));
         match facts.signal {
@@ -128,7 +134,8 @@
     }
 }
 
-fn forward(layout: &Layout, target: u16) -> Verdict {
+/// Returns the verdict that sends a packet to the target of an index.
+pub(super) fn forward(layout: &Layout, target: u16) -> Verdict {
     if target == NO_TARGET || layout.is_gone(target) {
         return Verdict::Drop(Kind::Unroutable);
     }
--- a/lagoongauge/src/route/follower.rs
+++ b/lagoongauge/src/route/follower.rs
@@ -41,6 +41,10 @@
 /// Time between two reports on one service.
 const REPORT_INTERVAL: Span = Span::seconds(2);
 
+/// How long nobody may hold the group's lease until a host counts as cut off; an ordinary change of
+/// the planner takes less.
+const CUT_OFF: Span = Span::seconds(6);
+
 /// Bytes of a plan that go into one message.
 const PART_BYTES: usize = 900;
 
@@ -82,12 +86,19 @@
     pub planner: Option<HostId>,
     pub leased_until: Instant,
     pub leaving: bool,
+    /// When the holder of the group's lease was last known.
+    pub led_at: Instant,
+    /// Whether this host has decided while cut off and not returned yet.
+    pub was_alone: bool,
+    /// How often it has told the homes of its flows since, and when it does next.
+    pub returns: u8,
+    pub next_return: Instant,
     next_beat: Instant,
     next_counts: Instant,
     assembly: Option<Assembly>,
     /// The plan as it was encoded last, for hosts that fetch it.
     encoded: Option<(Stamp, Vec<u8>)>,
-    reported: IndexMap<ServiceId, Instant>,
+    reported: IndexMap<(ServiceId, bool), Instant>,
 }
 
 impl Follower {
@@ -100,6 +111,10 @@
             planner: None,
             leased_until: Instant::default(),
             leaving: false,
+            led_at: now,
+            was_alone: false,
+            returns: 0,
+            next_return: now,
             next_beat: now,
             next_counts: now,
             assembly: None,
@@ -125,6 +140,11 @@
         }
     }
 
+    /// Returns whether this host is cut off from a majority of its group.
+    pub fn alone(&self, now: Instant) -> bool {
+        now >= self.leased_until && now.since(self.led_at) >= CUT_OFF
+    }
+
     /// Builds a report on buckets that need be held no longer, unless one went out just now.
     pub fn report(
         &mut self,
@@ -132,14 +152,18 @@
         stamp: Stamp,
         service: ServiceId,
         mut buckets: Vec<u32>,
+        stray: bool,
     ) -> Option<Message> {
-        let last = self.reported.get(&service).copied();
+        if buckets.is_empty() {
+            return None;
+        }
+        let last = self.reported.get(&(service, stray)).copied();
         if last.is_some_and(|last| now.since(last) < REPORT_INTERVAL) {
             return None;
         }
-        self.reported.insert(service, now);
+        self.reported.insert((service, stray), now);
         buckets.truncate(MAX_REPORT);
-        Some(Message::Settled(Settled { stamp, service, buckets }))
+        Some(Message::Settled(Settled { stamp, service, buckets, stray }))
     }
 
     /// Begins to fetch a plan.
--- a/lagoongauge/src/route/handover.rs
+++ b/lagoongauge/src/route/handover.rs
@@ -6,9 +6,9 @@
 
 use super::admit::Admit;
 use super::core::Core;
-use super::ledger::{Duty, Ledger, second};
+use super::ledger::{Duty, second};
 use super::message::{Action, Gift, Gifts, Message, Pins};
-use super::plan::{Layout, Stamp, View};
+use super::plan::{Stamp, View};
 use super::record::Record;
 use crate::id::{HostId, ServiceId};
 use crate::time::{Instant, Span};
@@ -67,28 +67,6 @@
         }
     }
 
-    /// Queues the records that the next homes can't tell from the table, as the view dropped this
-    /// host from their buckets.
-    pub fn leave_behind(
-        &mut self,
-        ledger: &Ledger,
-        layout: &Layout,
-        stamp: Stamp,
-        dropped: &[u32],
-        view: &View,
-    ) {
-        let mut by_home: IndexMap<HostId, Vec<Record>> = IndexMap::new();
-        for &bucket in dropped {
-            let Some(home) = view.home(ledger.service, bucket) else { continue };
-            let records = ledger.records(bucket).into_iter();
-            let pins = records.filter(|r| !r.closed() && r.target() != layout.fallback(bucket));
-            by_home.entry(home).or_default().extend(pins);
-        }
-        for (home, records) in by_home {
-            self.queue_pins(home, ledger.service, layout.bits, stamp, &records);
-        }
-    }
-
     /// Queues records for the backups of their buckets.
     pub fn replicate(
         &mut self,
@@ -109,6 +87,26 @@
         }
     }
 
+    /// Queues records for the homes of their buckets.
+    pub fn bring_home(
+        &mut self,
+        service: ServiceId,
+        bits: u8,
+        stamp: Stamp,
+        records: &[Record],
+        view: &View,
+    ) {
+        let mut by_home: IndexMap<HostId, Vec<Record>> = IndexMap::new();
+        for &record in records {
+            if let Some(home) = view.home(service, record.key().bucket(bits)) {
+                by_home.entry(home).or_default().push(record);
+            }
+        }
+        for (home, records) in by_home {
+            self.queue_pins(home, service, bits, stamp, &records);
+        }
+    }
+
     /// Queues records for a host that shall know of them.
     fn queue_pins(
         &mut self,
--- a/lagoongauge/src/route/ledger.rs
+++ b/lagoongauge/src/route/ledger.rs
@@ -64,6 +64,8 @@
     pub counts: Vec<u32>,
     /// Held buckets in which no flow differs from the table.
     pub settled: Vec<u32>,
+    /// Buckets that are not held although a flow differs from the table.
+    pub stray: Vec<u32>,
 }
 
 /// Records and duties of one service at one host.
@@ -72,7 +74,7 @@
     pub service: ServiceId,
     pub bounds: Bounds,
     pub(super) bits: u8,
-    shards: Vec<Mutex<Shard>>,
+    pub(super) shards: Vec<Mutex<Shard>>,
     pub(super) len: AtomicUsize,
     duties: Vec<Duty>,
     /// Second from which on every live flow of the bucket has a record.
@@ -169,7 +171,7 @@
 
     /// Goes over all records: ends those whose time is over and counts the others.
     pub fn sweep(&mut self, now: Instant, layout: &Layout, limits: &impl Admit) -> Sweep {
-        let mut sweep = Sweep { counts: vec![0; layout.names.len()], settled: Vec::new() };
+        let mut sweep = Sweep { counts: vec![0; layout.names.len()], ..Sweep::default() };
         let mut pinned = vec![false; self.duties.len()];
         let mut silent = Vec::new();
         let at = second(now);
@@ -180,7 +182,8 @@
                 let bucket = record.key().bucket(self.bits);
                 let duty = self.duties[bucket as usize];
                 if duty != Duty::Given && self.ended(record, at, layout) {
-                    if !record.closed() && duty != Duty::Other {
+                    let counted = duty != Duty::Other || record.alone();
+                    if !record.closed() && counted {
                         limits.release(self.service);
                         silent.push(bucket);
                     }
@@ -199,6 +202,8 @@
         for bucket in silent.into_iter().filter(|&bucket| !layout.is_held(bucket)) {
             self.known[bucket as usize] = UNKNOWN;
         }
+        let plain = self.buckets(Duty::Own).filter(|&bucket| !layout.is_held(bucket));
+        sweep.stray = plain.filter(|&bucket| pinned[bucket as usize]).collect();
         if layout.next.is_none() {
             let owned = self.buckets(Duty::Own).filter(|&bucket| layout.is_held(bucket));
             let whole = owned.filter(|&bucket| self.known[bucket as usize] <= at);
@@ -397,7 +402,7 @@
         for shard in &self.shards {
             let mut shard = lock(shard);
             shard.retain(|record| {
-                let keep = !gone[record.key().bucket(self.bits) as usize];
+                let keep = record.alone() || !gone[record.key().bucket(self.bits) as usize];
                 if !keep {
                     self.len.fetch_sub(1, Ordering::Relaxed);
                     if !record.closed() {
--- a/lagoongauge/src/route/message.rs
+++ b/lagoongauge/src/route/message.rs
@@ -54,7 +54,7 @@
     pub bytes: Vec<u8>,
 }
 
-/// Held buckets of a home in which no flow differs from the table.
+/// Buckets of a home that need be held no longer, or from now on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settled {
     /// The last step that the home had applied.
@@ -63,6 +63,8 @@
     pub service: ServiceId,
     /// The buckets, in rising order.
     pub buckets: Vec<u32>,
+    /// Whether these are not held although a flow differs from the table.
+    pub stray: bool,
 }
 
 /// A bucket that changes hands, or the next piece of one.
--- a/lagoongauge/src/route/mod.rs
+++ b/lagoongauge/src/route/mod.rs
@@ -1,6 +1,7 @@
 //! Routing: which target a flow's packet goes to, the same on whichever entry host it lands.
 
 mod admit;
+mod alone;
 mod codec;
 mod compact;
 mod core;
--- a/lagoongauge/src/route/plan.rs
+++ b/lagoongauge/src/route/plan.rs
@@ -89,6 +89,14 @@
         /// The service whose table changes.
         service: ServiceId,
     },
+    /// These buckets have flows that differ from the table.
+    Hold {
+        /// The service that the buckets belong to.
+        service: ServiceId,
+        /// The buckets, in rising order.
+        #[serde(with = "super::deltas")]
+        buckets: Vec<u32>,
+    },
     /// These buckets have no flow that differs from the table.
     Release {
         /// The service that the buckets belong to.
@@ -189,6 +197,17 @@
         self.table = table;
     }
 
+    fn hold(&mut self, buckets: &[u32]) {
+        for &bucket in buckets {
+            let choice = self.choices.get(bucket as usize).copied();
+            if let (Some(held), Some(choice)) = (self.held.get_mut(bucket as usize), choice)
+                && *held == NO_TARGET
+            {
+                *held = choice;
+            }
+        }
+    }
+
     fn release(&mut self, buckets: &[u32]) {
         for &bucket in buckets {
             if let Some(held) = self.held.get_mut(bucket as usize) {
@@ -277,6 +296,11 @@
                     layout.switch();
                 }
             }
+            Step::Hold { service, buckets } => {
+                if let Some(layout) = self.services.get_mut(service) {
+                    layout.hold(buckets);
+                }
+            }
             Step::Release { service, buckets } => {
                 if let Some(layout) = self.services.get_mut(service) {
                     layout.release(buckets);
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -75,6 +75,7 @@
     pub first: Stamp,
     pub prepared: IndexMap<ServiceId, (Stamp, Instant)>,
     pub settled: IndexMap<ServiceId, BTreeSet<u32>>,
+    pub stray: IndexMap<ServiceId, BTreeSet<u32>>,
     pub next_release: IndexMap<ServiceId, Instant>,
 }
 
@@ -91,6 +92,7 @@
             first: Stamp::default(),
             prepared: IndexMap::new(),
             settled: IndexMap::new(),
+            stray: IndexMap::new(),
             next_release: IndexMap::new(),
         }
     }
@@ -149,8 +151,10 @@
     pub fn elect(&mut self, now: Instant, holder: Option<(HostId, u64)>, until: Instant) {
         let Some((host, epoch)) = holder else {
             self.planner = None;
+            self.follower.was_alone |= self.follower.alone(now);
             return;
         };
+        self.follower.led_at = now;
         if host != self.own {
             self.planner = None;
             if epoch >= self.follower.epoch {
@@ -201,12 +205,16 @@
     pub fn hear_settled(&mut self, settled: &Settled) {
         let Some(planner) = self.planner.as_mut() else { return };
         let Some(layout) = self.plan.services.get(&settled.service) else { return };
+        let inside = settled.buckets.iter().copied().filter(|&b| b < 1 << layout.bits);
+        if settled.stray {
+            planner.stray.entry(settled.service).or_default().extend(inside);
+            return;
+        }
         let floor = planner.prepared.get(&settled.service).map_or(planner.first, |at| at.0);
         if layout.next.is_some() || settled.stamp < floor || settled.stamp > self.plan.stamp {
             return;
         }
-        let held = settled.buckets.iter().copied();
-        let held = held.filter(|&bucket| bucket < 1 << layout.bits && layout.is_held(bucket));
+        let held = inside.filter(|&bucket| layout.is_held(bucket));
         planner.settled.entry(settled.service).or_default().extend(held);
     }
 
--- a/lagoongauge/src/route/record.rs
+++ b/lagoongauge/src/route/record.rs
@@ -21,6 +21,8 @@
 const RESET: u8 = 4;
 /// The flags that say how far the flow has closed.
 const CLOSING: u8 = 7;
+/// The flow was opened while this host was cut off, in a bucket of another home.
+const ALONE: u8 = 16;
 /// The record is on its way to the backup, or there.
 const REPLICATED: u8 = 8;
 
@@ -123,6 +125,16 @@
         self.seen_at(to.saturating_sub(age))
     }
 
+    /// Returns whether the flow was opened while this host was cut off from its home.
+    pub const fn alone(&self) -> bool {
+        self.flags & ALONE != 0
+    }
+
+    /// Notes whether the flow was opened while this host was cut off from its home.
+    pub fn set_alone(&mut self, alone: bool) {
+        self.flags = self.flags & !ALONE | if alone { ALONE } else { 0 };
+    }
+
     /// Notes whether the record is replicated.
     pub fn set_replicated(&mut self, replicated: bool) {
         self.flags = self.flags & !REPLICATED | if replicated { REPLICATED } else { 0 };
--- a/lagoongauge/src/route/router.rs
+++ b/lagoongauge/src/route/router.rs
@@ -254,6 +254,7 @@
         }
         actions.extend(core.plan_tick(now, &self.limits));
         actions.extend(core.follow_tick(now));
+        core.return_tick(now, &self.limits);
         actions.extend(core.hand_over(now));
         actions
     }
@@ -280,6 +281,11 @@
         if facts.direction == Direction::Outward && !ends(facts.signal) {
             return Verdict::Answer;
         }
+        if core.follower.alone(now)
+            && let Some(reached) = core.wanted.get(&facts.service)
+        {
+            return ledger.decide_alone(now, facts, layout, reached, &self.limits);
+        }
         if leased && duty.decides() {
             return ledger.decide(now, facts, layout, &self.limits);
         }
@@ -287,6 +293,13 @@
             return relay(&core, facts, bucket, duty).unwrap_or(Verdict::Answer);
         }
         let plain = facts.signal == Signal::Middle && !layout.is_held(bucket);
+        if leased
+            && plain
+            && core.follower.was_alone
+            && let Some(target) = ledger.target_alone(facts, layout)
+        {
+            return Verdict::Forward(target);
+        }
         if leased && plain {
             let target = layout.name(layout.choice(bucket));
             return target.map_or(Verdict::Drop(Kind::Unroutable), Verdict::Forward);
--- a/lagoongauge/src/route/steps.rs
+++ b/lagoongauge/src/route/steps.rs
@@ -25,6 +25,7 @@
         self.next_switch(now)
             .or_else(|| self.next_prepare(now))
             .or_else(|| self.next_view(now))
+            .or_else(|| self.next_hold())
             .or_else(|| self.next_release(now))
     }
 
@@ -142,6 +143,22 @@
         })
     }
 
+    fn next_hold(&mut self) -> Option<Step> {
+        let planner = self.planner.as_mut()?;
+        for (&service, buckets) in &mut planner.stray {
+            let Some(layout) = self.plan.services.get(&service) else { continue };
+            buckets.retain(|&bucket| {
+                !layout.is_held(bucket) && layout.name(layout.choice(bucket)).is_some()
+            });
+            let held: Vec<_> = buckets.iter().copied().take(MAX_RELEASE).collect();
+            if !held.is_empty() {
+                buckets.clear();
+                return Some(Step::Hold { service, buckets: held });
+            }
+        }
+        None
+    }
+
     fn next_release(&mut self, now: Instant) -> Option<Step> {
         let planner = self.planner.as_mut()?;
         for (&service, buckets) in &mut planner.settled {
--- /dev/null
+++ b/lagoongauge/tests/route_codec.rs
@@ -0,0 +1,85 @@
+//! Routing messages as bytes: what is sent comes back, and garbage is an error.
+
+use lagoongauge::error::Kind;
+use lagoongauge::flow::FlowHash;
+use lagoongauge::id::{ServiceId, TargetId};
+use lagoongauge::route::{
+    Gift, Gifts, Key, MAX_MESSAGE, Message, Record, Settled, Stamp, Step, Steps, Table,
+};
+use proptest::prelude::*;
+
+const STAMP: Stamp = Stamp { epoch: 1 << 50, number: 7 };
+const BITS: u8 = 12;
+
+fn gifts(hashes: &[u64]) -> Message {
+    let mut hashes = hashes.to_vec();
+    hashes.sort_unstable();
+    let gift = |&hash: &u64| {
+        let key = Key::new(FlowHash(hash));
+        let record = Record::new(key, (hash % 50) as u16, (hash % 900) as u32);
+        let (bucket, knowledge) = (key.bucket(BITS), (u32::MAX, (hash % 64) as u32));
+        Gift { bucket, knowledge, last: hash % 2 == 0, records: vec![record] }
+    };
+    Message::Gifts(Gifts {
+        view: STAMP,
+        number: 3,
+        service: ServiceId(9),
+        bits: BITS,
+        gifts: hashes.iter().map(gift).collect(),
+        second: 1_000,
+    })
+}
+
+#[test]
+fn steps_come_back_as_they_were_sent() {
+    let table = Table::new((0..14).map(|t| (TargetId(u64::MAX - t), 100)).collect());
+    let service = ServiceId(4);
+    let steps = vec![
+        (STAMP.epoch, Step::Prepare { service, bits: 16, table }),
+        (STAMP.epoch, Step::Switch { service }),
+        (STAMP.epoch, Step::Release { service, buckets: vec![3, 4, 60_000] }),
+    ];
+    let message = Message::Steps(Steps { epoch: STAMP.epoch, after: STAMP, steps });
+    assert_eq!(Message::decode(&message.encode()), Ok(message));
+    let buckets = vec![0, 1, 4_000];
+    let settled = Settled { stamp: STAMP, service, buckets, stray: true };
+    let message = Message::Settled(settled);
+    assert_eq!(Message::decode(&message.encode()), Ok(message));
+}
+
+#[test]
+fn a_message_that_is_too_long_is_refused() {
+    let error = Message::decode(&vec![0; MAX_MESSAGE + 1]).unwrap_err();
+    assert_eq!(error.kind, Kind::Oversized);
+}
+
+#[test]
+fn a_handed_over_record_takes_at_most_ten_bytes() {
+    let hash = |n: u64| n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let hashes: Vec<_> = (0..100).map(hash).collect();
+    let bytes = gifts(&hashes).encode().len() - gifts(&[]).encode().len();
+    assert!(bytes <= 100 * (10 + 6), "{bytes} bytes for 100 buckets with a record each");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn handed_over_buckets_come_back(hashes in prop::collection::vec(any::<u64>(), 0..50)) {
+        let message = gifts(&hashes);
+        prop_assert_eq!(Message::decode(&message.encode()), Ok(message));
+    }
+
+    #[test]
+    fn garbage_is_an_error_or_a_message(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = Message::decode(&bytes);
+    }
+
+    #[test]
+    fn changed_bytes_are_an_error_or_a_message(at in 0..400usize, to in any::<u8>()) {
+        let mut bytes = gifts(&[1 << 40, 5 << 60, u64::MAX]).encode();
+        let at = at % bytes.len();
+        bytes[at] = to;
+        let _ = Message::decode(&bytes);
+    }
+}
--- a/lagoongauge/tests/route_net/mod.rs
+++ b/lagoongauge/tests/route_net/mod.rs
@@ -232,6 +232,13 @@
 
     /// Opens a flow with a SYN at a random host.
     pub fn open(&mut self, service: ServiceId) -> usize {
+        let hosts = self.up();
+        let host = hosts[self.rng.random_range(0..hosts.len())];
+        self.open_at(service, host)
+    }
+
+    /// Opens a flow with a SYN at this host.
+    pub fn open_at(&mut self, service: ServiceId, host: HostId) -> usize {
         let hash = FlowHash(self.rng.random());
         let flow = Flow {
             service,
@@ -245,7 +252,7 @@
         };
         self.flows.push(flow);
         let flow = self.flows.len() - 1;
-        self.packet(flow, Signal::Open);
+        self.packet_at(flow, Signal::Open, host);
         flow
     }
 
--- a/lagoongauge_schema/schema/peer.capnp
+++ b/lagoongauge_schema/schema/peer.capnp
@@ -69,6 +69,7 @@
     stamp @0 :Stamp;
     service @1 :UInt32;
     buckets @2 :Data;
+    stray @3 :Bool;
   }
 
   struct Gifts {
