--- a/lagoongauge/tests/replica/paths.rs
+++ b/lagoongauge/tests/replica/paths.rs
@@ -228,6 +228,39 @@
     }
 }
 
+#[test]
+fn single_host_accepts_only_what_it_synced() {
+    let mut world = World::new(1);
+    let at = leader(&mut world);
+    world.hosts[at].slow = true;
+    world.propose(at, b"unsynced").unwrap().unwrap();
+    world.run(15);
+    assert!(world.accepted.is_empty());
+    world.sync(at);
+    assert_eq!(world.accepted.len(), 1);
+}
+
+#[test]
+fn learner_votes_only_once_it_has_caught_up() {
+    let mut world = World::new(3);
+    let at = leader(&mut world);
+    for number in 0..250_u8 {
+        world.propose(at, &[number; 200]).unwrap().unwrap();
+        world.run(1);
+    }
+    let lost = others(&world, at)[0];
+    world.lose_disk(lost);
+    world.start(lost);
+    let learner = world.hosts[lost].identity;
+    let status = |world: &World, at: usize| world.hosts[at].core.as_ref().unwrap().status();
+    let mut seen = 0;
+    while !status(&world, at).configuration.is_voter(learner) {
+        seen = status(&world, lost).last;
+        world.run(1);
+    }
+    assert!(seen + 64 >= status(&world, at).last, "it had {seen} entries");
+}
+
 #[test]
 fn host_that_hears_the_leader_helps_no_other() {
     let mut world = World::new(3);
--- a/lagoongauged/src/control/engine.rs
+++ b/lagoongauged/src/control/engine.rs
@@ -152,9 +152,12 @@
         listed || self.first.contains(&host)
     }
 
-    /// Starts the replica anew from the store, after a write failed.
+    /// Starts the replica anew from the store, after a write failed; only a full disk may pass.
     fn restart(&mut self, now: Instant, error: &Error) {
         log::error!("The store refused a write: {error}.");
+        if error.kind != Kind::StorageFull {
+            self.failure = Some(error.clone());
+        }
         let fresh = self
             .store
             .recover()
@@ -179,3 +182,76 @@
 pub fn decode(answer: Result<Vec<u8>>) -> Result<Answer> {
     Answer::decode(&answer?)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    use lagoongauge::replica::{Identity, Memory, Record, Recovered};
+    use lagoongauge::settings::{Hash, Path};
+
+    use super::*;
+
+    /// A store that fails as it is told to.
+    struct Failing {
+        memory: Memory,
+        kind: Rc<Cell<Option<Kind>>>,
+    }
+
+    impl Store for Failing {
+        fn write(&mut self, records: &[Record]) -> Result<()> {
+            match self.kind.get() {
+                Some(kind) => Err(Error::new(kind, "as told")),
+                None => self.memory.write(records),
+            }
+        }
+
+        fn recover(&self) -> Result<Recovered> {
+            self.memory.recover()
+        }
+    }
+
+    /// Fails the write of a change, and returns its answer with the replica and the time.
+    fn fail(kind: Kind) -> (Error, Engine<Failing>, Instant) {
+        let identity = Identity { host: HostId(1), incarnation: 1 };
+        let told = Rc::new(Cell::new(None));
+        let memory = Memory::new(Recovered::bootstrap(vec![identity]));
+        let store = Failing { memory, kind: Rc::clone(&told) };
+        let mut now = Instant(0);
+        let mut engine = Engine::new(Setup::new(identity, 1), store, Vec::new(), now).unwrap();
+        now = lead(&mut engine, now);
+        told.set(Some(kind));
+        let hash = Hash::new([1; 16], "secret");
+        let command = Command::Begin { operator: Path::Root, hash };
+        let mut pending = engine.propose(now, &command).unwrap();
+        told.set(None);
+        let answer = pending.try_recv().unwrap().unwrap();
+        (answer.unwrap_err(), engine, now)
+    }
+
+    fn lead(engine: &mut Engine<Failing>, start: Instant) -> Instant {
+        let mut now = start;
+        while engine.read(now).is_err() {
+            now = Instant(now.0 + 50);
+            assert!(now.0 < start.0 + 10_000, "one host leads");
+            engine.tick(now);
+        }
+        now
+    }
+
+    #[test]
+    fn full_disk_refuses_the_change_and_the_host_goes_on() {
+        let (error, mut engine, now) = fail(Kind::StorageFull);
+        assert_eq!(error.kind, Kind::StorageFull);
+        assert!(engine.failure().is_none());
+        lead(&mut engine, now);
+    }
+
+    #[test]
+    fn broken_disk_ends_the_host_and_leaves_the_outcome_open() {
+        let (error, engine, _) = fail(Kind::Internal);
+        assert_eq!(error.kind, Kind::Unknown);
+        assert_eq!(engine.failure().map(|error| error.kind), Some(Kind::Internal));
+    }
+}
