--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -269,12 +269,12 @@
         self.log.push(entry);
     }
 
-    /// Asks to join while this replica has no vote and no leader sends it anything.
+    /// Asks to join while this replica is no member, or no leader sends it anything; a host that was
+    /// removed may never have been told.
     pub(super) fn consider_join(&mut self) {
-        let own = self.setup.identity;
         let served = self.now < self.heard + self.setup.timing.election_max;
-        let learns = self.configuration().contains(own) && served;
-        if self.now < self.next_join || learns || self.configuration().is_voter(own) {
+        let member = self.configuration().contains(self.setup.identity);
+        if self.now < self.next_join || (member && served) {
             return;
         }
         self.next_join = self.now + Span(self.setup.timing.heartbeat.0 * JOIN_BEATS);
--- a/lagoongauge/tests/replica/paths.rs
+++ b/lagoongauge/tests/replica/paths.rs
@@ -148,6 +148,20 @@
     world.settle();
 }
 
+#[test]
+fn removed_host_joins_again_once_it_is_allowed() {
+    let mut world = World::new(4);
+    let at = leader(&mut world);
+    let gone = world.hosts[others(&world, at)[0]].identity;
+    world.barred.push(gone.host);
+    world.change(at, Change::Remove(gone)).unwrap();
+    world.run(200);
+    let core = world.hosts[at].core.as_ref().unwrap();
+    assert!(core.leads() && !core.configuration().contains(gone));
+    world.barred.clear();
+    world.settle();
+}
+
 #[test]
 fn removed_leader_steps_down_and_the_rest_goes_on() {
     let mut world = World::new(4);
--- a/lagoongauged/tests/store/crash.rs
+++ b/lagoongauged/tests/store/crash.rs
@@ -1,5 +1,7 @@
 //! Full disks, and crashes at any step of any write.
 
+use std::rc::Rc;
+
 use lagoongauge::error::Kind;
 use lagoongauge::replica::{Recovered, Store};
 use lagoongauged::store::{FileStore, format};
@@ -46,10 +48,11 @@
             state = after(&state, index);
         }
         let mut index = first;
+        let volume = store.into_volume();
+        let left = Rc::clone(&volume.room);
+        let mut store = FileStore::with_limit(volume, SEGMENT).unwrap();
         for room in rooms {
-            let mut fake = store.into_volume();
-            fake.room = room;
-            store = FileStore::with_limit(fake, SEGMENT).unwrap();
+            left.set(room);
             let next = after(&state, index);
             match store.write(&change(index)) {
                 Ok(()) => {
@@ -65,6 +68,11 @@
                 }
             }
         }
+        let found = store.recover().unwrap();
+        left.set(usize::MAX);
+        let mut store = FileStore::with_limit(store.into_volume(), SEGMENT).unwrap();
+        prop_assert_eq!(store.recover().unwrap(), found);
+        store.write(&change(index)).unwrap();
     }
 
     #[test]
--- a/lagoongauged/tests/store/damage.rs
+++ b/lagoongauged/tests/store/damage.rs
@@ -78,6 +78,19 @@
     assert!(refused > 0 && found > 1000, "{refused} refused, {found} found");
 }
 
+#[test]
+fn segment_cut_before_a_later_one_is_refused() {
+    let (fake, _) = filled();
+    let names = segments(&fake);
+    for name in &names[..names.len() - 1] {
+        for cut in 0..fake.read(name).unwrap().len() {
+            let mut trial = fake.clone();
+            trial.truncate(name, cut as u64).unwrap();
+            assert_eq!(reopen(trial).unwrap_err().kind, Kind::StorageCorrupt, "{name} at {cut}");
+        }
+    }
+}
+
 /// The number of the state whose entries these are.
 fn synced_as(states: &[Recovered], state: &Recovered) -> usize {
     let same = |synced: &&Recovered| synced.last() == state.last();
--- a/lagoongauged/tests/store/fake.rs
+++ b/lagoongauged/tests/store/fake.rs
@@ -1,7 +1,9 @@
 //! A volume in memory that runs out of room and loses what was not synced.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
+use std::rc::Rc;
 
 use lagoongauge::id::HostId;
 use lagoongauge::replica::store::Ballot;
@@ -24,7 +26,7 @@
     names: BTreeMap<String, usize>,
     synced: BTreeMap<String, usize>,
     /// Bytes that may still be added; a write beyond is cut short.
-    pub room: usize,
+    pub room: Rc<Cell<usize>>,
     /// Steps that change something before the process is killed.
     pub steps: usize,
 }
@@ -32,7 +34,7 @@
 impl Default for Fake {
     fn default() -> Self {
         let (files, names, synced) = Default::default();
-        Self { files, names, synced, room: usize::MAX, steps: usize::MAX }
+        Self { files, names, synced, room: Rc::new(Cell::new(usize::MAX)), steps: usize::MAX }
     }
 }
 
@@ -89,8 +91,8 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.step()?;
-        let fits = bytes.len().min(self.room);
-        self.room -= fits;
+        let fits = bytes.len().min(self.room.get());
+        self.room.set(self.room.get() - fits);
         self.file(name).bytes.extend_from_slice(&bytes[..fits]);
         if fits < bytes.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
     }
@@ -107,7 +109,7 @@
         let file = self.file(name);
         let freed = file.bytes.len() - length as usize;
         file.bytes.truncate(length as usize);
-        self.room = self.room.saturating_add(freed);
+        self.room.set(self.room.get().saturating_add(freed));
         Ok(())
     }
 
@@ -121,7 +123,7 @@
     fn remove(&mut self, name: &str) -> io::Result<()> {
         self.step()?;
         let at = self.names.remove(name).ok_or(ErrorKind::NotFound)?;
-        self.room = self.room.saturating_add(self.files[at].bytes.len());
+        self.room.set(self.room.get().saturating_add(self.files[at].bytes.len()));
         Ok(())
     }
 
@@ -152,10 +154,16 @@
     Entry { position, payload: Payload::Command(format!("change {index} of {term}").into()) }
 }
 
-/// The records of the change at `index`, with now and then a ballot, a snapshot or a commit.
+/// The records of the change at `index`, with now and then a ballot, a snapshot or a commit, or
+/// with a snapshot that came from another host in place of the entry.
 pub fn change(index: u64) -> Vec<Record> {
     let term = 1 + index / 100;
     let mut records = Vec::new();
+    if index % 301 == 290 {
+        let snapshot = snapshot(term, index);
+        let position = snapshot.position();
+        return vec![Record::Snapshot(snapshot), Record::Reset(position)];
+    }
     if index.is_multiple_of(100) {
         records.push(Record::Ballot(Ballot { term, vote: Some(identity()) }));
     }
@@ -164,10 +172,14 @@
         records.push(Record::Commit(index));
     }
     if index.is_multiple_of(301) {
-        let position = Position { term, index };
-        let configuration = Configuration::new(vec![identity()]);
-        let state = format!("state at {index}").into_bytes();
-        records.push(Record::Snapshot(Snapshot::new(position, configuration, &state)));
+        records.push(Record::Snapshot(snapshot(term, index)));
     }
     records
 }
+
+fn snapshot(term: u64, index: u64) -> Snapshot {
+    let position = Position { term, index };
+    let configuration = Configuration::new(vec![identity()]);
+    let state = format!("state at {index}").into_bytes();
+    Snapshot::new(position, configuration, &state)
+}
