--- a/lagoongauged/examples/whole_path/main.rs
+++ b/lagoongauged/examples/whole_path/main.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::ensure;
+use indexmap::IndexMap;
 use lagoongauge::id::CentreId;
 use serde::Serialize;
 
@@ -33,7 +34,7 @@
 const CALLERS: usize = 150;
 
 /// Pause between two changes.
-const PAUSE: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_secs(4);
 
 /// How long a drained target may still get new flows.
 const DRAIN_DELAY: Duration = Duration::from_secs(5);
@@ -49,7 +50,7 @@
     (0, "10.1.0.4:8443"),
 ];
 
-/// What happened; times in milliseconds.
+/// What happened.
 #[derive(Debug, Default, Serialize)]
 struct Report {
     flows: u64,
@@ -63,15 +64,16 @@
     late_flows_of_drained_target: usize,
     setting_in_force_ms: u128,
     host_left_clean: bool,
+    host_left_after_ms: u128,
     packets: u64,
     relayed: u64,
-    dropped: u64,
+    dropped: IndexMap<&'static str, u64>,
     seconds: f64,
 }
 
 fn main() -> eyre::Result<()> {
     let begun = Instant::now();
-    let fabric = Fabric::start(SEED)?;
+    let fabric = Fabric::start(SocketAddr::from(([127, 0, 0, 1], 0)), SEED)?;
     let centres = [1, 1, 2, 2].map(CentreId);
     let mut site = Site::start(&centres, fabric.address()?)?;
     fabric.set_hosts(site.data());
@@ -96,7 +98,8 @@
     for callers in callers {
         report.count(callers.stop());
     }
-    (report.packets, report.relayed, report.dropped) = site.packets();
+    (report.packets, report.relayed) = site.packets();
+    report.dropped = site.dropped();
     site.stop();
     report.seconds = begun.elapsed().as_secs_f64();
     println!("{}", serde_json::to_string(&report)?);
@@ -123,7 +126,9 @@
 
         let leaver = site.leave();
         fabric.set_hosts(site.data());
+        let leaving = Instant::now();
         self.host_left_clean = leaver.shut_down();
+        self.host_left_after_ms = leaving.elapsed().as_millis();
         sleep(PAUSE);
 
         let changed = Instant::now();
@@ -147,7 +152,8 @@
 fn start((service, address): &(usize, &str), site: &Site, fabric: &Arc<Fabric>) -> Arc<Target> {
     let address: SocketAddr = address.parse().expect("the address is well-formed");
     let name = TARGETS.iter().position(|one| one.1.parse() == Ok(address)).unwrap_or(0) as u32;
-    Target::start(address, (site.services[*service].1, name), fabric, &site.http())
+    let key = site.services[*service].1;
+    Target::start(address, (key, name), site::TOKENS[*service], fabric, &site.http())
 }
 
 /// Returns the worst ratio of the fullest target's open flows to the mean over the services.
