Test that a single host commits no more than it synced

Cause: a trial that counted the leader's unsynced entries as stored was found by no test. Change: a test of two batches of which one is synced.

--- a/lagoongauge/tests/replica/rules.rs
+++ b/lagoongauge/tests/replica/rules.rs
@@ -166,6 +166,18 @@
     assert_eq!(one.core.status().commit, 3);
 }
 
+#[test]
+fn single_host_commits_no_more_than_the_synced_batches() {
+    let mut one = One::start(Memory::new(Recovered::bootstrap(vec![identity(1, 1)])));
+    one.wait(2500);
+    let first = one.core.propose(one.now, b"first".to_vec()).unwrap();
+    one.step();
+    one.core.propose(one.now, b"second".to_vec()).unwrap();
+    one.step();
+    one.core.persisted(one.unsynced[0]);
+    assert_eq!(one.core.status().commit, first.index);
+}
+
 #[test]
 fn entries_are_acknowledged_only_once_they_are_synced() {
     let mut one = One::new(ballot(5, None), &[4]);
