--- a/lagoongauge/tests/route_net/mod.rs
+++ b/lagoongauge/tests/route_net/mod.rs
@@ -99,7 +99,7 @@
     pub cut: Vec<(HostId, HostId)>,
     /// Hosts whose messages to others are all lost.
     pub mute: Vec<HostId>,
-    pub events: Vec<(HostId, Event)>,
+    pub events: Vec<(u64, HostId, Event)>,
     /// Bytes sent per host and second.
     pub sent: BTreeMap<(HostId, u64), usize>,
     pub sent_kinds: BTreeMap<&'static str, usize>,
@@ -114,6 +114,9 @@
     rng: ChaCha8Rng,
 }
 
+/// Stands for a holder that is gone.
+const NOBODY: HostId = HostId(0);
+
 /// How long a fake lease goes on after its holder is gone.
 const LEASE: u64 = 2_000;
 
@@ -165,9 +168,11 @@
         if let Some(node) = self.nodes.get_mut(&host) {
             node.up = false;
         }
+        // A new process of the host does not hold the lease of the old one.
         if let Some((holder, _, free)) = &mut self.holder
             && *holder == host
         {
+            *holder = NOBODY;
             *free = self.now + LEASE;
         }
     }
@@ -348,7 +353,7 @@
                         bytes.len() + HEADER_BYTES;
                     self.send(host, to, Parcel::Message(host, bytes));
                 }
-                Action::Event(event) => self.events.push((host, event)),
+                Action::Event(event) => self.events.push((self.now, host, event)),
             }
         }
     }
