Count a refused connection before it is closed

Change: the connection stays open until it is counted; the test is unchanged. Conclusion: the count is seen by whoever saw the close.

--- a/lagoongauged/src/control/server.rs
+++ b/lagoongauged/src/control/server.rs
@@ -92,6 +92,8 @@
 
 async fn talk<S: Store + 'static>(host: Shared<S>, stream: TcpStream) {
     let traffic = host.traffic.clone();
+    // Closes a refused connection only once it is counted.
+    let _open = stream.clone();
     match link::accept(stream, &host.key, &traffic).await {
         Ok(Incoming::Operator(reader, writer)) => {
             let client: operator::Client = new_client(Desk::new(host));
