Tell from a count whether a handover is under way

Cause: each tick went over every bucket of every service for each peer to look for buckets to hand over, and again to count those under way; a host at rest in a group of 8 with 14 services spent 2.2% of a core, and the cost grew with hosts times services. Ruled out: the balancer and the registry (the cost stayed with them idle). Change: a ledger keeps the number of buckets that it gives and waits for, and is skipped at zero.

--- a/lagoongauge/src/route/core.rs
+++ b/lagoongauge/src/route/core.rs
@@ -248,7 +248,6 @@
 
     /// Returns whether any bucket is still to be handed over by this host.
     pub fn giving(&self) -> bool {
-        let mut ledgers = self.ledgers.values();
-        ledgers.any(|l| l.buckets(Duty::Give).chain(l.buckets(Duty::Given)).next().is_some())
+        self.ledgers.values().any(Ledger::giving)
     }
 }
--- a/lagoongauge/src/route/handover.rs
+++ b/lagoongauge/src/route/handover.rs
@@ -229,7 +229,7 @@
     /// Queues the next buckets for a host; their records are frozen from here on.
     fn fill(&mut self, now: Instant, to: HostId) {
         let view = self.plan.view.stamp;
-        for (&service, ledger) in &mut self.ledgers {
+        for (&service, ledger) in self.ledgers.iter_mut().filter(|(_, ledger)| ledger.giving()) {
             let home = |bucket: &u32| self.plan.view.home(service, *bucket) == Some(to);
             let buckets: Vec<_> = ledger.buckets(Duty::Give).filter(home).take(MAX_GIFTS).collect();
             if buckets.is_empty() {
--- a/lagoongauge/src/route/ledger.rs
+++ b/lagoongauge/src/route/ledger.rs
@@ -44,11 +44,6 @@
     pub(super) const fn decides(self) -> bool {
         matches!(self, Self::Own | Self::Give)
     }
-
-    /// Returns whether a handover of the bucket is under way.
-    pub(super) const fn pending(self) -> bool {
-        matches!(self, Self::Wait(_) | Self::Give | Self::Given)
-    }
 }
 
 /// What the settings say of a service's flows.
@@ -82,6 +77,40 @@
     careful: Vec<u32>,
     /// Buckets held by the prepared table.
     fresh: Vec<u32>,
+    tally: Tally,
+}
+
+/// Number of buckets whose handover is under way; it spares a look at every bucket's duty.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Tally {
+    /// Buckets that this host hands over or is about to.
+    giving: usize,
+    /// Buckets that this host waits for.
+    waiting: usize,
+}
+
+impl Tally {
+    fn of(duties: &[Duty]) -> Self {
+        let mut tally = Self::default();
+        duties.iter().for_each(|&duty| tally.add(duty));
+        tally
+    }
+
+    fn add(&mut self, duty: Duty) {
+        match duty {
+            Duty::Give | Duty::Given => self.giving += 1,
+            Duty::Wait(_) => self.waiting += 1,
+            Duty::Other | Duty::Own | Duty::Pause => {}
+        }
+    }
+
+    fn remove(&mut self, duty: Duty) {
+        match duty {
+            Duty::Give | Duty::Given => self.giving -= 1,
+            Duty::Wait(_) => self.waiting -= 1,
+            Duty::Other | Duty::Own | Duty::Pause => {}
+        }
+    }
 }
 
 /// Returns an instant as whole seconds.
@@ -107,6 +136,7 @@
             known: vec![UNKNOWN; count],
             careful: vec![0; count],
             fresh: Vec::new(),
+            tally: Tally::default(),
         }
     }
 
@@ -117,7 +147,12 @@
 
     /// Returns the number of buckets whose handover is under way.
     pub fn pending(&self) -> usize {
-        self.duties.iter().filter(|duty| duty.pending()).count()
+        self.tally.giving + self.tally.waiting
+    }
+
+    /// Returns whether this host hands any bucket over.
+    pub fn giving(&self) -> bool {
+        self.tally.giving > 0
     }
 
     /// Returns the logarithm of the number of buckets.
@@ -298,6 +333,7 @@
             }
             self.duties[bucket as usize] = new;
         }
+        self.tally = Tally::of(&self.duties);
         self.count_in(&gained, limits);
         dropped
     }
@@ -306,7 +342,7 @@
     pub fn settle(&mut self, now: Instant, layout: &Layout) {
         let paused: Vec<_> = self.buckets(Duty::Pause).collect();
         for &bucket in &paused {
-            self.duties[bucket as usize] = Duty::Own;
+            self.set_duty(bucket, Duty::Own);
             self.known[bucket as usize] = UNKNOWN;
             self.careful[bucket as usize] = second(now) + seconds(RETRY_SPAN);
         }
@@ -318,7 +354,7 @@
     pub fn begin(&mut self, now: Instant, own: HostId, view: &View, careful: Instant) {
         for bucket in 0..self.duties.len() as u32 {
             if view.home(self.service, bucket) == Some(own) {
-                self.duties[bucket as usize] = Duty::Own;
+                self.set_duty(bucket, Duty::Own);
                 self.careful[bucket as usize] = second(careful);
                 if careful <= now {
                     self.known[bucket as usize] = 0;
@@ -329,13 +365,15 @@
 
     /// Sets the duty for a bucket.
     pub fn set_duty(&mut self, bucket: u32, duty: Duty) {
-        self.duties[bucket as usize] = duty;
+        let old = std::mem::replace(&mut self.duties[bucket as usize], duty);
+        self.tally.remove(old);
+        self.tally.add(duty);
     }
 
     /// Takes a bucket over with what its former home knows of it.
     pub fn take(&mut self, now: Instant, bucket: u32, knowledge: (u32, u32)) {
         let at = second(now);
-        self.duties[bucket as usize] = Duty::Own;
+        self.set_duty(bucket, Duty::Own);
         self.known[bucket as usize] = at.saturating_add(knowledge.0);
         self.careful[bucket as usize] = at.saturating_add(knowledge.1);
     }
@@ -539,3 +577,40 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::admit::Unlimited;
+    use super::super::plan::Stamp;
+    use super::*;
+
+    const OWN: HostId = HostId(1);
+
+    fn view(number: u32, hosts: &[u32]) -> View {
+        let hosts: Vec<_> = hosts.iter().copied().map(HostId).collect();
+        let lives = vec![1; hosts.len()];
+        View { stamp: Stamp { epoch: 1, number }, hosts, lives, leaving: Vec::new() }
+    }
+
+    #[test]
+    fn the_tally_counts_what_the_duties_say() {
+        let bounds = Bounds { idle_limit: Span::seconds(60), max_flows: 100 };
+        let mut ledger = Ledger::new(ServiceId(1), 8, bounds);
+        let views = [view(1, &[1, 2]), view(2, &[1, 2, 3]), view(3, &[1, 3])];
+        ledger.begin(Instant(0), OWN, &views[0], Instant(0));
+        assert_eq!(ledger.tally, Tally::of(&ledger.duties));
+        for pair in views.windows(2) {
+            ledger.change_view(OWN, true, &pair[0], &pair[1], &Unlimited);
+            assert_eq!(ledger.tally, Tally::of(&ledger.duties));
+        }
+        assert!(ledger.giving() && ledger.pending() > 0);
+        let given: Vec<_> = ledger.buckets(Duty::Give).collect();
+        given.iter().for_each(|&bucket| ledger.set_duty(bucket, Duty::Given));
+        given.iter().for_each(|&bucket| ledger.set_duty(bucket, Duty::Other));
+        assert!(!ledger.giving());
+        let waiting: Vec<_> = ledger.buckets(Duty::Wait(HostId(2))).collect();
+        waiting.iter().for_each(|&bucket| ledger.take(Instant(0), bucket, (0, 0)));
+        assert_eq!(ledger.tally, Tally::of(&ledger.duties));
+        assert_eq!(ledger.pending(), 0);
+    }
+}
