Wait in a test until refused connections are counted

Cause: the test of garbage on a control host's port read the count right after the client saw the connection's end; the host counts just after closing it, and on a busy machine the test saw 2 of 3. Change: the test waits for the count and then still asks for exactly 3. Figures: failed once on a machine with a load of 22. Conclusion: the check is as strict as before, without the race.

--- a/lagoongauged/tests/control_site.rs
+++ b/lagoongauged/tests/control_site.rs
@@ -149,6 +149,8 @@
         let _ = stream.write_all(&bytes);
         let _ = stream.read_to_end(&mut Vec::new());
     }
+    // A connection is counted once it has been closed.
+    await_refused(&hosts[0], 3);
     assert_eq!(hosts[0].traffic.refused(), 3);
     // Bytes that follow the first ones of an operator close that connection alone.
     let mut stream = TcpStream::connect(address).unwrap();
@@ -160,15 +162,19 @@
     let stranger = Subscriber { key: ClusterKey::new([9; 32]), ..subscriber(&plan, 100) };
     let progress = stranger.progress.clone();
     let thread = thread::spawn(move || subscribe(stranger, &raised, drop, String::new));
-    while hosts[0].traffic.refused() < 5 {
-        thread::sleep(Duration::from_millis(20));
-    }
+    await_refused(&hosts[0], 5);
     stop.raise();
     thread.join().unwrap();
     assert_eq!(progress.version(), 0);
     plan.set("after", &[("/", "max_flows", "3")]).unwrap();
 }
 
+fn await_refused(host: &Running, count: u64) {
+    while host.traffic.refused() < count {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 #[test]
 fn settings_and_first_answers_outlive_a_restart_of_all_hosts() {
     let folder = tempfile::tempdir().unwrap();
