--- a/lagoongauge/src/route/ledger.rs
+++ b/lagoongauge/src/route/ledger.rs
@@ -6,10 +6,6 @@
 use super::admit::Admit;
 use super::plan::{Layout, View};
 use super::record::{KEY_BITS, Key, Record, Shard};
-use super::table::NO_TARGET;
-use super::{Direction, Facts, Verdict};
-use crate::error::Kind;
-use crate::flow::Signal;
 use crate::id::{HostId, ServiceId};
 use crate::time::{Instant, Span};
 
@@ -19,6 +15,9 @@
 /// How long after its first SYN a caller's stack may still repeat it.
 pub const RETRY_SPAN: Span = Span::seconds(64);
 
+/// Most records that one sweep replicates.
+const MAX_PINS: usize = 600;
+
 /// A bucket's live flows are not known, and won't be until it has been held for the idle limit.
 pub(super) const UNKNOWN: u32 = u32::MAX;
 
@@ -67,16 +66,18 @@
 pub(super) struct Ledger {
     pub service: ServiceId,
     pub bounds: Bounds,
-    bits: u8,
+    pub(super) bits: u8,
     shards: Vec<Mutex<Shard>>,
-    len: AtomicUsize,
+    pub(super) len: AtomicUsize,
     duties: Vec<Duty>,
     /// Second from which on every live flow of the bucket has a record.
-    known: Vec<u32>,
+    pub(super) known: Vec<u32>,
     /// Second until which an unrecorded SYN may be the repetition of one forwarded by a lost home.
-    careful: Vec<u32>,
+    pub(super) careful: Vec<u32>,
     /// Buckets held by the prepared table.
     fresh: Vec<u32>,
+    /// Second at which the backups are told of all records again.
+    next_refresh: u32,
     tally: Tally,
 }
 
@@ -136,6 +137,7 @@
             known: vec![UNKNOWN; count],
             careful: vec![0; count],
             fresh: Vec::new(),
+            next_refresh: 0,
             tally: Tally::default(),
         }
     }
@@ -200,38 +202,6 @@
         (known, self.careful[bucket as usize].saturating_sub(second))
     }
 
-    /// Decides on a packet of a bucket that this host decides on.
-    pub fn decide(
-        &self,
-        now: Instant,
-        facts: &Facts,
-        layout: &Layout,
-        limits: &impl Admit,
-    ) -> Verdict {
-        let key = Key::new(facts.flow);
-        let mut shard = lock(self.shard(key));
-        if facts.direction == Direction::Outward {
-            if let Some(record) = shard.get_mut(key) {
-                self.note(record, now, facts, limits);
-            }
-            return Verdict::Answer;
-        }
-        let opens = matches!(facts.signal, Signal::Open | Signal::OpenData);
-        let Some(record) = shard.get_mut(key) else {
-            return self.unrecorded(now, facts, layout, limits, &mut shard);
-        };
-        if opens && record.closed() {
-            let again = layout.takes_new(record.target());
-            let target = if again { record.target() } else { layout.choice(key.bucket(self.bits)) };
-            return self.open(now, facts, target, layout, limits, &mut shard);
-        }
-        if layout.is_gone(record.target()) {
-            return Verdict::Drop(Kind::Unroutable);
-        }
-        self.note(record, now, facts, limits);
-        forward(layout, record.target())
-    }
-
     /// Goes over all records: ends those whose time is over and counts the others.
     pub fn sweep(&mut self, now: Instant, layout: &Layout, limits: &impl Admit) -> Sweep {
         let mut sweep = Sweep { counts: vec![0; layout.names.len()], settled: Vec::new() };
@@ -363,6 +333,51 @@
         }
     }
 
+    /// Returns records that only this host knows and that the table can't tell, and takes them for
+    /// replicated.
+    pub fn take_pins(&mut self, now: Instant, layout: &Layout) -> Vec<Record> {
+        let at = second(now);
+        let refresh = at >= self.next_refresh;
+        if refresh {
+            self.next_refresh = at + seconds(self.bounds.idle_limit) / 2;
+        }
+        let mut pins = Vec::new();
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            for record in shard.iter_mut() {
+                let bucket = record.key().bucket(self.bits);
+                let plain = record.target() == layout.fallback(bucket);
+                if plain || record.closed() || self.duties[bucket as usize] != Duty::Own {
+                    continue;
+                }
+                if refresh {
+                    record.set_replicated(false);
+                }
+                if record.awaits_backup() && pins.len() < MAX_PINS {
+                    record.set_replicated(true);
+                    pins.push(*record);
+                }
+            }
+        }
+        pins.sort_unstable_by_key(Record::key);
+        pins
+    }
+
+    /// Forgets what has been replicated of the buckets that have another backup from now on.
+    pub fn change_backups(&self, prior: &View, view: &View) {
+        let count = self.count();
+        let other =
+            |bucket| prior.backup(self.service, bucket) != view.backup(self.service, bucket);
+        let moved: Vec<_> = (0..count).map(other).collect();
+        for shard in &self.shards {
+            for record in lock(shard).iter_mut() {
+                if moved[record.key().bucket(self.bits) as usize] {
+                    record.set_replicated(false);
+                }
+            }
+        }
+    }
+
     /// Sets the duty for a bucket.
     pub fn set_duty(&mut self, bucket: u32, duty: Duty) {
         let old = std::mem::replace(&mut self.duties[bucket as usize], duty);
@@ -396,7 +411,13 @@
     /// Adds a replicated record, unless there is one of the same flow.
     pub fn replicate(&self, record: Record, limits: &impl Admit) {
         let mut shard = lock(self.shard(record.key()));
-        if shard.get_mut(record.key()).is_some() || self.len() >= self.bounds.max_flows as usize {
+        if let Some(known) = shard.get_mut(record.key()) {
+            if self.duty(record.key().bucket(self.bits)) == Duty::Other {
+                known.touch(record.seen());
+            }
+            return;
+        }
+        if self.len() >= self.bounds.max_flows as usize {
             return;
         }
         shard.insert(record);
@@ -444,89 +465,7 @@
         record.ended(at, self.bounds.idle_limit)
     }
 
-    fn note(&self, record: &mut Record, now: Instant, facts: &Facts, limits: &impl Admit) {
-        let open = !record.closed();
-        record.touch(second(now));
-        match facts.signal {
-            Signal::Finish => record.finish(facts.direction == Direction::Inward),
-            Signal::Reset => record.reset(),
-            _ => {}
-        }
-        if open && record.closed() {
-            limits.release(self.service);
-        }
-    }
-
-    fn unrecorded(
-        &self,
-        now: Instant,
-        facts: &Facts,
-        layout: &Layout,
-        limits: &impl Admit,
-        shard: &mut Shard,
-    ) -> Verdict {
-        let key = Key::new(facts.flow);
-        let bucket = key.bucket(self.bits);
-        let unknown = second(now) < self.known[bucket as usize];
-        let old = layout.fallback(bucket);
-        match facts.signal {
-            Signal::Open | Signal::OpenData => {
-                self.open(now, facts, layout.choice(bucket), layout, limits, shard)
-            }
-            Signal::Datagram if !(unknown && layout.is_held(bucket)) => {
-                self.open(now, facts, layout.choice(bucket), layout, limits, shard)
-            }
-            Signal::Middle | Signal::Datagram if unknown && layout.name(old).is_some() => {
-                self.learn(now, key, old, limits, shard);
-                forward(layout, old)
-            }
-            _ => forward(layout, old),
-        }
-    }
-
-    fn learn(&self, now: Instant, key: Key, target: u16, limits: &impl Admit, shard: &mut Shard) {
-        if self.len() >= self.bounds.max_flows as usize {
-            return;
-        }
-        shard.insert(Record::new(key, target, second(now)));
-        self.len.fetch_add(1, Ordering::Relaxed);
-        limits.adopt(self.service);
-    }
-
-    fn open(
-        &self,
-        now: Instant,
-        facts: &Facts,
-        target: u16,
-        layout: &Layout,
-        limits: &impl Admit,
-        shard: &mut Shard,
-    ) -> Verdict {
-        let key = Key::new(facts.flow);
-        let Some(name) = layout.name(target) else {
-            return self.refuse(now, key, Kind::NoTarget);
-        };
-        if self.len() >= self.bounds.max_flows as usize {
-            return self.refuse(now, key, Kind::FlowLimit);
-        }
-        if let Err(kind) = limits.admit(now, self.service) {
-            return self.refuse(now, key, kind);
-        }
-        if shard.insert(Record::new(key, target, second(now))).is_none() {
-            self.len.fetch_add(1, Ordering::Relaxed);
-        }
-        Verdict::Forward(name)
-    }
-
-    /// Refuses a flow, but only where no lost home can have forwarded an earlier SYN of it.
-    fn refuse(&self, now: Instant, key: Key, kind: Kind) -> Verdict {
-        if second(now) < self.careful[key.bucket(self.bits) as usize] {
-            return Verdict::Drop(kind);
-        }
-        Verdict::Refuse(kind)
-    }
-
-    fn shard(&self, key: Key) -> &Mutex<Shard> {
+    pub(super) fn shard(&self, key: Key) -> &Mutex<Shard> {
         &self.shards[key.bucket(SHARD_BITS) as usize]
     }
 
@@ -538,17 +477,11 @@
     }
 }
 
-fn lock(shard: &Mutex<Shard>) -> std::sync::MutexGuard<'_, Shard> {
+/// Locks a shard; what a panic left behind is still sound, as each change is one store.
+pub(super) fn lock(shard: &Mutex<Shard>) -> std::sync::MutexGuard<'_, Shard> {
     shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-fn forward(layout: &Layout, target: u16) -> Verdict {
-    if target == NO_TARGET || layout.is_gone(target) {
-        return Verdict::Drop(Kind::Unroutable);
-    }
-    layout.name(target).map_or(Verdict::Drop(Kind::Unroutable), Verdict::Forward)
-}
-
 /// Returns a host's duty for a bucket under a new view, see "Homes that change" in docs/DESIGN.md.
 fn next_duty(
     old: Duty,
