--- /dev/null
+++ b/lagoongauged/src/entry/core.rs
@@ -0,0 +1,214 @@
+//! What the threads of an entry host share, and what each of them does.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use lagoongauge::error::Error;
+use lagoongauge::id::{HostId, ServiceId};
+use lagoongauge::node::{Action, Message, Node};
+use lagoongauge::settings::Resolved;
+use lagoongauge::target::{Announcement, Outcome};
+use serde_json::{Value, json};
+
+use super::http::Api;
+use super::link::{MAX_DATAGRAM, Received};
+use super::metrics::{Metrics, Shown};
+use super::news::tell;
+use super::{Plane, Snapshot, View, Worker};
+use crate::control::{Subscriber, Traffic, subscribe};
+use crate::daemon::{LogSetup, Stop};
+
+/// Time between two ticks of the decisions.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// Ticks between two takings of the addresses.
+const VIEW_TICKS: u64 = 2;
+
+/// Ticks between two greetings of a peer that does not know this process.
+const GREET_TICKS: u64 = 10;
+
+/// What the threads of a host share.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub own: HostId,
+    pub plane: Arc<Plane<Node>>,
+    pub metrics: Metrics,
+    pub traffic: Traffic,
+    pub version: AtomicU64,
+    pub services: Snapshot<Vec<(String, ServiceId)>>,
+    pub leaving: AtomicBool,
+    pub stop: Stop,
+    pub log: LogSetup,
+}
+
+impl Core {
+    pub fn serve_peers(&self) {
+        let mut worker = Worker::new(&self.plane);
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut packet = Vec::new();
+        while !self.stop.is_raised() {
+            let Ok((len, _)) = self.plane.sockets.link.socket().recv_from(&mut buffer) else {
+                continue;
+            };
+            match self.plane.sockets.link.open(&buffer[..len]) {
+                Some(Received::Message(from, payload)) => self.hear(from, payload),
+                Some(Received::Packet(hops, payload)) => {
+                    packet.clear();
+                    packet.extend_from_slice(payload);
+                    worker.carry(&mut packet, hops);
+                }
+                Some(Received::Greet(host)) => self.greet(host),
+                None => {}
+            }
+        }
+    }
+
+    pub fn serve_time(&self) {
+        let mut ticks = 0;
+        while !self.stop.is_raised() {
+            thread::sleep(TICK);
+            ticks += 1;
+            let now = self.plane.clock.now();
+            let actions = self.plane.route.tick(now);
+            self.act(actions);
+            if ticks % VIEW_TICKS == 0 {
+                self.take_addresses();
+            }
+            if ticks % GREET_TICKS == 0 {
+                self.greet_strangers();
+            }
+        }
+    }
+
+    pub fn serve_settings(&self, subscriber: Subscriber) {
+        let deliver = |resolved: Resolved| self.apply(&resolved);
+        subscribe(subscriber, &self.stop, deliver, || self.report().to_string());
+    }
+
+    fn apply(&self, resolved: &Resolved) {
+        self.plane.route.apply(self.plane.clock.now(), resolved);
+        let before = self.plane.view.load();
+        let others = resolved.hosts.iter().filter(|(host, _)| **host != self.own);
+        let peers = others.map(|(host, entry)| (*host, entry.peer)).collect();
+        self.plane.view.store(View { directory: before.directory.clone(), peers });
+        self.take_addresses();
+        self.services.store(paths(resolved));
+        self.version.store(resolved.version, Ordering::Release);
+        log::info!("Version {} of the settings is in force.", resolved.version);
+    }
+
+    fn take_addresses(&self) {
+        let directory = self.plane.route.directory(self.plane.clock.now());
+        self.plane.view.update(|view| View { directory, peers: view.peers.clone() });
+    }
+
+    fn hear(&self, from: HostId, payload: &[u8]) {
+        match Message::from_bytes(payload) {
+            Ok(message) => {
+                let now = self.plane.clock.now();
+                self.act(self.plane.route.message(now, from, message));
+            }
+            Err(error) => log::warn!("A message of {from} can't be read: {error}."),
+        }
+    }
+
+    pub fn act(&self, actions: Vec<Action>) {
+        let view = self.plane.view.load();
+        for action in actions {
+            match action {
+                Action::Send(host, message) => {
+                    let Some(peer) = view.peers.get(&host) else { continue };
+                    let link = &self.plane.sockets.link;
+                    link.message((host, *peer), &message.to_bytes(), &self.plane.counters);
+                }
+                Action::Event(event) => tell(&event, &self.services.load()),
+            }
+        }
+    }
+
+    fn greet(&self, host: HostId) {
+        if let Some(peer) = self.plane.view.load().peers.get(&host) {
+            self.plane.sockets.link.greet((host, *peer), &self.plane.counters);
+        }
+    }
+
+    fn greet_strangers(&self) {
+        let view = self.plane.view.load();
+        for (host, peer) in &view.peers {
+            if !self.plane.sockets.link.knows(*host) {
+                self.plane.sockets.link.greet((*host, *peer), &self.plane.counters);
+            }
+        }
+    }
+
+    fn report(&self) -> Value {
+        let now = self.plane.clock.now();
+        let status = self.plane.route.status(now);
+        let hosts: Vec<u32> = status.route.hosts.iter().map(|host| host.0).collect();
+        json!({
+            "host": self.own.0,
+            "ready": self.is_ready(),
+            "version": self.version.load(Ordering::Relaxed),
+            "leased": status.route.leased,
+            "planning": status.route.planning,
+            "hosts": hosts,
+            "targets": status.targets,
+            "records": status.route.records,
+            "record_bytes": status.route.record_bytes,
+            "held_buckets": status.route.held,
+            "pending_buckets": status.route.pending,
+            "left": status.left,
+        })
+    }
+}
+
+impl Api for Core {
+    fn announce(&self, from: &Announcement, token: &str) -> Result<Value, Error> {
+        let outcome = self.plane.route.announce(self.plane.clock.now(), from, token);
+        match outcome {
+            Outcome::Accepted(target) => {
+                Ok(json!({ "outcome": "accepted", "target": target.to_string() }))
+            }
+            Outcome::Forwarded(home) => Ok(json!({ "outcome": "forwarded", "to": home.0 })),
+            Outcome::Refused(error) => Err(error),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let status = self.plane.route.status(self.plane.clock.now());
+        status.route.leased && !self.leaving.load(Ordering::Acquire)
+    }
+
+    fn metrics(&self) -> String {
+        let status = self.plane.route.status(self.plane.clock.now());
+        let shown = Shown {
+            version: self.version.load(Ordering::Relaxed),
+            records: status.route.records as u64,
+            targets: status.targets as u64,
+            leased: status.route.leased,
+        };
+        self.metrics.render(&self.plane.counters, shown).unwrap_or_else(|error| {
+            log::error!("The metrics can't be rendered: {error}.");
+            String::new()
+        })
+    }
+
+    fn status(&self) -> Value {
+        let mut status = self.report();
+        let services = self.services.load();
+        let services = services.iter().map(|(path, id)| json!({ "path": path, "service": id.0 }));
+        status["services"] = services.collect();
+        status
+    }
+}
+
+/// Returns the services' paths in the settings tree.
+fn paths(resolved: &Resolved) -> Vec<(String, ServiceId)> {
+    let services = resolved.services.iter().filter_map(|(id, service)| {
+        let member = resolved.members.get(&service.member)?;
+        Some((format!("/{}/{}", member.name, service.name), *id))
+    });
+    services.collect()
+}
--- a/lagoongauged/src/entry/mod.rs
+++ b/lagoongauged/src/entry/mod.rs
@@ -3,11 +3,13 @@
 //! Errors are those of [`std::io`] while sockets are opened; after that nothing here fails, and
 //! what can't be carried is counted by reason. See "Data path" in docs/DESIGN.md.
 
+mod core;
 mod counters;
 mod host;
 mod http;
 mod link;
 mod metrics;
+mod news;
 mod plane;
 mod settings;
 mod snapshot;
--- /dev/null
+++ b/lagoongauged/src/entry/news.rs
@@ -0,0 +1,77 @@
+//! Events of the decisions as plain sentences in the log.
+
+use lagoongauge::id::ServiceId;
+use lagoongauge::node::Event;
+use lagoongauge::{route, target};
+
+/// Names of the log context that an event's service fills.
+const SERVICE: &str = "service";
+const MEMBER: &str = "member";
+
+/// Puts a service and its member into the thread's log context until it is dropped.
+#[derive(Debug)]
+struct Scope;
+
+impl Scope {
+    fn enter(service: ServiceId, paths: &[(String, ServiceId)]) -> Self {
+        log_mdc::insert(SERVICE, service.to_string());
+        let path = paths.iter().find(|(_, known)| *known == service).map(|(path, _)| path);
+        let member = path.and_then(|path| path.split('/').nth(1));
+        if let Some(member) = member {
+            log_mdc::insert(MEMBER, member);
+        }
+        Self
+    }
+}
+
+impl Drop for Scope {
+    fn drop(&mut self) {
+        log_mdc::remove(SERVICE);
+        log_mdc::remove(MEMBER);
+    }
+}
+
+/// Logs an event; `paths` names the services in force.
+pub fn tell(event: &Event, paths: &[(String, ServiceId)]) {
+    match event {
+        Event::Route(event) => tell_route(event, paths),
+        Event::Target(event) => tell_target(event, paths),
+    }
+}
+
+fn tell_route(event: &route::Event, paths: &[(String, ServiceId)]) {
+    match event {
+        route::Event::Planning { epoch } => {
+            log::info!("This host plans for its group from now on, in epoch {epoch}.");
+        }
+        route::Event::View { hosts } => {
+            let names: Vec<String> = hosts.iter().map(ToString::to_string).collect();
+            log::info!("The homes are {} from now on.", names.join(", "));
+        }
+        route::Event::Switched { service, held } => {
+            let _scope = Scope::enter(*service, paths);
+            log::info!("New flows follow another table, with {held} held buckets.");
+        }
+        route::Event::Restarted => {
+            log::warn!("This host was out of its group for too long and starts anew.");
+        }
+    }
+}
+
+fn tell_target(event: &target::Event, paths: &[(String, ServiceId)]) {
+    match event {
+        target::Event::AddressTaken { spot, holder, claimer } => {
+            let _scope = Scope::enter(*claimer, paths);
+            log::warn!(
+                "A target of service {claimer} announced {}, which service {holder} holds.",
+                spot.address
+            );
+        }
+        target::Event::Freed { spot, target } => {
+            log::info!("Target {target} at {} is gone.", spot.address);
+        }
+        target::Event::Joined { spot, target } => {
+            log::info!("Target {target} at {} has joined.", spot.address);
+        }
+    }
+}
