Count a refused connection before it is closed

Cause: control_site's garbage_and_wrong_keys_are_refused_counted_and_harm_no_one failed in two of three landings on a loaded machine: it found 2 refusals in place of 3. Change: a control host counts a refusal while the connection is still open; it closed it first, so that its peer could see the end before the count. Conclusion: a peer that sees the end can rely on the count.

--- a/lagoongauged/src/control/link.rs
+++ b/lagoongauged/src/control/link.rs
@@ -108,7 +108,13 @@
 /// Returns `Malformed` for other first bytes or a slow peer, `Unauthenticated` for a wrong proof.
 pub async fn accept(stream: TcpStream, key: &ClusterKey, traffic: &Traffic) -> Result<Incoming> {
     let slow = |_| Error::new(Kind::Malformed, "the peer did not prove itself in time");
-    timeout(HELLO, accept_any(stream, key, traffic)).await.map_err(slow)?
+    // The connection stays open until its refusal is counted, so that its peer can rely on that.
+    let _open = stream.clone();
+    let accepted = timeout(HELLO, accept_any(stream, key, traffic)).await.map_err(slow).flatten();
+    if accepted.is_err() {
+        traffic.count_refused();
+    }
+    accepted
 }
 
 async fn accept_any(stream: TcpStream, key: &ClusterKey, traffic: &Traffic) -> Result<Incoming> {
--- a/lagoongauged/src/control/server.rs
+++ b/lagoongauged/src/control/server.rs
@@ -101,10 +101,7 @@
             let client: control::Client = new_client(Answers::new(host, peer));
             carry(*reader, *writer, host_options(), client.client).await;
         }
-        Err(error) => {
-            traffic.count_refused();
-            log::warn!("A connection was refused: {error}.");
-        }
+        Err(error) => log::warn!("A connection was refused: {error}."),
     }
 }
 
