End a group's last host once its flows have ended, and test the program

Cause: the last host of a group has nobody to hand over to, and waited for its whole drain limit (26 s with a limit of 25 s in a run of the README's commands). Change: it ends once it holds no record any more.

--- a/lagoongauged/src/entry/host.rs
+++ b/lagoongauged/src/entry/host.rs
@@ -149,6 +149,16 @@
         &self.core.plane
     }
 
+    /// Returns whether no flow needs this host any more once it leaves.
+    ///
+    /// The last host of a group has nobody to hand over to and waits for its flows to end.
+    fn is_done(&self) -> bool {
+        let plane = &self.core.plane;
+        let status = plane.route.status(plane.clock.now());
+        let alone = status.route.hosts == [self.core.own];
+        status.left || (alone && status.route.records == 0)
+    }
+
     /// Tells that this host leaves: health turns bad and the flows are handed over.
     pub fn leave(&self) {
         if !self.core.leaving.swap(true, Ordering::AcqRel) {
@@ -161,24 +171,23 @@
 
     /// Leaves, waits until every flow is handed over or the limit is reached, and ends all threads.
     ///
-    /// Returns whether everything was handed over.
+    /// Returns whether everything was handed over or has ended.
     pub fn shut_down(self) -> bool {
         self.leave();
         let clock = self.core.plane.clock;
         let start = clock.now();
         let left = loop {
-            let now = clock.now();
-            if self.core.plane.route.status(now).left {
+            if self.is_done() {
                 break true;
             }
-            if now.since(start) >= self.drain_limit {
+            if clock.now().since(start) >= self.drain_limit {
                 break false;
             }
             thread::sleep(TICK);
         };
         thread::sleep(LINGER);
         self.end();
-        log::info!("The host has ended; everything handed over: {left}.");
+        log::info!("The host has ended; everything handed over or ended: {left}.");
         left
     }
 
--- /dev/null
+++ b/lagoongauged/tests/entry_program.rs
@@ -0,0 +1,70 @@
+//! `lagoon-entry` as a program: its flags, exit codes and the way it ends.
+
+use std::io::{BufRead, BufReader, Read};
+use std::process::{Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait for the program to do what it has to.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Returns the program with good flags, without those of the environment.
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lagoon-entry"));
+    command.env_clear().env("LAGOON_CLUSTER_KEY", "ab".repeat(32));
+    command.args(["--host", "11", "--centre", "1", "--fabric", "127.0.0.1:9"]);
+    command.args(["--data", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--http", "127.0.0.1:0"]);
+    command.args(["--control", "127.0.0.1:9"]);
+    command
+}
+
+fn ended(output: &Output) -> (Option<i32>, String) {
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+#[test]
+fn checked_settings_start_nothing() {
+    let output = program().arg("--check").output().unwrap();
+    assert_eq!(ended(&output), (Some(0), String::new()));
+}
+
+#[test]
+fn a_wrong_flag_or_variable_ends_with_code_2_and_names_itself() {
+    let (code, text) = ended(&program().args(["--threads", "65", "--check"]).output().unwrap());
+    assert_eq!(code, Some(2));
+    assert!(text.contains("--threads (LAGOON_THREADS) is \"65\"; accepted: a number"), "{text}");
+    let mut wrong = program();
+    wrong.env("LAGOON_DRAIN_LIMIT", "soon").arg("--check");
+    let (code, text) = ended(&wrong.output().unwrap());
+    assert_eq!(code, Some(2));
+    assert!(text.contains("(LAGOON_DRAIN_LIMIT) is \"soon\"; accepted: "), "{text}");
+    let (code, _) = ended(&program().arg("--colour").output().unwrap());
+    assert_eq!(code, Some(2));
+}
+
+#[test]
+fn sigterm_ends_a_host_that_holds_nothing() {
+    let mut child = program().stderr(Stdio::piped()).spawn().unwrap();
+    // The signal's handler stands once the program has begun to log.
+    let mut line = String::new();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    log.read_line(&mut line).unwrap();
+    assert!(line.contains("takes packets"), "{line}");
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    let begun = Instant::now();
+    let status = loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            break status;
+        }
+        if begun.elapsed() > PATIENCE {
+            child.kill().unwrap();
+            panic!("the program did not end in time");
+        }
+        thread::sleep(Duration::from_millis(20));
+    };
+    assert_eq!(status.code(), Some(0));
+    let mut rest = String::new();
+    log.read_to_string(&mut rest).unwrap();
+    assert!(rest.contains("everything handed over or ended: true"), "{rest}");
+}
