Hand empty buckets over in a byte each

Cause: a restart as planned moved 28,672 buckets of a host in a group of 8 with 14 services twice, and each bucket without records took 5 bytes; the handover is paced at 4,500 B/s. Change: buckets of the same knowledge share it, and one without records is only its distance from the one before; a message is filled by bytes and not by a number of buckets. What remains is mostly records (10 bytes each, moved twice); long flows' records could stay with the backup that becomes the home.

--- a/lagoongauge/src/route/compact.rs
+++ b/lagoongauge/src/route/compact.rs
@@ -78,13 +78,24 @@
     }
 }
 
-/// A handed-over bucket, told by its distance from the one before.
-#[derive(Debug, Serialize, Deserialize)]
+/// Handed-over buckets of the same knowledge: some without records, then at most one with records.
+///
+/// Most buckets of a home have no flow, so a bucket without records takes little more than the byte
+/// of its distance from the one before.
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct CompactGift {
-    distance: u32,
     /// One more than the span, so that "unknown" takes one byte.
     known: u32,
     careful: u32,
+    /// Distances of the buckets without records.
+    empty: Vec<u32>,
+    full: Option<CompactFull>,
+}
+
+/// A handed-over bucket, or piece of one, with its records.
+#[derive(Debug, Serialize, Deserialize)]
+struct CompactFull {
+    distance: u32,
     last: bool,
     records: Vec<Compact>,
 }
@@ -92,35 +103,47 @@
 impl CompactGift {
     /// Writes buckets in rising order.
     pub fn list(gifts: &[Gift], bits: u8, second: u32) -> Vec<Self> {
+        let mut list: Vec<Self> = Vec::new();
         let mut before = 0;
-        let one = |gift: &Gift| {
+        for gift in gifts {
             let distance = gift.bucket.wrapping_sub(before);
             before = gift.bucket;
-            let records = gift.records.iter();
-            Self {
-                distance,
-                known: gift.knowledge.0.wrapping_add(1),
-                careful: gift.knowledge.1,
-                last: gift.last,
-                records: records.map(|record| Compact::new(record, bits, second)).collect(),
+            let known = gift.knowledge.0.wrapping_add(1);
+            let careful = gift.knowledge.1;
+            let same = |run: &Self| (run.known, run.careful) == (known, careful);
+            if !list.last().is_some_and(|run| same(run) && run.full.is_none()) {
+                list.push(Self { known, careful, ..Self::default() });
             }
-        };
-        gifts.iter().map(one).collect()
+            let Some(run) = list.last_mut() else { continue };
+            if gift.records.is_empty() && gift.last {
+                run.empty.push(distance);
+                continue;
+            }
+            let records = gift.records.iter().map(|record| Compact::new(record, bits, second));
+            run.full = Some(CompactFull { distance, last: gift.last, records: records.collect() });
+        }
+        list
     }
 
     /// Reads the buckets again.
     pub fn gifts(list: Vec<Self>, bits: u8, second: u32) -> Option<Vec<Gift>> {
         let mut bucket = 0u32;
+        let mut next = |distance: u32| {
+            bucket = bucket.checked_add(distance).filter(|&b| b < 1 << bits)?;
+            Some(bucket)
+        };
         let mut gifts = Vec::new();
-        for compact in list {
-            bucket = bucket.checked_add(compact.distance).filter(|&b| b < 1 << bits)?;
-            let records = compact.records.into_iter();
-            gifts.push(Gift {
-                bucket,
-                knowledge: (compact.known.wrapping_sub(1), compact.careful),
-                last: compact.last,
-                records: records.map(|record| record.record(bucket, bits, second)).collect(),
-            });
+        for run in list {
+            let knowledge = (run.known.wrapping_sub(1), run.careful);
+            for distance in run.empty {
+                let bucket = next(distance)?;
+                gifts.push(Gift { bucket, knowledge, last: true, records: Vec::new() });
+            }
+            let Some(full) = run.full else { continue };
+            let bucket = next(full.distance)?;
+            let records = full.records.into_iter();
+            let records = records.map(|record| record.record(bucket, bits, second)).collect();
+            gifts.push(Gift { bucket, knowledge, last: full.last, records });
         }
         Some(gifts)
     }
--- a/lagoongauge/src/route/handover.rs
+++ b/lagoongauge/src/route/handover.rs
@@ -23,7 +23,19 @@
 const MAX_RECORDS: usize = 120;
 
 /// Most buckets in one message.
-const MAX_GIFTS: usize = 200;
+const MAX_GIFTS: usize = 900;
+
+/// Bytes that a message with buckets may take without its head, so that it fits a datagram.
+const MAX_GIFT_BYTES: usize = 1_200;
+
+/// Bytes of a bucket without records.
+const EMPTY_BYTES: usize = 1;
+
+/// Bytes of a bucket with records, beside the records.
+const FULL_BYTES: usize = 6;
+
+/// Bytes of a record.
+const RECORD_BYTES: usize = 10;
 
 /// First and longest time between two sendings of the same message.
 const RESEND: (Span, Span) = (Span::millis(300), Span::millis(2_400));
@@ -254,13 +266,13 @@
                 continue;
             }
             let mut gifts = Vec::new();
-            let mut count = 0;
+            let mut bytes = 0;
             for bucket in buckets {
                 let records = ledger.records(bucket);
-                if count > 0 && count + records.len() > MAX_RECORDS {
+                bytes += bucket_bytes(records.len());
+                if !gifts.is_empty() && bytes > MAX_GIFT_BYTES {
                     break;
                 }
-                count += records.len();
                 ledger.set_duty(bucket, Duty::Given);
                 gifts.extend(pieces(bucket, ledger.knowledge(now, bucket), &records));
             }
@@ -296,13 +308,23 @@
 fn pause(message: &Message, lanes: u64) -> Span {
     let bytes = HEAD_BYTES
         + match message {
-            Message::Gifts(gifts) => gifts.gifts.iter().map(|g| 5 + 10 * g.records.len()).sum(),
-            Message::Pins(pins) => 10 * pins.records.len(),
+            Message::Gifts(gifts) => {
+                gifts.gifts.iter().map(|gift| bucket_bytes(gift.records.len())).sum()
+            }
+            Message::Pins(pins) => RECORD_BYTES * pins.records.len(),
             _ => 0,
         };
     Span(bytes as u64 * lanes * 1000 / BYTE_RATE)
 }
 
+/// Returns the bytes that a bucket with so many records takes in a message.
+const fn bucket_bytes(records: usize) -> usize {
+    match records {
+        0 => EMPTY_BYTES,
+        _ => FULL_BYTES + RECORD_BYTES * records,
+    }
+}
+
 fn number_of(message: &Message) -> u32 {
     match message {
         Message::Gifts(gifts) => gifts.number,
