--- a/lagoongauged/src/measure/capacity/mod.rs
+++ b/lagoongauged/src/measure/capacity/mod.rs
@@ -3,9 +3,12 @@
 //! Prints one JSON line per row and total; `--page` also writes the tables into docs/CAPACITY.md
 //! and the plots beside it.
 
+mod events;
 mod fit;
+mod group;
 mod host;
 mod page;
+mod routing;
 mod row;
 mod settings;
 mod size;
@@ -35,6 +38,7 @@
     Size { budget: size::Budget, target: size::Size },
     Row(&'a Row),
     Total(&'a Total),
+    Event(&'a events::Event),
 }
 
 /// Measures all slopes and prints them.
@@ -48,14 +52,19 @@
     for total in &totals {
         print(&Output::Total(total))?;
     }
+    let events = events::events()?;
+    for event in &events {
+        print(&Output::Event(event))?;
+    }
     if let Some(folder) = &options.page {
-        page::write(folder, &rows, &totals)?;
+        page::write(folder, &rows, &totals, &events)?;
     }
     Ok(())
 }
 
 fn slopes(allocator: &Counting) -> Result<Vec<Slope>> {
     let mut slopes = host::slopes(allocator);
+    slopes.extend(routing::slopes(allocator)?);
     slopes.extend(settings::slopes(allocator)?);
     Ok(slopes)
 }
--- a/lagoongauged/src/measure/capacity/page.rs
+++ b/lagoongauged/src/measure/capacity/page.rs
@@ -7,7 +7,9 @@
 use eyre::{Context, ContextCompat, Result};
 use plotters::prelude::*;
 
+use super::events::Event;
 use super::row::{Resource, Row, Total};
+use super::size::BUDGET;
 
 /// Mark before the tables.
 const BEGIN: &str = "<!-- begin: lagoon-measure capacity -->";
@@ -22,19 +24,19 @@
 const COLUMNS: usize = 3;
 
 /// Writes the tables between the marks of CAPACITY.md and the plots into capacity.svg.
-pub fn write(folder: &Path, rows: &[Row], totals: &[Total]) -> Result<()> {
+pub fn write(folder: &Path, rows: &[Row], totals: &[Total], events: &[Event]) -> Result<()> {
     let path = folder.join("CAPACITY.md");
     let page = fs::read_to_string(&path).wrap_err_with(|| format!("{}", path.display()))?;
     let (head, rest) =
         page.split_once(BEGIN).wrap_err("CAPACITY.md lacks the mark of its tables")?;
     let (_, tail) = rest.split_once(END).wrap_err("CAPACITY.md lacks the end of its tables")?;
-    let tables = tables(rows, totals)?;
+    let tables = tables(rows, totals, events)?;
     fs::write(&path, format!("{head}{BEGIN}\n\n{tables}\n{END}{tail}"))?;
     fs::write(folder.join("capacity.svg"), plots(rows)?)?;
     Ok(())
 }
 
-fn tables(rows: &[Row], totals: &[Total]) -> Result<String> {
+fn tables(rows: &[Row], totals: &[Total], events: &[Event]) -> Result<String> {
     let mut text = String::new();
     writeln!(text, "| role | resource | at the target | budget | ratio | |")?;
     writeln!(text, "| --- | --- | --- | --- | --- | --- |")?;
@@ -58,10 +60,34 @@
     for row in rows {
         write_row(&mut text, row)?;
     }
+    write_events(&mut text, events)?;
     writeln!(text, "\n![Measured points and fitted lines](capacity.svg)")?;
     Ok(text)
 }
 
+fn write_events(text: &mut String, events: &[Event]) -> Result<()> {
+    writeln!(
+        text,
+        "\n| event in one group | seconds | bytes a host | worst second of a host | budget | ratio | | a day, all groups |"
+    )?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- |")?;
+    for event in events {
+        let budget = BUDGET.bytes;
+        let ratio = event.worst as f64 / budget;
+        writeln!(
+            text,
+            "| {} | {:.1} | {:.0} | {} B | {budget:.0} B | {ratio:.3} | {} | {:.0} |",
+            event.what,
+            event.seconds,
+            event.bytes,
+            event.worst,
+            verdict(event.held),
+            event.daily,
+        )?;
+    }
+    Ok(())
+}
+
 fn write_row(text: &mut String, row: &Row) -> Result<()> {
     let mark = if row.extrapolated { " (extrapolated)" } else { "" };
     writeln!(
--- a/lagoongauged/src/measure/capacity/row.rs
+++ b/lagoongauged/src/measure/capacity/row.rs
@@ -63,6 +63,8 @@
     Rate(f64),
     /// The slope times this many items; the fixed part counts as well.
     Items(f64),
+    /// The slope times this many items; the fixed part stands in another row.
+    Extra(f64),
 }
 
 /// One row of the page.
@@ -119,7 +121,7 @@
         let fit = Fit::new(&slope.points);
         let (size, value) = match slope.basis {
             Basis::Size(size) | Basis::Items(size) => (size, fit.at(size)),
-            Basis::Rate(rate) => (rate, fit.slope * rate),
+            Basis::Rate(size) | Basis::Extra(size) => (size, fit.slope * size),
         };
         let largest = slope.points.iter().map(|point| point.0).fold(0.0, f64::max);
         let extrapolated = !matches!(slope.basis, Basis::Rate(_)) && size > largest;
--- a/lagoongauged/src/measure/capacity/size.rs
+++ b/lagoongauged/src/measure/capacity/size.rs
@@ -61,7 +61,7 @@
     changes: 710.0,
     restarts: 1_100.0,
     failures: 11.0,
-    group: 16.0,
+    group: 8.0,
 };
 
 impl Size {
@@ -79,4 +79,9 @@
     pub fn group_services(&self) -> f64 {
         (self.services / self.groups()).ceil()
     }
+
+    /// Returns the targets of one group.
+    pub fn group_targets(&self) -> f64 {
+        (self.targets / self.groups()).ceil()
+    }
 }
