Keep the control hosts' traffic within its bound, and measure it

Cause: all entry hosts stayed at the first control host that they were given, each poll carried the list of control hosts, and each answer of the log took a call of its own. Change: an entry host moves to the nearest control host once it knows them; the list goes out when it changed; a call brings the log's answer back; versions within 500 ms go out as one; a lost control host is noticed after 1 s when it is dialled; lagoon-measure settings. Cable and Net moved from the tests into the library, so that the measurement uses them too; the tests check what they did.

--- a/lagoongauge_schema/schema/control.capnp
+++ b/lagoongauge_schema/schema/control.capnp
@@ -89,12 +89,13 @@
 interface Control {
   # Tells which version is in force and asks for a later one; waits for it as long as the control
   # host sees fit, which the answer tells in `wait`, in milliseconds. A host without settings sends version 0 and an empty digest.
+  # `controls` is empty where `book` is the digest of the caller's list.
   poll @0 (host :UInt32, centre :UInt8, version :UInt64, digest :Data, unconfirmed :UInt64,
-           report :Text)
+           report :Text, book :UInt64)
     -> (fault :Fault, version :UInt64, current :Bool, update :Data, controls :List(Address),
         wait :UInt32);
-  # Brings a message of the replicated log.
-  step @1 (message :Data) -> ();
+  # Brings a message of the replicated log, and takes back what it made the host say to the caller.
+  step @1 (message :Data) -> (messages :List(Data));
   # Asks the leader for the version of the settings that was current during the call.
   confirm @2 () -> (fault :Fault, version :UInt64);
   # Asks for what this control host knows at first hand.
--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 
 use lagoongauged::measure::meter::{self, Counting};
-use lagoongauged::measure::{capacity, path, policy, replica};
+use lagoongauged::measure::{capacity, path, policy, replica, settings};
 
 /// Counts the memory that the measured structures take.
 #[global_allocator]
@@ -25,6 +25,9 @@
     /// Measures the replicated log.
     #[bpaf(command)]
     Replica(#[bpaf(external(replica::options))] replica::Options),
+    /// Measures how settings spread from the control hosts to the entry hosts.
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings::options))] settings::Options),
 }
 
 fn main() -> eyre::Result<()> {
@@ -33,5 +36,6 @@
         Command::Capacity(options) => capacity::run(&options, &ALLOCATOR),
         Command::Policy(options) => policy::run(&options),
         Command::Replica(options) => replica::run(&options, &ALLOCATOR),
+        Command::Settings(options) => settings::run(&options, &ALLOCATOR),
     }
 }
--- a/lagoongauged/src/control/answers.rs
+++ b/lagoongauged/src/control/answers.rs
@@ -24,7 +24,7 @@
 const WAIT_MAX: u64 = 10_000;
 
 /// Time that each polling host adds to the wait, so that a control host's traffic stays bounded.
-const WAIT_PER_HOST: u64 = 50;
+const WAIT_PER_HOST: u64 = 80;
 
 /// Silence after which an entry host no longer adds to the wait.
 const ACTIVE: Span = Span::seconds(30);
@@ -91,6 +91,7 @@
         let arrived = self.host.clock.now();
         let params = params.get()?;
         let have = read_have(params.get_version(), params.get_digest()?)?;
+        let known = params.get_book();
         let heard = Heard {
             centre: CentreId(params.get_centre()),
             version: params.get_version(),
@@ -118,14 +119,16 @@
             reply.set_update(&update.encode());
         }
         let book = self.host.book();
-        book.write(reply.init_controls(book.len()));
+        if book.digest() != known {
+            book.write(reply.init_controls(book.len()));
+        }
         Ok(())
     }
 
     async fn step(
         self: Rc<Self>,
         params: control::StepParams,
-        _results: control::StepResults,
+        mut results: control::StepResults,
     ) -> Result<(), Error> {
         let bytes = params.get()?.get_message()?;
         let message =
@@ -135,7 +138,11 @@
         }
         let now = self.host.clock.now();
         self.host.engine.borrow_mut().message(now, message);
-        self.host.settle();
+        let answers = self.host.settle_for(self.peer);
+        let mut list = results.get().init_messages(answers.len() as u32);
+        for (index, answer) in answers.iter().enumerate() {
+            list.set(index as u32, answer);
+        }
         Ok(())
     }
 
--- a/lagoongauged/src/control/book.rs
+++ b/lagoongauged/src/control/book.rs
@@ -1,9 +1,11 @@
 //! Where the control hosts listen.
 
 use std::fmt;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
+use siphasher::sip::SipHasher13;
 
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::id::{CentreId, HostId};
@@ -76,6 +78,13 @@
         Ok(())
     }
 
+    /// Returns a digest of the whole list.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        hasher.write(self.to_string().as_bytes());
+        hasher.finish()
+    }
+
     /// Returns how many hosts are known.
     pub fn len(&self) -> u32 {
         self.places.len() as u32
--- a/lagoongauged/src/control/command.rs
+++ b/lagoongauged/src/control/command.rs
@@ -5,6 +5,7 @@
 use lagoongauge::replica::Recovered;
 use lagoongauge::settings::{Hash, Token};
 
+use super::book::Book;
 use super::options::{Init, RawCommand, Run, folder, host};
 use super::run::{Site, begin, bind, run};
 use super::traffic::Traffic;
@@ -47,6 +48,7 @@
     let site = Site {
         identity: store.identity(),
         controls: options.site,
+        reach: Book::default(),
         key: options.key,
         traffic: Traffic::default(),
     };
--- a/lagoongauged/src/control/fleet.rs
+++ b/lagoongauged/src/control/fleet.rs
@@ -86,7 +86,8 @@
     pub fn site(&self, host: HostId) -> Result<(Site, Recovered)> {
         let identity = Identity { host, incarnation: rand::random::<u64>() | 1 };
         let (controls, key) = (self.book.clone(), self.key.clone());
-        let site = Site { identity, controls, key, traffic: Traffic::default() };
+        let (reach, traffic) = (Book::default(), Traffic::default());
+        let site = Site { identity, controls, reach, key, traffic };
         if host != HostId(1) {
             return Ok((site, Recovered::default()));
         }
--- a/lagoongauged/src/control/host.rs
+++ b/lagoongauged/src/control/host.rs
@@ -20,6 +20,7 @@
 use super::engine::Engine;
 use super::fault::{Fault, broken};
 use super::notify::Notify;
+use super::run::Site;
 use super::traffic::Traffic;
 use super::view::EntryView;
 use crate::daemon::Clock;
@@ -34,7 +35,7 @@
 pub const ANSWER: Duration = Duration::from_secs(2);
 
 /// Shortest time between two published versions, so that a burst of changes goes out as one.
-const PUBLISH_GAP: u64 = 250;
+const PUBLISH_GAP: u64 = 500;
 
 /// An entry host as it was last heard.
 #[derive(Debug, Clone)]
@@ -80,6 +81,8 @@
     pub views: RefCell<IndexMap<HostId, (Instant, Vec<EntryView>)>>,
     /// The control hosts named by its flags.
     pub first: Book,
+    /// Where this host reaches the others, if that differs from where they listen for all.
+    pub reach: Book,
     /// Ways to the other control hosts.
     pub links: RefCell<IndexMap<HostId, Link>>,
     /// Woken by each accepted version.
@@ -96,29 +99,22 @@
 
 impl<S: Store + 'static> Host<S> {
     /// Builds the shared state of a control host.
-    pub fn new(
-        own: HostId,
-        place: Place,
-        key: ClusterKey,
-        clock: Clock,
-        engine: Engine<S>,
-        first: Book,
-        traffic: Traffic,
-    ) -> Self {
+    pub fn new(site: Site, place: Place, clock: Clock, engine: Engine<S>) -> Self {
         Self {
-            own,
+            own: site.identity.host,
             place,
-            key,
+            key: site.key,
             clock,
             engine: RefCell::new(engine),
             source: RefCell::default(),
             heard: RefCell::default(),
             views: RefCell::default(),
-            first,
+            first: site.controls,
+            reach: site.reach,
             links: RefCell::default(),
             accepted: Notify::default(),
             published: Notify::default(),
-            traffic,
+            traffic: site.traffic,
             confirmed: Cell::new(None),
             seen: Cell::new(0),
             last_publish: Cell::new(Instant(0)),
@@ -185,9 +181,35 @@
     /// Does what follows from the replica's last step: sends, wakes and publishes.
     pub fn settle(&self) {
         let messages = self.engine.borrow_mut().take_messages();
-        for message in messages {
-            self.send(&message);
+        messages.iter().for_each(|message| self.send(message));
+        self.tell();
+    }
+
+    /// Does the same, but returns the messages to a peer that waits for them.
+    pub fn settle_for(&self, peer: HostId) -> Vec<Vec<u8>> {
+        let messages = self.engine.borrow_mut().take_messages();
+        let (back, on): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(|message| message.to.host == peer);
+        on.iter().for_each(|message| self.send(message));
+        self.tell();
+        back.iter().map(Message::to_bytes).collect()
+    }
+
+    /// Takes messages of a peer into the replica; malformed ones are passed over.
+    pub fn take<'a>(&self, peer: HostId, messages: impl Iterator<Item = &'a [u8]>) {
+        let now = self.clock.now();
+        for bytes in messages {
+            match Message::from_bytes(bytes) {
+                Ok(message) if message.from.host == peer => {
+                    self.engine.borrow_mut().message(now, message);
+                }
+                _ => log::warn!("A message of {peer} was not understood."),
+            }
         }
+        self.settle();
+    }
+
+    fn tell(&self) {
         let version = self.engine.borrow().state().version();
         if version > self.seen.get() {
             self.seen.set(version);
--- a/lagoongauged/src/control/link.rs
+++ b/lagoongauged/src/control/link.rs
@@ -24,9 +24,12 @@
 /// First bytes of a host's connection.
 const HOST: [u8; 8] = *b"LAGOONH1";
 
-/// Time in which both ends have to prove themselves.
+/// Time in which whoever opens a connection has to prove itself.
 const HELLO: Duration = Duration::from_secs(3);
 
+/// Time in which an opened connection has to be proven.
+const DIAL: Duration = Duration::from_secs(1);
+
 /// Length of a random number in bytes.
 const NONCE: usize = 16;
 
@@ -69,7 +72,7 @@
     let unreachable = |reason: String| {
         Error::new(Kind::Unreachable, format!("control host {address} did not answer: {reason}"))
     };
-    let (reader, mut writer, mine, theirs, proof) = timeout(HELLO, hello)
+    let (reader, mut writer, mine, theirs, proof) = timeout(DIAL, hello)
         .await
         .map_err(|_| unreachable("timeout".into()))?
         .map_err(|error| unreachable(error.to_string()))?;
@@ -97,7 +100,7 @@
     let unreachable = |reason: String| {
         Error::new(Kind::Unreachable, format!("control host {address} did not answer: {reason}"))
     };
-    timeout(HELLO, hello)
+    timeout(DIAL, hello)
         .await
         .map_err(|_| unreachable("timeout".into()))?
         .map_err(|error| unreachable(error.to_string()))
@@ -119,7 +122,7 @@
     match magic {
         OPERATOR => {
             writer.write_all(&OPERATOR).await.map_err(broken)?;
-            Ok(Incoming::Operator(reader, writer))
+            Ok(Incoming::Operator(reader.for_operator(), writer.for_operator()))
         }
         HOST => accept_host(reader, writer, key).await,
         _ => Err(Error::new(Kind::Malformed, "the first bytes name no protocol")),
--- a/lagoongauged/src/control/links.rs
+++ b/lagoongauged/src/control/links.rs
@@ -60,7 +60,8 @@
     peer: HostId,
     queue: &mut mpsc::Receiver<Vec<u8>>,
 ) -> Result<()> {
-    let Some(place) = host.book().get(peer) else { return Ok(()) };
+    let place = host.reach.get(peer).or_else(|| host.book().get(peer));
+    let Some(place) = place else { return Ok(()) };
     let address = place.address.to_string();
     let (reader, writer) = link::dial(&address, host.own, &host.key, &host.traffic).await?;
     let side = rpc_twoparty_capnp::Side::Client;
@@ -68,7 +69,7 @@
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: control::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     set_client(host, peer, Some(client.clone()));
-    let sending = send_all(client, queue);
+    let sending = send_all(host, peer, client, queue);
     match select(system, pin!(sending)).await {
         Either::Left((ended, _)) | Either::Right((ended, _)) => {
             ended.map_err(|error| broken(&error))
@@ -76,7 +77,9 @@
     }
 }
 
-async fn send_all(
+async fn send_all<S: Store + 'static>(
+    host: &Host<S>,
+    peer: HostId,
     client: control::Client,
     queue: &mut mpsc::Receiver<Vec<u8>>,
 ) -> std::result::Result<(), capnp::Error> {
@@ -85,7 +88,10 @@
         request.get().set_message(&message);
         let call = timeout(ANSWER, request.send().promise).await;
         let slow = |_| capnp::Error::disconnected("the other host did not answer in time".into());
-        call.map_err(slow)??;
+        let response = call.map_err(slow)??;
+        let answers = response.get()?.get_messages()?;
+        let answers: std::result::Result<Vec<&[u8]>, capnp::Error> = answers.iter().collect();
+        host.take(peer, answers?.into_iter());
     }
     Ok(())
 }
--- a/lagoongauged/src/control/mod.rs
+++ b/lagoongauged/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod book;
+pub mod cable;
 pub mod client;
 pub mod command;
 mod desk;
@@ -14,6 +15,7 @@
 mod host;
 mod link;
 mod links;
+pub mod net;
 mod notify;
 pub mod options;
 mod run;
--- /dev/null
+++ b/lagoongauged/src/control/net.rs
@@ -0,0 +1,178 @@
+//! Control hosts and entry hosts of one process whose connections can be cut; for tests and
+//! measurements.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::replica::{Recovered, Store};
+
+use super::book::{Book, Place};
+use super::cable::Cable;
+use super::client::Client;
+use super::fleet::{Plan, Running};
+use super::run::Site;
+use super::subscribe::{Progress, Subscriber, subscribe};
+use super::traffic::Traffic;
+use crate::daemon::Stop;
+
+/// Longest time in which the control hosts have to come together.
+const READY: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a state that is waited for.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Control hosts in threads, connected by cables.
+pub struct Net {
+    /// Addresses, key and first token.
+    pub plan: Plan,
+    /// The control hosts, in the order of their keys.
+    pub hosts: Vec<Running>,
+    cables: HashMap<(u32, u32), Cable>,
+}
+
+impl Net {
+    /// Starts a control host for each data centre given and waits until one leads.
+    ///
+    /// `store` makes a host's store from its site and what it recovers at first.
+    pub fn new<S, F>(centres: &[CentreId], store: F) -> Result<Self>
+    where
+        S: Store + Send + 'static,
+        F: Fn(&Site, Recovered) -> Result<S>,
+    {
+        let mut plan = Plan::new(centres).map_err(|error| unbound(&error))?;
+        let mut cables = HashMap::new();
+        for (to, place) in plan.book.iter() {
+            for from in (0..=centres.len() as u32).filter(|from| *from != to.0) {
+                let cable = Cable::new(place.address).map_err(|error| unbound(&error))?;
+                cables.insert((from, to.0), cable);
+            }
+        }
+        let mut hosts = Vec::new();
+        for (own, _) in plan.book.clone().iter() {
+            let (mut site, recovered) = plan.site(own)?;
+            site.controls = book(&plan.book, &cables, |_| 0);
+            site.reach = book(&plan.book, &cables, |to| if to == own.0 { 0 } else { own.0 });
+            let listener = plan
+                .listener(own)
+                .ok_or_else(|| Error::new(Kind::Internal, format!("{own} has no listener")))?;
+            let store = store(&site, recovered)?;
+            hosts.push(Running::start(site, store, listener));
+        }
+        plan.wait_ready(READY)?;
+        Ok(Self { plan, hosts, cables })
+    }
+
+    /// Returns the near end of the cable on which hosts and operators reach a control host.
+    pub fn front(&self, host: u32) -> SocketAddr {
+        self.cables[&(0, host)].address()
+    }
+
+    /// Cuts a control host off from all but operators right next to it, or joins it again.
+    pub fn set_cut(&self, host: u32, cut: bool) {
+        for ((from, to), cable) in &self.cables {
+            if *from == host || *to == host {
+                cable.set_cut(cut);
+            }
+        }
+    }
+
+    /// Returns a client of some control hosts that goes past all cables.
+    pub fn client(&self, limit: Duration, chosen: impl Fn(u32) -> bool) -> Client {
+        let hosts = self.plan.book.iter().filter(|(host, _)| chosen(host.0));
+        let addresses = hosts.map(|(_, place)| place.address).collect();
+        Client::new(addresses, self.plan.token.reveal(), limit)
+    }
+
+    /// Returns the control host that leads; `NoQuorum` if there is none in time.
+    pub fn leader(&self) -> Result<u32> {
+        let client = self.client(READY, |_| true);
+        wait_for(READY, || {
+            let overview = client.status().ok()?;
+            overview.controls.iter().find(|control| control.current).map(|control| control.host)
+        })
+        .ok_or_else(|| Error::new(Kind::NoQuorum, "no control host leads"))
+    }
+
+    /// Starts an entry host that knows these addresses of control hosts.
+    pub fn entry(&self, id: u32, centre: CentreId, controls: Vec<SocketAddr>) -> Entry {
+        let (key, progress) = (self.plan.key.clone(), Progress::default());
+        let (own, traffic) = (HostId(id), Traffic::default());
+        Entry::new(Subscriber { own, centre, controls, key, traffic, progress })
+    }
+}
+
+/// An entry host's subscription in a thread; dropping it ends the thread.
+pub struct Entry {
+    /// How far it has got.
+    pub progress: Progress,
+    /// Counts its bytes.
+    pub traffic: Traffic,
+    seen: Arc<Mutex<Vec<(u64, Instant)>>>,
+    stop: Stop,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Entry {
+    fn new(subscriber: Subscriber) -> Self {
+        let (progress, traffic) = (subscriber.progress.clone(), subscriber.traffic.clone());
+        let (seen, stop) = (Arc::new(Mutex::new(Vec::new())), Stop::default());
+        let (log, raised) = (Arc::clone(&seen), stop.clone());
+        let thread = thread::spawn(move || {
+            let deliver = |resolved: lagoongauge::settings::Resolved| {
+                let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+                log.push((resolved.version, Instant::now()));
+            };
+            subscribe(subscriber, &raised, deliver, || "{}".to_string());
+        });
+        Self { progress, traffic, seen, stop, thread: Some(thread) }
+    }
+
+    /// Returns all versions that were put in force, in that order, with the time.
+    pub fn seen(&self) -> Vec<(u64, Instant)> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns when this version or a later one was put in force.
+    pub fn since(&self, version: u64) -> Option<Instant> {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.iter().find(|(had, _)| *had >= version).map(|(_, at)| *at)
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.stop.raise();
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// Looks again and again until there is a value; nothing after `limit`.
+pub fn wait_for<T>(limit: Duration, mut look: impl FnMut() -> Option<T>) -> Option<T> {
+    let began = Instant::now();
+    while began.elapsed() < limit {
+        if let Some(value) = look() {
+            return Some(value);
+        }
+        thread::sleep(LOOK);
+    }
+    None
+}
+
+/// Returns the near ends of the cables to all control hosts.
+fn book(real: &Book, cables: &HashMap<(u32, u32), Cable>, from: impl Fn(u32) -> u32) -> Book {
+    let mut book = Book::default();
+    for (to, place) in real.iter() {
+        let address = cables[&(from(to.0), to.0)].address();
+        book.note(to, Place { address, ..place });
+    }
+    book
+}
+
+fn unbound(error: &std::io::Error) -> Error {
+    Error::new(Kind::Internal, format!("no loopback address can be bound: {error}"))
+}
--- a/lagoongauged/src/control/run.rs
+++ b/lagoongauged/src/control/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_std::task::sleep;
+use cpu_time::ThreadTime;
 use futures::executor::LocalPool;
 use futures::task::LocalSpawnExt;
 
@@ -24,13 +25,13 @@
 use crate::daemon::{Clock, Stop};
 
 /// Time between two steps of the replica.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(40);
 
 /// Steps after which a follower asks the leader whether its version is current.
-const CONFIRM_TICKS: u32 = 20;
+const CONFIRM_TICKS: u32 = 40;
 
 /// Steps after which the leader asks the other control hosts for their entry hosts.
-const SURVEY_TICKS: u32 = 300;
+const SURVEY_TICKS: u32 = 400;
 
 /// What a control host is started with.
 #[derive(Debug, Clone)]
@@ -39,6 +40,8 @@
     pub identity: Identity,
     /// The control hosts of the flags, this one among them.
     pub controls: Book,
+    /// Where this host reaches the others, if that differs from where they listen for all.
+    pub reach: Book,
     /// The cluster's key.
     pub key: ClusterKey,
     /// Counts the bytes of the host's connections.
@@ -83,7 +86,9 @@
         let _ = spawner.spawn_local(confirm_all(Rc::clone(&host)));
         let _ = spawner.spawn_local(survey_all(Rc::clone(&host)));
         log::info!("The control host listens on {}.", place.address);
+        let processor = ThreadTime::now();
         while !stop.is_raised() {
+            host.traffic.note_processor(processor.elapsed());
             links::open(&host, &spawner);
             let now = host.clock.now();
             host.engine.borrow_mut().tick(now);
@@ -112,7 +117,7 @@
     let mut setup = Setup::new(site.identity, rand::random());
     setup.seeds = first.iter().copied().filter(|host| *host != own).collect();
     let engine = Engine::new(setup, store, first, clock.now())?;
-    Ok(Host::new(own, place, site.key, clock, engine, site.controls, site.traffic))
+    Ok(Host::new(site, place, clock, engine))
 }
 
 /// Lets the leader know the entry hosts of each control host before that is cut off.
--- a/lagoongauged/src/control/subscribe.rs
+++ b/lagoongauged/src/control/subscribe.rs
@@ -138,21 +138,22 @@
     async fn run(&mut self) {
         loop {
             let round = self.clock.now();
-            for (place, address) in self.addresses().into_iter().enumerate() {
-                if let Err(error) = self.ask(address, round, place == 0).await {
-                    log::warn!("The settings are asked for elsewhere: {error}.");
-                }
+            for address in self.addresses() {
+                let asked = self.ask(address, round).await;
                 self.settle(Outcome::Unchanged);
-                sleep(PAUSE).await;
-                if self.clock.now().since(round) >= REORDER {
-                    break;
+                match asked {
+                    Ok(()) => break,
+                    Err(error) => log::warn!("The settings are asked for elsewhere: {error}."),
                 }
+                sleep(PAUSE).await;
             }
         }
     }
 
-    /// Polls one control host until it is lost, stays unconfirmed, or the round has to end.
-    async fn ask(&mut self, address: SocketAddr, round: Instant, nearest: bool) -> Result<()> {
+    /// Polls one control host; ends well where the nearest one is to be tried instead.
+    async fn ask(&mut self, address: SocketAddr, round: Instant) -> Result<()> {
+        let seed = self.book.is_empty();
+        let place = address;
         let address = address.to_string();
         let Subscriber { own, key, traffic, .. } = &self.subscriber;
         let (reader, writer) = link::dial(&address, *own, key, traffic).await?;
@@ -160,18 +161,20 @@
         let network = twoparty::VatNetwork::new(reader, writer, side, host_options());
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: control::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-        let polling = self.poll_all(client, round, nearest);
+        let polling = self.poll_all(client, place, if seed { None } else { Some(round) });
         match select(system, pin!(polling)).await {
             Either::Left((ended, _)) => ended.map_err(|error| broken(&error)),
             Either::Right((polled, _)) => polled,
         }
     }
 
+    /// Polls until the control host is lost or stays unconfirmed, or a nearer one is due; that is
+    /// at once if there is no round, as the first host was only one of those given at the start.
     async fn poll_all(
         &mut self,
         client: control::Client,
-        round: Instant,
-        nearest: bool,
+        address: SocketAddr,
+        round: Option<Instant>,
     ) -> Result<()> {
         let mut wait = FIRST_WAIT;
         let began = self.clock.now();
@@ -190,7 +193,8 @@
             if unconfirmed >= UNCONFIRMED && now.since(began) >= UNCONFIRMED {
                 return Err(Error::new(Kind::NotCurrent, "the control host knows of no quorum"));
             }
-            if !nearest && now.since(round) >= REORDER {
+            let due = round.is_none_or(|round| now.since(round) >= REORDER);
+            if due && self.receiver.have().is_some() && self.addresses().first() != Some(&address) {
                 return Ok(());
             }
             if offer.update.is_none() && self.receiver.have().is_none() {
@@ -209,7 +213,10 @@
             return Err(fault.error);
         }
         let controls = reader.get_controls().map_err(|error| broken(&error))?;
-        self.book.read(controls).map_err(|error| broken(&error))?;
+        if !controls.is_empty() {
+            self.book = Book::default();
+            self.book.read(controls).map_err(|error| broken(&error))?;
+        }
         let update = reader.get_update().map_err(|error| broken(&error))?;
         let update = if update.is_empty() { None } else { Some(Update::decode(update)?) };
         let (version, current) = (reader.get_version(), reader.get_current());
@@ -223,6 +230,7 @@
         request.set_version(status.version);
         request.set_unconfirmed(status.unconfirmed.0);
         request.set_report((self.report)());
+        request.set_book(self.book.digest());
         if let Some(have) = self.receiver.have() {
             request.set_digest(&have.digest.0.to_le_bytes());
         }
--- a/lagoongauged/src/control/traffic.rs
+++ b/lagoongauged/src/control/traffic.rs
@@ -1,14 +1,15 @@
-//! Counts the bytes of a host's control connections.
+//! Counts what a host spends on control.
 
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use async_std::net::TcpStream;
 use futures::{AsyncRead, AsyncWrite};
 
-/// Bytes that one host has sent and received over its control connections, above TCP.
+/// What one host has spent on control: bytes of its connections above TCP, and processor time.
 #[derive(Debug, Clone, Default)]
 pub struct Traffic(Arc<Totals>);
 
@@ -16,25 +17,42 @@
 struct Totals {
     sent: AtomicU64,
     received: AtomicU64,
+    operators: AtomicU64,
     refused: AtomicU64,
+    processor: AtomicU64,
 }
 
 impl Traffic {
-    /// Returns the bytes sent so far.
+    /// Returns the bytes sent to hosts so far.
     pub fn sent(&self) -> u64 {
         self.0.sent.load(Ordering::Relaxed)
     }
 
-    /// Returns the bytes received so far.
+    /// Returns the bytes received from hosts so far.
     pub fn received(&self) -> u64 {
         self.0.received.load(Ordering::Relaxed)
     }
 
+    /// Returns the bytes of operators' connections so far, sent and received.
+    pub fn operators(&self) -> u64 {
+        self.0.operators.load(Ordering::Relaxed)
+    }
+
     /// Returns the connections that were refused before or during their proof.
     pub fn refused(&self) -> u64 {
         self.0.refused.load(Ordering::Relaxed)
     }
 
+    /// Returns the processor time of the host's thread, in microseconds.
+    pub fn processor(&self) -> u64 {
+        self.0.processor.load(Ordering::Relaxed)
+    }
+
+    /// Notes the processor time of the host's thread.
+    pub fn note_processor(&self, time: Duration) {
+        self.0.processor.store(time.as_micros() as u64, Ordering::Relaxed);
+    }
+
     /// Counts a refused connection.
     pub fn count_refused(&self) {
         self.0.refused.fetch_add(1, Ordering::Relaxed);
@@ -46,12 +64,25 @@
 pub struct Counted {
     stream: TcpStream,
     traffic: Traffic,
+    operator: bool,
 }
 
 impl Counted {
     /// Counts a stream's bytes in `traffic`.
     pub fn new(stream: TcpStream, traffic: &Traffic) -> Self {
-        Self { stream, traffic: traffic.clone() }
+        Self { stream, traffic: traffic.clone(), operator: false }
+    }
+}
+
+impl Counted {
+    /// Counts all further bytes as those of an operator's connection.
+    pub fn for_operator(self) -> Self {
+        Self { operator: true, ..self }
+    }
+
+    fn note(&self, hosts: &AtomicU64, count: usize) {
+        let total = if self.operator { &self.traffic.0.operators } else { hosts };
+        total.fetch_add(count as u64, Ordering::Relaxed);
     }
 }
 
@@ -63,7 +94,7 @@
     ) -> Poll<std::io::Result<usize>> {
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if let Poll::Ready(Ok(count)) = &read {
-            self.traffic.0.received.fetch_add(*count as u64, Ordering::Relaxed);
+            self.note(&self.traffic.0.received, *count);
         }
         read
     }
@@ -77,7 +108,7 @@
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, buffer);
         if let Poll::Ready(Ok(count)) = &written {
-            self.traffic.0.sent.fetch_add(*count as u64, Ordering::Relaxed);
+            self.note(&self.traffic.0.sent, *count);
         }
         written
     }
--- a/lagoongauged/src/measure/mod.rs
+++ b/lagoongauged/src/measure/mod.rs
@@ -7,3 +7,4 @@
 pub mod path;
 pub mod policy;
 pub mod replica;
+pub mod settings;
