--- a/lagoongauged/examples/whole_path/site.rs
+++ b/lagoongauged/examples/whole_path/site.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use eyre::{OptionExt, bail};
+use indexmap::IndexMap;
 use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::packet::Reason;
 use lagoongauge::settings::Hash;
 use lagoongauge::time::Span;
 use lagoongauged::control::fleet::{Plan, Running};
@@ -22,6 +24,9 @@
 const SERVICES: [(&str, &str); 2] =
     [("/tsenkher/booking", "10.99.0.1:443"), ("/columbia/queue", "[fd00:99::1]:443")];
 
+/// Tokens that the targets of each service announce themselves with.
+pub const TOKENS: [&str; 2] = ["token of tsenkher's targets", "token of columbia's targets"];
+
 /// A running system.
 pub struct Site {
     /// Address and key of each service.
@@ -46,15 +51,22 @@
             values.push((path.clone(), "centre", centre.0.to_string()));
             values.push((path, "peer", peer.to_string()));
         }
-        for ((path, address), networks) in SERVICES.iter().zip(["10.1.0.0/16", "fd00:2::/64"]) {
+        for (index, networks) in ["10.1.0.0/16", "fd00:2::/64"].into_iter().enumerate() {
+            let (path, address) = SERVICES[index];
+            let hash = Hash::new([7; 16], TOKENS[index]).to_string();
             let member = path.rsplit_once('/').map_or("", |(member, _)| member);
             values.push((member.to_owned(), "networks", networks.to_owned()));
+            values.push((member.to_owned(), "target_tokens", hash));
             values.push((member.to_owned(), "slow_start", "2s".to_owned()));
-            values.push(((*path).to_owned(), "address", (*address).to_owned()));
+            values.push((path.to_owned(), "address", address.to_owned()));
         }
         let values: Vec<_> = values.iter().map(|(a, b, c)| (a.as_str(), *b, c.as_str())).collect();
         site.set("begin", &values)?;
-        site.admit_targets()?;
+        let known = site.hosts[0].0.services();
+        for (path, address) in SERVICES {
+            let (_, key) = known.iter().find(|one| one.0 == path).ok_or_eyre("no such service")?;
+            site.services.push((address.parse()?, key.0));
+        }
         wait("the entry hosts are ready", || site.hosts.iter().all(|host| host.0.is_ready()))?;
         Ok(site)
     }
@@ -79,11 +91,21 @@
         self.hosts.iter().map(|host| host.0.control_bytes()).sum()
     }
 
-    /// Returns the packets that were sent, relayed and dropped.
-    pub fn packets(&self) -> (u64, u64, u64) {
-        self.hosts.iter().map(|host| &host.0.plane().counters).fold((0, 0, 0), |sum, one| {
-            (sum.0 + one.sent(), sum.1 + one.relayed(), sum.2 + one.all_dropped())
-        })
+    /// Returns the packets that were sent, and those that were relayed.
+    pub fn packets(&self) -> (u64, u64) {
+        self.hosts
+            .iter()
+            .map(|host| &host.0.plane().counters)
+            .fold((0, 0), |sum, one| (sum.0 + one.sent(), sum.1 + one.relayed()))
+    }
+
+    /// Returns the packets that were dropped, by reason.
+    pub fn dropped(&self) -> IndexMap<&'static str, u64> {
+        let counters = || self.hosts.iter().map(|host| &host.0.plane().counters);
+        let counts = Reason::all().map(|reason| {
+            (reason.name(), counters().map(|counters| counters.dropped(reason)).sum())
+        });
+        counts.filter(|(_, count)| *count > 0).collect()
     }
 
     /// Sets values and waits until they are in force at every entry host.
@@ -130,25 +152,12 @@
             control: self.plan.book.addresses(),
             cluster_key: self.plan.key.clone(),
             threads: 2,
-            drain_limit: Span::seconds(10),
+            drain_limit: Span::seconds(20),
             log_level: LogLevel(log::LevelFilter::Off),
         };
         self.hosts.push((EntryHost::start(&settings, bound)?, data, http));
         Ok(peer)
     }
-
-    /// Gives the targets of each service's member their token.
-    fn admit_targets(&mut self) -> eyre::Result<()> {
-        let known = self.hosts[0].0.services();
-        for (path, address) in SERVICES {
-            let (_, key) = known.iter().find(|one| one.0 == path).ok_or_eyre("no such service")?;
-            self.services.push((address.parse()?, key.0));
-            let member = path.rsplit_once('/').map_or("", |(member, _)| member);
-            let hash = Hash::new([7; 16], &format!("secret-{}", key.0)).to_string();
-            self.set(path, &[(member, "target_tokens", &hash)])?;
-        }
-        Ok(())
-    }
 }
 
 /// Waits until `done` holds.
