--- a/lagoongauged/tests/control_site.rs
+++ b/lagoongauged/tests/control_site.rs
@@ -13,6 +13,7 @@
 use lagoongauge::wire::ClusterKey;
 use lagoongauged::control::client::{Client, Query};
 use lagoongauged::control::fleet::{Plan, Running};
+use lagoongauged::control::net::wait_for;
 use lagoongauged::control::{Progress, Subscriber, Traffic, bind, subscribe};
 use lagoongauged::daemon::Stop;
 use lagoongauged::store::open_or_format;
@@ -149,6 +150,8 @@
         let _ = stream.write_all(&bytes);
         let _ = stream.read_to_end(&mut Vec::new());
     }
+    // A connection is closed a moment before it is counted.
+    wait_for(LIMIT, || (hosts[0].traffic.refused() >= 3).then_some(()));
     assert_eq!(hosts[0].traffic.refused(), 3);
     // Bytes that follow the first ones of an operator close that connection alone.
     let mut stream = TcpStream::connect(address).unwrap();
@@ -160,9 +163,8 @@
     let stranger = Subscriber { key: ClusterKey::new([9; 32]), ..subscriber(&plan, 100) };
     let progress = stranger.progress.clone();
     let thread = thread::spawn(move || subscribe(stranger, &raised, drop, String::new));
-    while hosts[0].traffic.refused() < 5 {
-        thread::sleep(Duration::from_millis(20));
-    }
+    wait_for(LIMIT, || (hosts[0].traffic.refused() >= 5).then_some(()));
+    assert!(hosts[0].traffic.refused() >= 5);
     stop.raise();
     thread.join().unwrap();
     assert_eq!(progress.version(), 0);
