--- a/lagoongauge/src/route/follower.rs
+++ b/lagoongauge/src/route/follower.rs
@@ -1,11 +1,12 @@
 //! A host as the planner's follower: heartbeats, its lease to act, and catching up with the plan.
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::admit::Admit;
 use super::core::Core;
 use super::message::{Action, Beat, Message, Part, Settled, Steps};
-use super::plan::{Plan, Stamp};
+use super::plan::{Plan, Stamp, Step};
 use super::table::mix;
 use crate::id::{HostId, ServiceId};
 use crate::time::{Instant, Span};
@@ -22,6 +23,12 @@
 /// Time between two heartbeats.
 const BEAT_INTERVAL: Span = Span::millis(450);
 
+/// Time between two heartbeats when the lease has ended or is about to.
+const URGENT_INTERVAL: Span = Span::millis(150);
+
+/// Rest of the lease below which heartbeats are urgent.
+const URGENT_REST: Span = Span::millis(600);
+
 /// Time between two heartbeats that carry counts.
 const COUNT_INTERVAL: Span = Span::seconds(2);
 
@@ -46,6 +53,17 @@
 /// How long a host waits for pieces before it asks again.
 const FETCH_RETRY: Span = Span::millis(300);
 
+/// Most steps that go with a plan, for hosts that lack fewer.
+const HISTORY_STEPS: usize = 16;
+
+/// A plan with the steps that led to it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct History {
+    pub plan: Plan,
+    pub base: Stamp,
+    pub steps: Vec<(Stamp, Step)>,
+}
+
 /// Pieces of a plan that is being fetched.
 #[derive(Debug)]
 struct Assembly {
@@ -145,7 +163,12 @@
     }
 
     /// Adds a piece; returns the next request, or the whole plan.
-    fn part(&mut self, now: Instant, from: HostId, part: Part) -> (Option<Action>, Option<Plan>) {
+    fn part(
+        &mut self,
+        now: Instant,
+        from: HostId,
+        part: Part,
+    ) -> (Option<Action>, Option<History>) {
         let Some(assembly) = self.assembly.as_mut() else { return (None, None) };
         let expected = assembly.from == from && assembly.stamp == part.stamp;
         if !expected || part.total > MAX_PARTS || usize::from(part.index) != assembly.parts.len() {
@@ -163,8 +186,10 @@
         }
         let bytes = assembly.parts.concat();
         self.assembly = None;
-        let plan: Option<Plan> = postcard::from_bytes(&bytes).ok();
-        (None, plan.filter(Plan::is_sound).map(Plan::restored))
+        let history: Option<History> = postcard::from_bytes(&bytes).ok();
+        let sound = |history: &History| history.plan.is_sound() && history.plan.stamp == part.stamp;
+        let restored = |history: History| History { plan: history.plan.restored(), ..history };
+        (None, history.filter(sound).map(restored))
     }
 }
 
@@ -172,7 +197,8 @@
     /// Builds a heartbeat to the planner.
     pub fn beat(&mut self, now: Instant) -> Option<Action> {
         let planner = self.follower.planner.filter(|&planner| planner != self.own)?;
-        self.follower.next_beat = now + BEAT_INTERVAL;
+        let urgent = self.follower.leased_until.since(now) < URGENT_REST;
+        self.follower.next_beat = now + if urgent { URGENT_INTERVAL } else { BEAT_INTERVAL };
         let mut counts = Vec::new();
         if now >= self.follower.next_counts {
             self.follower.next_counts = now + COUNT_INTERVAL;
@@ -238,8 +264,7 @@
     pub fn parts(&mut self, to: HostId, stamp: Stamp, have: u16) -> Vec<Action> {
         let cached = self.follower.encoded.as_ref().is_some_and(|(cached, _)| *cached == stamp);
         if !cached && self.plan.stamp == stamp {
-            let bytes = postcard::to_stdvec(&self.plan).unwrap_or_default();
-            self.follower.encoded = Some((stamp, bytes));
+            self.keep_encoded();
         }
         let Some((cached, bytes)) = &self.follower.encoded else { return Vec::new() };
         if *cached != stamp {
@@ -259,7 +284,14 @@
     pub fn keep_encoded(&mut self) -> Stamp {
         let stamp = self.plan.stamp;
         if self.follower.encoded.as_ref().is_none_or(|(cached, _)| *cached != stamp) {
-            let bytes = postcard::to_stdvec(&self.plan).unwrap_or_default();
+            let skip = self.log.len().saturating_sub(HISTORY_STEPS);
+            let base = match skip {
+                0 => self.log_base,
+                _ => self.log[skip - 1].0,
+            };
+            let steps = self.log.iter().skip(skip).cloned().collect();
+            let history = History { plan: self.plan.clone(), base, steps };
+            let bytes = postcard::to_stdvec(&history).unwrap_or_default();
             self.follower.encoded = Some((stamp, bytes));
         }
         stamp
@@ -281,10 +313,10 @@
         if !self.follower.hear(part.epoch) {
             return Vec::new();
         }
-        let (request, plan) = self.follower.part(now, from, part);
+        let (request, history) = self.follower.part(now, from, part);
         let mut actions = Vec::from_iter(request);
-        if let Some(plan) = plan {
-            actions.extend(self.adopt_plan(now, plan, limits));
+        if let Some(history) = history.filter(|history| history.plan.stamp > self.plan.stamp) {
+            actions.extend(self.adopt_plan(now, history, limits));
             actions.extend(self.beat(now));
         }
         actions
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -1,6 +1,6 @@
 //! The planner: the one host of a group that adds steps to the plan.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use indexmap::IndexMap;
 
@@ -9,33 +9,20 @@
 use super::follower::{LEASE_MARGIN, SERVE_LEASE};
 use super::message::{Action, Beat, Event, Message, Settled, Steps};
 use super::plan::{Stamp, Step};
-use super::table::Table;
 use crate::id::{HostId, ServiceId, TargetId};
 use crate::time::{Instant, Span};
 
-/// Most steps kept for hosts that have missed them.
-const LOG_STEPS: usize = 128;
-
 /// Most steps in one message.
 const MAX_STEPS: usize = 8;
 
 /// First and longest time between two sendings of the same steps.
 const RESEND: (Span, Span) = (Span::millis(150), Span::millis(1_200));
 
-/// Time between two changes of one service's weights; drains don't wait.
-const WEIGHT_INTERVAL: Span = Span::seconds(1);
-
-/// Time between two releases of one service's buckets.
-const RELEASE_INTERVAL: Span = Span::seconds(2);
-
-/// Most buckets in one release.
-const MAX_RELEASE: usize = 256;
+/// How long a home without a lease may be silent until it counts as lost.
+const SILENCE: Span = Span::millis(2_000);
 
-/// How long after the end of its lease a home counts as lost.
-const LOST_GRACE: Span = Span::millis(300);
-
-/// How long a group's first view may wait for hosts that have answered.
-const FIRST_VIEW_WAIT: Span = Span::seconds(3);
+/// How long a home may be without a lease although it is heard.
+const STUCK: Span = Span::seconds(10);
 
 /// How long a fetch of the newest plan may take before another host is asked.
 const FETCH_LIMIT: Span = Span::seconds(1);
@@ -43,19 +30,28 @@
 /// What the planner knows of a host.
 #[derive(Debug, Default)]
 pub(super) struct Peer {
-    stamp: Stamp,
-    prior: u64,
-    life: u32,
-    sent: Instant,
-    answered: bool,
-    granted_until: Instant,
-    leaving: bool,
-    pending: u32,
-    resend_at: Instant,
-    backoff: Span,
+    pub stamp: Stamp,
+    pub prior: u64,
+    pub life: u32,
+    pub sent: Instant,
+    pub heard: Instant,
+    pub answered: bool,
+    pub granted_until: Instant,
+    pub leaving: bool,
+    pub pending: u32,
+    pub resend_at: Instant,
+    pub backoff: Span,
     pub counts: IndexMap<(ServiceId, u16), u32>,
 }
 
+impl Peer {
+    /// Returns whether the host can't act any more and won't soon.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        let ended = self.granted_until + LEASE_MARGIN;
+        now >= ended && (now.since(self.heard) > SILENCE || now.since(ended) > STUCK)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Hosts are asked for the newest plan.
@@ -71,15 +67,15 @@
 pub(super) struct Planner {
     pub epoch: u64,
     pub until: Instant,
-    since: Instant,
+    pub since: Instant,
     next_probe: Instant,
     phase: Phase,
     pub peers: IndexMap<HostId, Peer>,
-    base: Stamp,
-    log: VecDeque<(Stamp, Step)>,
-    prepared: IndexMap<ServiceId, (Stamp, Instant)>,
-    settled: IndexMap<ServiceId, BTreeSet<u32>>,
-    next_release: IndexMap<ServiceId, Instant>,
+    /// Stamp of the epoch's first step.
+    pub first: Stamp,
+    pub prepared: IndexMap<ServiceId, (Stamp, Instant)>,
+    pub settled: IndexMap<ServiceId, BTreeSet<u32>>,
+    pub next_release: IndexMap<ServiceId, Instant>,
 }
 
 impl Planner {
@@ -92,8 +88,7 @@
             next_probe: now,
             phase: Phase::Gather,
             peers: IndexMap::new(),
-            base: Stamp::default(),
-            log: VecDeque::new(),
+            first: Stamp::default(),
             prepared: IndexMap::new(),
             settled: IndexMap::new(),
             next_release: IndexMap::new(),
@@ -106,36 +101,28 @@
     }
 
     /// Returns whether every host that may act has applied the step.
-    fn all_applied(&self, now: Instant, stamp: Stamp) -> bool {
+    pub fn all_applied(&self, now: Instant, stamp: Stamp) -> bool {
         let mut acting = self.peers.values().filter(|p| p.granted_until + LEASE_MARGIN > now);
         acting.all(|peer| peer.stamp >= stamp)
     }
 
-    /// Returns the steps after `stamp`, unless they are too far back.
-    fn steps_after(&self, stamp: Stamp) -> Option<Steps> {
-        let skip = match stamp == self.base {
-            true => 0,
-            false => self.log.iter().position(|(at, _)| *at == stamp)? + 1,
-        };
-        let steps =
-            self.log.iter().skip(skip).take(MAX_STEPS).map(|(at, step)| (at.epoch, step.clone()));
-        Some(Steps { epoch: self.epoch, after: stamp, steps: steps.collect() })
-    }
-
     fn peer(&mut self, host: HostId) -> &mut Peer {
-        let fallback = self.since + SERVE_LEASE;
+        let since = self.since;
         self.peers.entry(host).or_insert_with(|| Peer {
-            granted_until: fallback,
+            granted_until: since + SERVE_LEASE,
+            heard: since,
             backoff: RESEND.0,
             ..Peer::default()
         })
     }
 
     /// Takes note of a heartbeat; returns whether it is newer than what is known.
-    fn note(&mut self, host: HostId, beat: &Beat) -> bool {
+    fn note(&mut self, now: Instant, host: HostId, beat: &Beat) -> bool {
         let current = beat.epoch == self.epoch;
         let peer = self.peer(host);
-        if !current || (peer.answered && peer.life == beat.life && beat.sent < peer.sent) {
+        peer.heard = now;
+        let again = peer.answered && peer.life == beat.life;
+        if !current || again && (beat.sent, beat.stamp) < (peer.sent, peer.stamp) {
             return false;
         }
         if peer.stamp != beat.stamp {
@@ -147,7 +134,7 @@
         peer.stamp = beat.stamp;
         peer.life = beat.life;
         peer.sent = beat.sent;
-        peer.leaving = beat.leaving;
+        peer.leaving = beat.leaving || again && peer.leaving;
         peer.pending = beat.pending;
         if !beat.counts.is_empty() {
             let counts = beat.counts.iter();
@@ -188,7 +175,7 @@
             return Vec::new();
         };
         let stamp = self.plan.stamp;
-        if !planner.note(from, beat) {
+        if !planner.note(now, from, beat) {
             let probe = Message::Probe { epoch: planner.epoch };
             return if beat.epoch < planner.epoch {
                 vec![Action::Send(from, probe)]
@@ -214,7 +201,7 @@
     pub fn hear_settled(&mut self, settled: &Settled) {
         let Some(planner) = self.planner.as_mut() else { return };
         let Some(layout) = self.plan.services.get(&settled.service) else { return };
-        let floor = planner.prepared.get(&settled.service).map_or(planner.base, |at| at.0);
+        let floor = planner.prepared.get(&settled.service).map_or(planner.first, |at| at.0);
         if layout.next.is_some() || settled.stamp < floor || settled.stamp > self.plan.stamp {
             return;
         }
@@ -325,8 +312,8 @@
     fn activate(&mut self, now: Instant, limits: &impl Admit) -> Vec<Action> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
         planner.phase = Phase::Active;
-        planner.base = self.plan.stamp;
         let epoch = planner.epoch;
+        planner.first = Stamp { epoch, number: self.plan.stamp.number + 1 };
         let mut actions = self.add(now, Step::Epoch(self.own), limits);
         actions.push(Action::Event(Event::Planning { epoch }));
         actions
@@ -336,12 +323,6 @@
     fn add(&mut self, now: Instant, step: Step, limits: &impl Admit) -> Vec<Action> {
         let Some(planner) = &mut self.planner else { return Vec::new() };
         let stamp = Stamp { epoch: planner.epoch, number: self.plan.stamp.number + 1 };
-        planner.log.push_back((stamp, step.clone()));
-        if planner.log.len() > LOG_STEPS
-            && let Some((first, _)) = planner.log.pop_front()
-        {
-            planner.base = first;
-        }
         if let Step::Prepare { service, .. } = &step {
             planner.prepared.insert(*service, (stamp, now));
             planner.settled.shift_remove(service);
@@ -361,146 +342,6 @@
         actions
     }
 
-    fn next_step(&mut self, now: Instant) -> Option<Step> {
-        self.next_switch(now)
-            .or_else(|| self.next_prepare(now))
-            .or_else(|| self.next_view(now))
-            .or_else(|| self.next_release(now))
-    }
-
-    fn next_switch(&self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_ref()?;
-        if !self.plan.settled
-            && !self.plan.view.hosts.is_empty()
-            && planner.all_applied(now, self.plan.view.stamp)
-        {
-            return Some(Step::Settle);
-        }
-        let mut prepared = self.plan.services.iter().filter(|(_, layout)| layout.next.is_some());
-        let ready = prepared.find(|(service, _)| {
-            let stamp = planner.prepared.get(*service).map_or_else(|| planner.first(), |at| at.0);
-            planner.all_applied(now, stamp)
-        });
-        ready.map(|(&service, _)| Step::Switch { service })
-    }
-
-    fn next_prepare(&self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_ref()?;
-        if self.plan.view.hosts.is_empty() {
-            return None;
-        }
-        for (&service, wanted) in &self.wanted {
-            let Some(served) = self.served.get(&service) else { continue };
-            let Some(layout) = self.plan.services.get(&service) else {
-                if wanted.entries.is_empty() {
-                    continue;
-                }
-                let (bits, table) = (served.bits, wanted.clone());
-                return Some(Step::Prepare { service, bits, table });
-            };
-            if layout.next.is_some() || layout.table == *wanted {
-                continue;
-            }
-            let last = planner.prepared.get(&service).map(|at| at.1);
-            let early = last.is_some_and(|last| now.since(last) < WEIGHT_INTERVAL);
-            if early && !withdraws(&layout.table, wanted) {
-                continue;
-            }
-            return Some(Step::Prepare { service, bits: layout.bits, table: wanted.clone() });
-        }
-        None
-    }
-
-    fn next_view(&self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_ref()?;
-        let view = &self.plan.view;
-        let mut hosts: Vec<_> =
-            view.hosts.iter().copied().zip(view.lives.iter().copied()).collect();
-        let mut leaving = view.leaving.clone();
-        hosts.retain(|&(host, life)| !self.is_lost(now, planner, host, life));
-        leaving.retain(|&host| !self.is_lost_leaver(now, planner, host));
-        if hosts.len() < view.hosts.len() || leaving.len() < view.leaving.len() {
-            return Some(Step::View { hosts, leaving });
-        }
-        if !self.plan.settled && !view.hosts.is_empty() || !self.handed_over(planner) {
-            return None;
-        }
-        if view.hosts.is_empty() && now.since(planner.since) < FIRST_VIEW_WAIT {
-            let mut peers = planner.peers.values().filter(|peer| peer.answered);
-            if peers.any(|peer| peer.stamp != self.plan.stamp) {
-                return None;
-            }
-        }
-        let life = self.follower.life;
-        if !self.follower.leaving && view.life(self.own).is_none() {
-            hosts.push((self.own, life));
-        }
-        let joining = planner.peers.iter().filter(|(host, peer)| {
-            peer.granted_until > now
-                && peer.stamp == self.plan.stamp
-                && !peer.leaving
-                && !view.hosts.contains(host)
-        });
-        hosts.extend(joining.map(|(&host, peer)| (host, peer.life)));
-        let goes = |host: HostId| match host == self.own {
-            true => self.follower.leaving,
-            false => planner.peers.get(&host).is_some_and(|peer| peer.leaving),
-        };
-        let leavers: Vec<_> = hosts.iter().map(|&(host, _)| host).filter(|&h| goes(h)).collect();
-        if leavers.len() < hosts.len() {
-            hosts.retain(|(host, _)| !leavers.contains(host));
-            leaving = leavers;
-        }
-        let same = hosts.iter().map(|&(host, _)| host).eq(view.hosts.iter().copied());
-        (!same).then_some(Step::View { hosts, leaving })
-    }
-
-    fn is_lost(&self, now: Instant, planner: &Planner, host: HostId, life: u32) -> bool {
-        if host == self.own {
-            return life != self.follower.life;
-        }
-        let Some(peer) = planner.peers.get(&host) else { return true };
-        let reborn = peer.answered && peer.life != life;
-        reborn || now >= peer.granted_until + LEASE_MARGIN + LOST_GRACE
-    }
-
-    fn is_lost_leaver(&self, now: Instant, planner: &Planner, host: HostId) -> bool {
-        if host == self.own {
-            return !self.follower.leaving;
-        }
-        let Some(peer) = planner.peers.get(&host) else { return true };
-        let reborn = peer.answered && !peer.leaving;
-        reborn || now >= peer.granted_until + LEASE_MARGIN + LOST_GRACE
-    }
-
-    /// Returns whether all handovers that the view asked for are done.
-    fn handed_over(&self, planner: &Planner) -> bool {
-        let view = &self.plan.view;
-        let mut known = view.hosts.iter().chain(&view.leaving);
-        known.all(|&host| match planner.peers.get(&host) {
-            _ if host == self.own => self.pending() == 0,
-            Some(peer) => peer.answered && peer.stamp >= view.stamp && peer.pending == 0,
-            None => false,
-        })
-    }
-
-    fn next_release(&mut self, now: Instant) -> Option<Step> {
-        let planner = self.planner.as_mut()?;
-        for (&service, buckets) in &mut planner.settled {
-            let due = planner.next_release.get(&service).is_none_or(|&at| now >= at);
-            let Some(layout) = self.plan.services.get(&service) else { continue };
-            buckets.retain(|&bucket| layout.is_held(bucket));
-            if !due || buckets.is_empty() || layout.next.is_some() {
-                continue;
-            }
-            planner.next_release.insert(service, now + RELEASE_INTERVAL);
-            let released: Vec<_> = buckets.iter().copied().take(MAX_RELEASE).collect();
-            buckets.retain(|bucket| !released.contains(bucket));
-            return Some(Step::Release { service, buckets: released });
-        }
-        None
-    }
-
     /// Sends the steps that hosts lack, again and again with growing pauses.
     fn push(&mut self, now: Instant) -> Vec<Action> {
         let stamp = self.plan.stamp;
@@ -512,8 +353,7 @@
         let due: Vec<_> = due.map(|(&host, peer)| (host, peer.stamp)).collect();
         let mut actions = Vec::new();
         for (host, at) in due {
-            let Some(planner) = &self.planner else { break };
-            let message = match planner.steps_after(at) {
+            let message = match self.steps_after(at) {
                 Some(steps) => Message::Steps(steps),
                 None => self.behind(),
             };
@@ -526,27 +366,24 @@
         actions
     }
 
+    /// Returns the steps after `stamp`, unless they are too far back.
+    fn steps_after(&self, stamp: Stamp) -> Option<Steps> {
+        let skip = match stamp == self.log_base {
+            true => 0,
+            false => self.log.iter().position(|(at, _)| *at == stamp)? + 1,
+        };
+        let steps = self.log.iter().skip(skip).take(MAX_STEPS);
+        let steps = steps.map(|(at, step)| (at.epoch, step.clone())).collect();
+        Some(Steps { epoch: self.follower.epoch, after: stamp, steps })
+    }
+
     /// Points a host to a plan that it can fetch and then go on from.
     fn behind(&mut self) -> Message {
         let epoch = self.planner.as_ref().map_or(0, |planner| planner.epoch);
         let kept = self.encoded_stamp();
-        let usable = kept.filter(|&stamp| {
-            self.planner.as_ref().is_some_and(|planner| planner.steps_after(stamp).is_some())
-        });
+        let usable =
+            kept.filter(|&stamp| stamp.epoch == epoch && self.steps_after(stamp).is_some());
         let stamp = usable.unwrap_or_else(|| self.keep_encoded());
         Message::Behind { epoch, stamp }
     }
 }
-
-impl Planner {
-    /// Returns the stamp of the epoch's first step.
-    fn first(&self) -> Stamp {
-        self.log.front().map_or(self.base, |(stamp, _)| *stamp)
-    }
-}
-
-/// Returns whether a wanted table takes new flows away from a target.
-fn withdraws(table: &Table, wanted: &Table) -> bool {
-    let taking = table.entries.iter().filter(|(_, weight)| *weight > 0);
-    taking.map(|&(target, _)| wanted.weight(target)).any(|weight| weight.is_none_or(|w| w == 0))
-}
