Plan only with a whole registry, and not on counts of a planner's first seconds

Cause: a restarted host counted as synced by the last part of an answer alone; a new planner moved weights before the homes had told it their open flows; a second counted as above the slots whenever the target was so at any instant.

--- a/lagoongauge/src/balance/mod.rs
+++ b/lagoongauge/src/balance/mod.rs
@@ -111,6 +111,8 @@
     /// Starts from the weights in force, such as when this host begins to plan.
     pub fn follow(&mut self, now: Instant, known: &[Known], table: &[Share]) {
         self.keep(now, known);
+        // Open flows are known only after every home has told them.
+        self.next_shift = now + DAMPING;
         for share in table {
             let Some(one) = known.iter().find(|one| one.target == share.target) else { continue };
             let Some(weighed) = self.targets.get_mut(&share.target) else { continue };
--- a/lagoongauge/src/node/message.rs
+++ b/lagoongauge/src/node/message.rs
@@ -170,7 +170,7 @@
     use super::*;
     use crate::flow::Protocol;
     use crate::id::{CentreId, MemberId, ServiceId};
-    use crate::target::{Announcement, Beat, Decision, Entry, Forward, Spot, Stamp, State};
+    use crate::target::{Announcement, Beat, Decision, Entry, Forward, Part, Spot, Stamp, State};
     use crate::time::{Instant, Span};
 
     fn spot(address: &str) -> Spot {
@@ -214,7 +214,7 @@
             epoch: 4,
             digest: Some(0),
             synced: true,
-            last: true,
+            part: Some(Part { index: 1, count: 3 }),
             entries: vec![(spot("10.0.0.1:80"), entry()), (spot("[2001:db8::2]:1"), entry())],
         };
         let decision = Decision {
--- a/lagoongauge/src/node/mod.rs
+++ b/lagoongauge/src/node/mod.rs
@@ -311,6 +311,9 @@
         let planning = self.router.outline(now).planning;
         let Control { settings, policy, .. } = control;
         let registry = self.read();
+        if !registry.is_synced() {
+            return;
+        }
         let mut entries = IndexMap::<ServiceId, Vec<_>>::new();
         for (_, entry) in registry.entries() {
             entries.entry(entry.service).or_default().push(*entry);
--- a/lagoongauge/src/target/gossip.rs
+++ b/lagoongauge/src/target/gossip.rs
@@ -23,12 +23,21 @@
     pub digest: Option<u64>,
     /// Whether the sender has heard from the group since it started.
     pub synced: bool,
-    /// Whether this answers a question of the receiver for all entries, as the last part of it.
-    pub last: bool,
+    /// Which part of an answer for all entries this is, where the receiver asked for them.
+    pub part: Option<Part>,
     /// Entries that changed, or all that the receiver asked for.
     pub entries: Vec<(Spot, Entry)>,
 }
 
+/// Place of a beat among those that answer a question for all entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Number of the part, from 0 on.
+    pub index: u8,
+    /// Number of parts.
+    pub count: u8,
+}
+
 /// An announcement that another host took and the receiver decides on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Forward {
@@ -99,7 +108,8 @@
     to.set_decides(beat.digest.is_some());
     to.set_digest(beat.digest.unwrap_or(0));
     to.set_synced(beat.synced);
-    to.set_last(beat.last);
+    to.set_part(beat.part.map_or(0, |part| part.index));
+    to.set_parts(beat.part.map_or(0, |part| part.count));
     let mut list = to.init_entries(beat.entries.len() as u32);
     for (at, (spot, entry)) in beat.entries.iter().enumerate() {
         write_entry(spot, entry, list.reborrow().get(at as u32));
@@ -115,7 +125,8 @@
         epoch: from.get_epoch(),
         digest: from.get_decides().then_some(from.get_digest()),
         synced: from.get_synced(),
-        last: from.get_last(),
+        part: (from.get_parts() > 0)
+            .then(|| Part { index: from.get_part(), count: from.get_parts() }),
         entries: list.iter().map(read_entry).collect::<Result<_>>()?,
     })
 }
--- a/lagoongauge/src/target/mod.rs
+++ b/lagoongauge/src/target/mod.rs
@@ -14,5 +14,5 @@
 
 pub use announce::{Announcement, MAX_LEASE, RawAnnouncement, State};
 pub use entry::{Entry, Spot, Stamp};
-pub use gossip::{Beat, Decision, Forward, Gossip};
+pub use gossip::{Beat, Decision, Forward, Gossip, Part};
 pub use registry::{Event, Outcome, QUARANTINE, Registry, Send, Setup};
--- a/lagoongauge/src/target/spread.rs
+++ b/lagoongauge/src/target/spread.rs
@@ -2,7 +2,7 @@
 
 use super::announce::State;
 use super::entry::{Entry, Spot};
-use super::gossip::{Beat, Gossip, MAX_ENTRIES};
+use super::gossip::{Beat, Gossip, MAX_ENTRIES, Part};
 use super::registry::{Registry, Send};
 use crate::id::HostId;
 use crate::time::Instant;
@@ -17,10 +17,8 @@
             entry.since = now;
             self.merge(spot, entry);
         }
-        if !self.synced && (beat.synced || beat.last) {
-            self.answers.insert(from);
-            let all = self.peers().all(|host| self.answers.contains(&host));
-            self.synced = (beat.synced && beat.last) || all;
+        if let Some(part) = beat.part {
+            self.take_part(from, part, beat.synced);
         }
         let Some(digest) = beat.digest else { return };
         if beat.epoch != self.epoch || !self.live.contains(&from) {
@@ -40,6 +38,23 @@
         }
     }
 
+    /// Counts the parts of an answer; a host is synced with all parts of a synced host's answer,
+    /// or with the answers of all hosts where none of them is synced, as when a group starts.
+    fn take_part(&mut self, from: HostId, part: Part, synced: bool) {
+        if self.synced || part.index >= part.count || part.count > 64 {
+            return;
+        }
+        let parts = self.answers.entry(from).or_insert(0);
+        *parts |= 1 << part.index;
+        let whole = |parts: u64| parts.count_ones() == u32::from(part.count);
+        if !whole(*parts) {
+            return;
+        }
+        self.answers.insert(from, u64::MAX);
+        let all = self.peers().all(|host| self.answers.get(&host) == Some(&u64::MAX));
+        self.synced = synced || all;
+    }
+
     /// Sends a home what this host holds of the home's addresses, which the home may have missed.
     fn send_homed(&mut self, home: HostId) {
         let entries = self.homed(home).map(|(spot, entry)| (*spot, *entry)).collect::<Vec<_>>();
@@ -95,20 +110,17 @@
         } else {
             self.homed(own).map(|(spot, entry)| (*spot, *entry)).collect()
         };
-        let parts = entries.chunks(MAX_ENTRIES).map(<[_]>::to_vec).collect::<Vec<_>>();
-        let count = parts.len();
-        for (at, part) in parts.into_iter().enumerate() {
-            let beat = Beat { last: all && at + 1 == count, ..self.empty_beat(part) };
-            self.outbox.push(Send { to, gossip: Gossip::Beat(beat) });
-        }
-        if count == 0 {
-            let beat = Beat { last: all, ..self.empty_beat(Vec::new()) };
+        let count = entries.len().div_ceil(MAX_ENTRIES).max(1);
+        for index in 0..count {
+            let rest = entries.iter().skip(index * MAX_ENTRIES).take(MAX_ENTRIES);
+            let part = all.then_some(Part { index: index as u8, count: count as u8 });
+            let beat = Beat { part, ..self.empty_beat(rest.copied().collect()) };
             self.outbox.push(Send { to, gossip: Gossip::Beat(beat) });
         }
     }
 
     fn empty_beat(&self, entries: Vec<(Spot, Entry)>) -> Beat {
-        Beat { epoch: self.epoch, digest: None, synced: self.synced, last: false, entries }
+        Beat { epoch: self.epoch, digest: None, synced: self.synced, part: None, entries }
     }
 
     pub(super) fn send_beats(&mut self) {
--- a/lagoongauge_schema/schema/target.capnp
+++ b/lagoongauge_schema/schema/target.capnp
@@ -29,8 +29,9 @@
   digest @1 :UInt64;
   decides @2 :Bool;
   synced @3 :Bool;
-  last @4 :Bool;
-  entries @5 :List(Entry);
+  part @4 :UInt8;
+  parts @5 :UInt8;
+  entries @6 :List(Entry);
 }
 
 struct Forward {
--- a/lagoongauged/src/measure/policy/driver.rs
+++ b/lagoongauged/src/measure/policy/driver.rs
@@ -475,6 +475,9 @@
     fn second(&mut self) {
         let second = self.world.now / SECOND;
         let counts = second > STEADY;
+        if second == STEADY {
+            self.tally.over_slots = 0.0;
+        }
         self.tally.close_second(counts);
         if second == BEGIN {
             self.tally.open = self.world.targets.iter().map(|target| u64::from(target.open)).sum();
@@ -482,10 +485,8 @@
         if counts {
             self.tally.imbalance.push((second, self.world.imbalance(0)));
             let ready = self.world.targets.iter().filter(|target| target.service == 0 && target.up);
-            self.tally.target_seconds += ready.clone().count() as u64;
-            self.tally.over_slots += ready.filter(|target| target.over).count() as u64;
+            self.tally.target_seconds += ready.count() as u64;
         }
-        self.world.targets.iter_mut().for_each(|target| target.over = false);
         self.world.after(SECOND, Event::Second);
     }
 }
--- a/lagoongauged/src/measure/policy/ends.rs
+++ b/lagoongauged/src/measure/policy/ends.rs
@@ -64,13 +64,19 @@
     fn work(&mut self, index: u16, flow: FlowIndex) {
         let target = &mut self.world.targets[usize::from(index)];
         target.busy += 1;
-        target.over |= target.busy > u32::from(target.from.slots);
+        if target.busy > u32::from(target.from.slots) {
+            target.over.get_or_insert(self.world.now);
+        }
         self.world.after(WORK, Event::Worked(index, flow));
     }
 
     pub(super) fn worked(&mut self, index: u16, flow: FlowIndex) {
         let target = &mut self.world.targets[usize::from(index)];
         target.busy -= 1;
+        if let Some(since) = target.over.filter(|_| target.busy <= u32::from(target.from.slots)) {
+            target.over = None;
+            self.tally.over_slots += (self.world.now - since) as f64 / SECOND as f64;
+        }
         if target.up {
             self.reply(index, flow, Signal::Middle);
         }
--- a/lagoongauged/src/measure/policy/tally.rs
+++ b/lagoongauged/src/measure/policy/tally.rs
@@ -44,8 +44,8 @@
     pub relayed_bytes: u64,
     /// Imbalance by second from the steady state on.
     pub imbalance: Vec<(u64, f64)>,
-    /// Target-seconds with more work than slots.
-    pub over_slots: u64,
+    /// Seconds that targets had more work than slots, summed.
+    pub over_slots: f64,
     /// Target-seconds in all.
     pub target_seconds: u64,
     /// Seconds after which draining targets got a new flow.
@@ -103,7 +103,7 @@
     pub imbalance_mean: f64,
     /// Seconds from the scenario's begin until the ratio stays under 1.15.
     pub absorbed_s: f64,
-    /// Share of target-seconds with more work than slots.
+    /// Share of time that a target has more work than slots.
     pub over_slots: f64,
     /// 99th percentile of the seconds after which a draining target still got a new flow.
     pub drain_p99_s: f64,
@@ -161,7 +161,7 @@
             imbalance_p99: round(percentile(&ratios, 0.99)),
             imbalance_mean: round(ratios.iter().sum::<f64>() / ratios.len().max(1) as f64),
             absorbed_s: absorbed,
-            over_slots: round(self.over_slots as f64 / self.target_seconds.max(1) as f64),
+            over_slots: round(self.over_slots / self.target_seconds.max(1) as f64),
             drain_p99_s: round(percentile(&late, 0.99)),
             drain_max_s: round(late.last().copied().unwrap_or(0.0)),
             control_mean: mean(&self.control),
--- a/lagoongauged/src/measure/policy/world.rs
+++ b/lagoongauged/src/measure/policy/world.rs
@@ -98,8 +98,8 @@
     pub open: u32,
     /// Requests in work.
     pub busy: u32,
-    /// Whether it had more requests in work than slots within the present second.
-    pub over: bool,
+    /// Microsecond since which it has more requests in work than slots.
+    pub over: Option<u64>,
     /// Microsecond at which it began to drain.
     pub drains: Option<u64>,
 }
@@ -209,7 +209,7 @@
             lies: false,
             open: 0,
             busy: 0,
-            over: false,
+            over: None,
             drains: None,
         });
     }
