Keep hosts outside the view informed of targets

Cause: a leaving planner heard no beats, took all targets for gone after their leases and planned tables without any; a host that rejoins would do the same. Change: beats go to every host of the group; that a lease ended is for the address's home to say; a leaving host gives the group's lease up at once.

--- a/lagoongauge/src/node/mod.rs
+++ b/lagoongauge/src/node/mod.rs
@@ -253,8 +253,8 @@
             let out = lease.tick(now);
             actions.extend(out.into_iter().map(|(to, one)| Action::Send(to, Message::Lease(one))));
         }
-        let done = control.leaving && self.router.left();
-        if let (true, Some(lease)) = (done, &mut control.lease) {
+        let alone = self.router.outline(now).hosts.len() <= 1;
+        if let (true, false, Some(lease)) = (control.leaving, alone, &mut control.lease) {
             lease.resign(now);
         }
         self.elect(now, &control);
--- a/lagoongauge/src/node/policy.rs
+++ b/lagoongauge/src/node/policy.rs
@@ -120,7 +120,7 @@
     let counts = router.counts(id).into_iter().collect::<IndexMap<_, _>>();
     let known = entries.iter().map(|entry| Known {
         target: entry.target,
-        ready: entry.state == State::Ready && entry.is_live(now),
+        ready: is_ready(now, entry),
         slots: entry.slots,
         centre: entry.centre,
         open: counts.get(&entry.target).copied().unwrap_or(0),
@@ -128,9 +128,14 @@
     known.collect()
 }
 
+/// Tells whether a target takes new flows; that its lease ended is for its address's home to say.
+fn is_ready(now: Instant, entry: &Entry) -> bool {
+    entry.state == State::Ready && entry.is_usable(now)
+}
+
 fn candidate(now: Instant, service: &Service, entry: &Entry, shares: &[Share]) -> Candidate {
     let limit = entry.deadline.unwrap_or(service.drain_limit);
-    let ready = entry.state == State::Ready && entry.is_live(now);
+    let ready = is_ready(now, entry);
     let over = entry.state != State::Ready && now >= entry.since + limit;
     let state = match (ready, over || !entry.is_usable(now)) {
         (true, _) => CandidateState::New,
--- a/lagoongauge/src/target/registry.rs
+++ b/lagoongauge/src/target/registry.rs
@@ -102,6 +102,8 @@
     pub(super) setup: Setup,
     pub(super) services: IndexMap<ServiceId, Owner>,
     pub(super) members: IndexMap<MemberId, Member>,
+    /// Other entry hosts of the group, live or not.
+    pub(super) peers: Vec<HostId>,
     pub(super) live: Vec<HostId>,
     pub(super) epoch: u64,
     pub(super) viewed: Instant,
@@ -125,6 +127,7 @@
             setup,
             services: IndexMap::new(),
             members: IndexMap::new(),
+            peers: Vec::new(),
             live: Vec::new(),
             epoch: 0,
             viewed: now,
@@ -172,6 +175,7 @@
     /// Takes the settings in force; entries of services that are gone are freed.
     pub fn apply(&mut self, now: Instant, settings: &Resolved) {
         self.members.clone_from(&settings.members);
+        self.peers = peers(self.setup.own, settings);
         self.services = settings
             .services
             .iter()
@@ -337,3 +341,9 @@
         }
     }
 }
+
+fn peers(own: HostId, settings: &Resolved) -> Vec<HostId> {
+    let Some(host) = settings.hosts.get(&own) else { return Vec::new() };
+    let group = settings.hosts.iter().filter(|(_, other)| other.group == host.group);
+    group.map(|(id, _)| *id).filter(|id| *id != own).collect()
+}
--- a/lagoongauge/src/target/spread.rs
+++ b/lagoongauge/src/target/spread.rs
@@ -129,8 +129,8 @@
         let entries = changed.iter().filter_map(|spot| Some((*spot, *self.entries.get(spot)?)));
         let digest = self.leads.then(|| self.digest_of(self.setup.own));
         let beat = Beat { digest, ..self.empty_beat(entries.collect()) };
-        let peers = self.peers().collect::<Vec<_>>();
-        for to in peers {
+        // Hosts outside the view need the entries as well: they join, leave, or plan.
+        for to in self.peers.clone() {
             self.outbox.push(Send { to, gossip: Gossip::Beat(beat.clone()) });
         }
     }
--- a/lagoongauged/src/measure/policy/mod.rs
+++ b/lagoongauged/src/measure/policy/mod.rs
@@ -34,7 +34,7 @@
     /// Seed of every random choice.
     #[bpaf(argument("N"), fallback(1))]
     pub seed: u64,
-    /// Runs with a tenth of the flows, for tests.
+    /// Runs with a fiftieth of the flows, for tests.
     pub quick: bool,
     /// Runs only this size.
     #[bpaf(argument("NAME"))]
--- /dev/null
+++ b/lagoongauged/tests/policy.rs
@@ -0,0 +1,90 @@
+//! Holds the routing decisions to their bounds under planned changes, at a small size.
+
+use lagoongauged::measure::policy::{Figures, Options, measure};
+
+const SEED: u64 = 1;
+
+fn figures(size: &str, scenario: &str) -> Figures {
+    let options = Options {
+        seed: SEED,
+        quick: true,
+        size: Some(size.to_string()),
+        scenario: Some(scenario.to_string()),
+        design: Some("lagoongauge".to_string()),
+    };
+    let mut all = Vec::new();
+    measure(&options, |figures| all.push(figures)).unwrap();
+    assert_eq!(all.len(), 1);
+    all.remove(0)
+}
+
+fn holds_under_planned_change(scenario: &str) {
+    for size in ["tsenkher", "grain"] {
+        let figures = figures(size, scenario);
+        assert!(figures.open > 400, "{figures:?}");
+        assert_eq!(figures.broken_planned, 0, "{figures:?}");
+        assert_eq!(figures.misrouted, 0, "{figures:?}");
+        assert_eq!(figures.double_run, 0, "{figures:?}");
+        assert_eq!(figures.false_refused, 0, "{figures:?}");
+        assert_eq!(figures.refused, 0, "{figures:?}");
+        assert!(figures.drain_max_s <= 3.0, "{figures:?}");
+    }
+}
+
+#[test]
+fn nothing_breaks_in_steady_state() {
+    holds_under_planned_change("steady");
+}
+
+#[test]
+fn nothing_breaks_when_a_target_joins() {
+    holds_under_planned_change("add_target");
+}
+
+#[test]
+fn nothing_breaks_when_a_target_drains() {
+    holds_under_planned_change("drain_target");
+}
+
+#[test]
+fn nothing_breaks_when_every_host_restarts() {
+    holds_under_planned_change("rolling_restart");
+}
+
+#[test]
+fn lying_reports_break_nothing() {
+    holds_under_planned_change("lying_reports");
+}
+
+#[test]
+fn a_rivals_flood_is_refused_to_the_rival_alone() {
+    let figures = figures("grain", "rival_flood");
+    assert_eq!((figures.refused, figures.broken_planned), (0, 0), "{figures:?}");
+    assert!(figures.rival_refused > 1000, "{figures:?}");
+}
+
+fn runs_nothing_twice(scenario: &str) {
+    let figures = figures("grain", scenario);
+    assert_eq!((figures.misrouted, figures.double_run), (0, 0), "{figures:?}");
+    assert_eq!(figures.false_refused, 0, "{figures:?}");
+}
+
+#[test]
+fn a_lost_target_makes_nothing_run_twice() {
+    runs_nothing_twice("target_loss");
+}
+
+#[test]
+fn a_lost_host_makes_nothing_run_twice() {
+    runs_nothing_twice("host_loss");
+}
+
+#[test]
+fn a_cut_makes_nothing_run_twice() {
+    runs_nothing_twice("centre_cut");
+}
+
+#[test]
+fn a_drain_and_a_lost_host_make_nothing_run_twice() {
+    runs_nothing_twice("drain_and_host_loss");
+}
