--- a/lagoongauged/src/measure/policy/mod.rs
+++ b/lagoongauged/src/measure/policy/mod.rs
@@ -115,6 +115,7 @@
             if !wanted(&options.scenario, scenario.name) {
                 continue;
             }
+            let scenario = if options.quick { scenario.quick() } else { scenario };
             for design in DESIGNS.into_iter().filter(|one| wanted(&options.design, one)) {
                 jobs.push(Job { size, scenario: scenario.clone(), design, seed: options.seed });
             }
--- a/lagoongauged/src/measure/policy/scenario.rs
+++ b/lagoongauged/src/measure/policy/scenario.rs
@@ -10,6 +10,8 @@
 pub const BEGIN: u64 = 60;
 /// Second from which on control bytes and imbalance count.
 pub const STEADY: u64 = 48;
+/// Seconds that a quick run goes on after its last step.
+const QUICK_TAIL: u64 = 35;
 /// Seconds that the restart of one host may take.
 const RESTART_LIMIT: u64 = 55;
 
@@ -172,6 +174,16 @@
     pub fault: bool,
 }
 
+impl Scenario {
+    /// Returns the scenario with a shorter time after its last step.
+    pub fn quick(self) -> Self {
+        let last = self.steps.last().map_or(BEGIN, |(at, _)| *at);
+        let restarts = self.steps.iter().any(|(_, step)| matches!(step, Step::Restart(_)));
+        let end = if restarts { self.end } else { last + QUICK_TAIL };
+        Self { end, ..self }
+    }
+}
+
 /// Returns all scenarios.
 pub fn all(hosts: u32) -> Vec<Scenario> {
     let loss = [(BEGIN, Step::Detach(3)), (BEGIN, Step::Stop(3))];
