--- a/lagoongauged/src/measure/policy/mod.rs
+++ b/lagoongauged/src/measure/policy/mod.rs
@@ -34,7 +34,7 @@
     /// Seed of every random choice.
     #[bpaf(argument("N"), fallback(1))]
     pub seed: u64,
-    /// Runs with a tenth of the flows, for tests.
+    /// Runs with a fiftieth of the flows, for tests.
     pub quick: bool,
     /// Runs only this size.
     #[bpaf(argument("NAME"))]
@@ -115,6 +115,7 @@
             if !wanted(&options.scenario, scenario.name) {
                 continue;
             }
+            let scenario = if options.quick { scenario.quick() } else { scenario };
             for design in DESIGNS.into_iter().filter(|one| wanted(&options.design, one)) {
                 jobs.push(Job { size, scenario: scenario.clone(), design, seed: options.seed });
             }
