Look at control hosts alone when their addresses are asked for

Cause: every step of a control host looked up an address for each node of the tree. Change: other nodes are passed over before the look-up.

--- a/lagoongauge/src/settings/resolve.rs
+++ b/lagoongauge/src/settings/resolve.rs
@@ -17,11 +17,10 @@
     /// Returns the control hosts that operators allow, with their addresses.
     pub fn controls(&self) -> Vec<(HostId, CentreId, SocketAddr)> {
         let tree = self.tree();
-        let place = |path: &Path| match (path, tree.value(path, "listen")) {
-            (Path::Control(id), Some(Value::Address(listen))) => {
-                Some((*id, CentreId(number(tree, path, "centre")), listen))
-            }
-            _ => None,
+        let place = |path: &Path| {
+            let Path::Control(id) = path else { return None };
+            let Some(Value::Address(listen)) = tree.value(path, "listen") else { return None };
+            Some((*id, CentreId(number(tree, path, "centre")), listen))
         };
         tree.nodes().filter_map(|(path, _)| place(path)).collect()
     }
