--- /dev/null
+++ b/lagoongauge/src/catalog/shelf.rs
@@ -0,0 +1,67 @@
+//! The replicated state of the catalog: the newest accepted document.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Kind, Result};
+use crate::replica::Machine;
+
+/// A catalog as the operator handed it in.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The operator's version; 0 before there is a document.
+    pub version: u64,
+    /// The operator's bytes, which reads return unchanged.
+    pub text: Vec<u8>,
+}
+
+/// The newest accepted document.
+///
+/// A document replaces the one that is held only if its version is higher. So resends, older
+/// documents and other content under the held version are accepted and change nothing, whatever
+/// order they arrive in.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Shelf {
+    held: Arc<Document>,
+}
+
+impl Document {
+    /// Encodes the document as a command of the log.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a document is plain data")
+    }
+
+    /// Decodes a command or a state; fails with `StorageCorrupt`.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        postcard::from_bytes(bytes)
+            .map_err(|error| Error::new(Kind::StorageCorrupt, format!("document: {error}")))
+    }
+}
+
+impl Shelf {
+    /// Returns the held document, which is shared as it may be large.
+    pub fn document(&self) -> Arc<Document> {
+        Arc::clone(&self.held)
+    }
+}
+
+impl Machine for Shelf {
+    /// Takes a document; the answer is the version held afterwards, or empty for other bytes.
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        let Ok(document) = Document::from_bytes(command) else { return Vec::new() };
+        if document.version > self.held.version {
+            self.held = Arc::new(document);
+        }
+        self.held.version.to_be_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.held.to_bytes()
+    }
+
+    fn restore(&mut self, state: &[u8]) -> Result<()> {
+        self.held = Arc::new(Document::from_bytes(state)?);
+        Ok(())
+    }
+}
--- a/lagoongauge/src/lib.rs
+++ b/lagoongauge/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balance;
 pub mod burn;
+pub mod catalog;
 pub mod distribute;
 pub mod error;
 pub mod flow;
@@ -12,9 +13,11 @@
 pub mod group;
 pub mod id;
 pub mod limit;
+pub mod mark;
 pub mod node;
 pub mod packet;
 pub mod replica;
+pub mod roster;
 pub mod route;
 pub mod settings;
 pub mod target;
--- /dev/null
+++ b/lagoongauge/src/mark/router.rs
@@ -0,0 +1,447 @@
+//! Decides on each packet from a caller.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use indexmap::map::Entry as Place;
+use slotmap::SlotMap;
+
+use super::flow::Flow;
+use super::load::{Count, Report};
+use super::place::{self, Candidate};
+use super::service::Front;
+use super::target::{Target, TargetKey};
+use super::{Ends, Mark, Segment, Signal};
+use crate::catalog::Catalog;
+use crate::flow::{FlowHash, HashKey, Protocol, Tuple};
+use crate::id::{HostId, TargetId};
+use crate::roster::{Entry, Phase};
+use crate::time::{Instant, Span};
+
+/// Time after which a flow without packets is forgotten; its mark still carries it.
+const FORGET: Span = Span::seconds(5);
+
+/// Time after which a flow that the caller finished is forgotten.
+const FORGET_FINISHED: Span = Span::millis(2500);
+
+/// Time after which a SYN that nobody acknowledged is forgotten; callers give up after 1.4 s.
+const FORGET_OPENING: Span = Span::millis(1600);
+
+/// Time after a target said that it ends in which its last answers may be under way.
+const FAREWELL: Span = Span::millis(500);
+
+/// Time for which another entry host's report counts.
+const REPORT_VALID: Span = Span::millis(1500);
+
+/// Time for which a target that went is kept, so that its flows can be reset.
+const KEEP_GONE: Span = Span::seconds(90);
+
+/// What a router is started with.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// Name of the entry host's data centre.
+    pub centre: String,
+    /// Key of the hash by which flows are shared out.
+    pub key: HashKey,
+    /// Most flows that are remembered.
+    pub flows: usize,
+}
+
+/// Why a packet was not sent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Cause {
+    /// No route has the front address.
+    NoRoute,
+    /// The route was removed.
+    RouteRemoved,
+    /// No target of the service takes flows.
+    NoTarget,
+    /// The flow's target has ended.
+    TargetGone,
+    /// The packet's mark names no target that is known here.
+    UnknownMark,
+    /// The packet's mark names a target of a service that the route never led to.
+    ForeignMark,
+    /// The packet belongs to no flow that is known here and carries no mark.
+    NoMark,
+}
+
+impl Cause {
+    /// All causes, in the order of their numbers.
+    pub const ALL: [Self; 7] = [
+        Self::NoRoute,
+        Self::RouteRemoved,
+        Self::NoTarget,
+        Self::TargetGone,
+        Self::UnknownMark,
+        Self::ForeignMark,
+        Self::NoMark,
+    ];
+
+    /// Returns the cause's name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no_route",
+            Self::RouteRemoved => "route_removed",
+            Self::NoTarget => "no_target",
+            Self::TargetGone => "target_gone",
+            Self::UnknownMark => "unknown_mark",
+            Self::ForeignMark => "foreign_mark",
+            Self::NoMark => "no_mark",
+        }
+    }
+}
+
+/// What to do with a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it to a target, with the target's mark.
+    Forward {
+        /// The target.
+        target: TargetId,
+        /// Where it takes packets.
+        address: SocketAddrV4,
+        /// Its mark.
+        mark: Mark,
+        /// Whether a flow begins here.
+        begins: bool,
+    },
+    /// Tell the caller that the flow has ended, or did not begin.
+    Reset(Cause),
+    /// Drop it; the caller sends it again.
+    Drop(Cause),
+}
+
+/// Decides on each packet from a caller; see the module's documentation.
+#[derive(Debug)]
+pub struct Router {
+    setup: Setup,
+    fronts: IndexMap<SocketAddrV4, Front>,
+    targets: SlotMap<TargetKey, Target>,
+    names: IndexMap<TargetId, TargetKey>,
+    marks: IndexMap<Mark, TargetKey>,
+    services: IndexMap<String, Vec<TargetKey>>,
+    flows: IndexMap<Ends, Flow>,
+    reports: IndexMap<HostId, (Instant, Report)>,
+    candidates: Vec<(TargetKey, Candidate)>,
+    version: u64,
+    current: bool,
+}
+
+impl Router {
+    /// Builds a router that knows no route and no target.
+    pub fn new(setup: Setup) -> Self {
+        Self {
+            setup,
+            fronts: IndexMap::new(),
+            targets: SlotMap::with_key(),
+            names: IndexMap::new(),
+            marks: IndexMap::new(),
+            services: IndexMap::new(),
+            flows: IndexMap::new(),
+            reports: IndexMap::new(),
+            candidates: Vec::new(),
+            version: 0,
+            current: false,
+        }
+    }
+
+    /// Returns the version of the catalog in force; 0 before there is one.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns how many flows are remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns how many targets take new flows.
+    pub fn serving(&self) -> usize {
+        self.targets.values().filter(|target| target.takes_new() && !target.silent).count()
+    }
+
+    /// Returns what this host has open, for the other entry hosts.
+    pub fn report(&self) -> Report {
+        let open = self.targets.values().filter(|target| target.own != Count::default());
+        Report { counts: open.map(|target| (target.mark, target.own)).collect() }
+    }
+
+    /// Puts a catalog in force; an older one than the one in force is ignored.
+    pub fn set_catalog(&mut self, catalog: &Catalog) {
+        if catalog.version() <= self.version {
+            return;
+        }
+        self.version = catalog.version();
+        let mut kept: IndexMap<SocketAddrV4, Front> = IndexMap::new();
+        for (address, route) in catalog.routes() {
+            let front = match self.fronts.swap_remove(&address) {
+                Some(mut front) => {
+                    front.renew(catalog, route);
+                    front
+                }
+                None => Front::new(catalog, route),
+            };
+            kept.insert(address, front);
+        }
+        for (address, mut front) in self.fronts.drain(..) {
+            front.remove();
+            kept.insert(address, front);
+        }
+        self.fronts = kept;
+    }
+
+    /// Notes whether what this host knows is confirmed as the newest.
+    pub fn set_current(&mut self, current: bool) {
+        self.current = current;
+    }
+
+    /// Takes over what a target announced of itself, and whether it fell silent since.
+    pub fn set_target(&mut self, now: Instant, entry: &Entry, silent: bool) {
+        let key = match self.names.get(&entry.target) {
+            Some(key) => *key,
+            None => self.add_target(now, entry),
+        };
+        let target = &mut self.targets[key];
+        target.renew(entry, now);
+        target.silent = silent;
+    }
+
+    /// Takes another entry host's report in.
+    pub fn set_report(&mut self, now: Instant, host: HostId, report: Report) {
+        self.reports.insert(host, (now, report));
+        self.sum_reports(now);
+    }
+
+    /// Lets time pass: forgets flows, reports and targets that no longer matter.
+    pub fn tick(&mut self, now: Instant) {
+        let done = |flow: &Flow| match (flow.finished, flow.settled) {
+            (true, _) => now.since(flow.seen) >= FORGET_FINISHED,
+            (_, false) => now.since(flow.opened) >= FORGET_OPENING,
+            _ => now.since(flow.seen) >= FORGET,
+        };
+        let old: Vec<Ends> =
+            self.flows.iter().filter(|(_, flow)| done(flow)).map(|(ends, _)| *ends).collect();
+        for ends in old {
+            self.forget(ends);
+        }
+        let fronts = &self.fronts;
+        for (ends, flow) in &mut self.flows {
+            let limit = fronts.get(&ends.front).map_or(FORGET, |front| front.timeout);
+            if flow.waits.is_some_and(|since| now.since(since) >= limit) {
+                flow.waits = None;
+                let waiting = &mut self.targets[flow.target].own.waiting;
+                *waiting = waiting.saturating_sub(1);
+            }
+        }
+        self.sum_reports(now);
+        self.drop_targets(now);
+    }
+
+    /// Decides on a packet.
+    pub fn decide(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        match self.fronts.get(&segment.ends.front) {
+            None if self.current && segment.signal == Signal::Open => {
+                return Verdict::Reset(Cause::NoRoute);
+            }
+            None => return Verdict::Drop(Cause::NoRoute),
+            Some(front) if front.is_removed() => return Verdict::Reset(Cause::RouteRemoved),
+            Some(_) => {}
+        }
+        match segment.signal {
+            Signal::Open => self.open(now, segment),
+            _ => self.carry(now, segment),
+        }
+    }
+
+    /// Decides on a SYN or a copy of one.
+    ///
+    /// A copy goes where the first one went, unless that target has shown no life since: two
+    /// targets that both answer would leave the caller with halves of two flows.
+    fn open(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        if let Some(flow) = self.flows.get(&segment.ends).copied() {
+            let copy = flow.first == segment.sequence;
+            let target = &mut self.targets[flow.target];
+            if copy {
+                target.note_repeat();
+            }
+            let dead = target.silent || !target.lives_since(flow.opened);
+            if copy && (flow.settled || (target.takes_new() && !dead)) {
+                return self.forward(flow.target, false);
+            }
+            self.forget(segment.ends);
+        }
+        let Some(key) = self.place(now, segment) else {
+            return Verdict::Reset(Cause::NoTarget);
+        };
+        self.targets[key].note_trial(now);
+        self.remember(segment.ends, Flow::new(key, segment.sequence, now));
+        self.forward(key, true)
+    }
+
+    /// Decides on any later packet.
+    fn carry(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let named = segment.mark.and_then(|mark| self.marks.get(&mark)).copied();
+        let known = self.flows.get(&segment.ends).copied();
+        let key = match (known, named) {
+            (Some(flow), _) if flow.settled => flow.target,
+            (_, Some(key)) => {
+                let front = &self.fronts[&segment.ends.front];
+                if !front.allows(&self.targets[key].service) {
+                    return Verdict::Drop(Cause::ForeignMark);
+                }
+                key
+            }
+            (Some(flow), None) => flow.target,
+            (None, None) if segment.mark.is_some() => return Verdict::Drop(Cause::UnknownMark),
+            (None, None) => return Verdict::Drop(Cause::NoMark),
+        };
+        let target = &self.targets[key];
+        if target.phase == Phase::Gone && now.since(target.ended) >= FAREWELL {
+            self.forget(segment.ends);
+            return Verdict::Reset(Cause::TargetGone);
+        }
+        if known.is_some_and(|flow| flow.target != key) {
+            self.forget(segment.ends);
+        }
+        self.note(now, key, segment);
+        self.forward(key, false)
+    }
+
+    /// Notes what a packet tells of its flow and of the flow's target.
+    fn note(&mut self, now: Instant, key: TargetKey, segment: &Segment) {
+        if segment.signal == Signal::Reset {
+            self.forget(segment.ends);
+            return;
+        }
+        if !self.flows.contains_key(&segment.ends) {
+            self.remember(segment.ends, Flow::new(key, segment.sequence, now));
+        }
+        let Some(flow) = self.flows.get_mut(&segment.ends) else { return };
+        let target = &mut self.targets[key];
+        flow.seen = now;
+        flow.finished |= segment.signal == Signal::Finish;
+        let answered = flow.advances(segment.acknowledged);
+        flow.settled = true;
+        if answered {
+            target.show_life(now);
+        }
+        let fresh = flow.extends(segment.sequence, segment.length);
+        if segment.length > 0 && !fresh && !answered {
+            target.note_repeat();
+        }
+        let ends = flow.finished || (answered && !fresh);
+        if ends && flow.waits.take().is_some() {
+            target.own.waiting = target.own.waiting.saturating_sub(1);
+        }
+        if fresh && !flow.finished && flow.waits.is_none() {
+            flow.waits = Some(now);
+            target.own.waiting = target.own.waiting.saturating_add(1);
+        }
+    }
+
+    fn place(&mut self, now: Instant, segment: &Segment) -> Option<TargetKey> {
+        let number = self.number(segment.ends);
+        let front = self.fronts.get(&segment.ends.front)?;
+        let service = front.pick(number)?;
+        let keys = self.services.get(service)?;
+        self.candidates.clear();
+        for key in keys {
+            let target = &self.targets[*key];
+            if target.takes_new() {
+                self.candidates.push((*key, target.candidate(now)));
+            }
+        }
+        place::choose(&self.candidates, number >> 32)
+    }
+
+    /// Returns the number by which a flow is shared out, the same on every entry host.
+    fn number(&self, ends: Ends) -> u64 {
+        let protocol = Protocol::Tcp;
+        let (caller, service) = (ends.caller.into(), ends.front.into());
+        FlowHash::new(&self.setup.key, &Tuple { protocol, caller, service }).0
+    }
+
+    fn forward(&self, key: TargetKey, begins: bool) -> Verdict {
+        let target = &self.targets[key];
+        Verdict::Forward { target: target.id, address: target.address, mark: target.mark, begins }
+    }
+
+    fn remember(&mut self, ends: Ends, flow: Flow) {
+        if self.flows.len() >= self.setup.flows {
+            return;
+        }
+        let count = &mut self.targets[flow.target].own.flows;
+        *count = count.saturating_add(1);
+        if let Some(former) = self.flows.insert(ends, flow) {
+            self.release(&former);
+        }
+    }
+
+    fn forget(&mut self, ends: Ends) {
+        if let Some(flow) = self.flows.swap_remove(&ends) {
+            self.release(&flow);
+        }
+    }
+
+    fn release(&mut self, flow: &Flow) {
+        let own = &mut self.targets[flow.target].own;
+        own.flows = own.flows.saturating_sub(1);
+        if flow.waits.is_some() {
+            own.waiting = own.waiting.saturating_sub(1);
+        }
+    }
+
+    fn add_target(&mut self, now: Instant, entry: &Entry) -> TargetKey {
+        let target = Target::new(entry, &self.setup.centre, now);
+        let mark = target.mark;
+        let key = self.targets.insert(target);
+        self.names.insert(entry.target, key);
+        // Of two targets with one mark the later one gets no flows, as its marks would lead astray.
+        if let Place::Vacant(place) = self.marks.entry(mark) {
+            place.insert(key);
+            self.services.entry(entry.service.clone()).or_default().push(key);
+        }
+        key
+    }
+
+    fn drop_targets(&mut self, now: Instant) {
+        let gone =
+            |target: &Target| target.phase == Phase::Gone && now.since(target.ended) >= KEEP_GONE;
+        let old: Vec<TargetKey> =
+            self.targets.iter().filter(|(_, target)| gone(target)).map(|(key, _)| key).collect();
+        for key in old {
+            self.drop_target(key);
+        }
+    }
+
+    fn drop_target(&mut self, key: TargetKey) {
+        let flows = self.flows.iter().filter(|(_, flow)| flow.target == key);
+        let flows: Vec<Ends> = flows.map(|(ends, _)| *ends).collect();
+        for ends in flows {
+            self.forget(ends);
+        }
+        let Some(target) = self.targets.remove(key) else { return };
+        self.names.swap_remove(&target.id);
+        if self.marks.get(&target.mark) == Some(&key) {
+            self.marks.swap_remove(&target.mark);
+        }
+        for keys in self.services.values_mut() {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    fn sum_reports(&mut self, now: Instant) {
+        self.reports.retain(|_, (at, _)| now.since(*at) < REPORT_VALID);
+        for target in self.targets.values_mut() {
+            target.others = Count::default();
+        }
+        for (_, report) in self.reports.values() {
+            for (mark, count) in &report.counts {
+                if let Some(key) = self.marks.get(mark) {
+                    self.targets[*key].others.add(*count);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/mark/target.rs
@@ -0,0 +1,131 @@
+//! Targets as an entry host knows them.
+
+use std::net::SocketAddrV4;
+
+use slotmap::new_key_type;
+
+use super::place::Candidate;
+use super::{Count, Mark};
+use crate::id::TargetId;
+use crate::roster::{Entry, Phase};
+use crate::time::{Instant, Span};
+
+new_key_type! {
+    /// A target's place in the entry host's arena.
+    pub(super) struct TargetKey;
+}
+
+/// Time without any sign of life after which a target that is spoken to is doubted.
+const DOUBT: Span = Span::millis(500);
+
+/// Repeated packets without a sign of life in between that make a target doubtful.
+const DOUBT_REPEATS: u16 = 3;
+
+/// Time after which a doubted target is tried with another flow.
+const TRIAL: Span = Span::millis(1000);
+
+/// A target.
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) id: TargetId,
+    pub(super) mark: Mark,
+    pub(super) address: SocketAddrV4,
+    pub(super) service: String,
+    pub(super) near: bool,
+    pub(super) slots: u16,
+    pub(super) phase: Phase,
+    pub(super) silent: bool,
+    /// When it stops being slow after its start.
+    pub(super) warm: Instant,
+    /// When it went, which is known late where its successor told.
+    pub(super) ended: Instant,
+    /// What this host has open there.
+    pub(super) own: Count,
+    /// What other hosts have open there.
+    pub(super) others: Count,
+    /// When something of it was last seen to have arrived at a caller.
+    alive: Instant,
+    /// Packets that callers repeated since then.
+    repeats: u16,
+    /// When it was last tried while in doubt.
+    tried: Instant,
+}
+
+impl Target {
+    pub(super) fn new(entry: &Entry, centre: &str, now: Instant) -> Self {
+        Self {
+            id: entry.target,
+            mark: Mark::of(entry.target),
+            address: entry.address,
+            service: entry.service.clone(),
+            near: entry.centre == centre,
+            slots: entry.slots,
+            phase: entry.phase,
+            silent: false,
+            warm: now + entry.cold,
+            ended: now,
+            own: Count::default(),
+            others: Count::default(),
+            alive: now,
+            repeats: 0,
+            tried: now,
+        }
+    }
+
+    /// Takes over what the target announced of itself.
+    pub(super) fn renew(&mut self, entry: &Entry, now: Instant) {
+        if entry.phase == Phase::Gone && self.phase != Phase::Gone {
+            self.ended = now;
+        }
+        self.address = entry.address;
+        self.service.clone_from(&entry.service);
+        self.slots = entry.slots;
+        self.phase = entry.phase;
+        self.warm = now + entry.cold;
+    }
+
+    /// Tells whether flows may begin here.
+    pub(super) fn takes_new(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Tells whether it has shown that it lives since this instant.
+    pub(super) fn lives_since(&self, instant: Instant) -> bool {
+        self.alive >= instant
+    }
+
+    /// Notes that an answer of it has arrived at a caller.
+    pub(super) fn show_life(&mut self, now: Instant) {
+        self.alive = now;
+        self.repeats = 0;
+    }
+
+    /// Notes that a caller repeated a packet to it.
+    pub(super) fn note_repeat(&mut self) {
+        self.repeats = self.repeats.saturating_add(1);
+    }
+
+    /// Tells whether it may be dead: callers repeat what they send it, and none hears from it.
+    pub(super) fn doubtful(&self, now: Instant) -> bool {
+        self.repeats >= DOUBT_REPEATS && now.since(self.alive) >= DOUBT
+    }
+
+    /// Returns it as a candidate; a doubted one is tried now and then.
+    pub(super) fn candidate(&self, now: Instant) -> Candidate {
+        let mut load = self.own;
+        load.add(self.others);
+        let doubted = self.doubtful(now) && now.since(self.tried) < TRIAL;
+        Candidate {
+            load,
+            slots: self.slots,
+            near: self.near,
+            cold: now < self.warm,
+            doubtful: self.silent || doubted,
+        }
+    }
+
+    /// Notes that a flow begins here.
+    pub(super) fn note_trial(&mut self, now: Instant) {
+        self.tried = now;
+    }
+}
--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -150,6 +150,37 @@
         Ok(&self.machine)
     }
 
+    /// Asks all members for an answer now, which confirms reads that arrived before.
+    pub fn confirm(&mut self, now: Instant) {
+        self.advance(now);
+        self.send_beats();
+    }
+
+    /// Returns the machine with all that was accepted anywhere before `arrived`, which has to be
+    /// taken after the request arrived.
+    ///
+    /// A quorum has to have answered something that was sent later, so no clock has to be trusted:
+    /// a host that stood still can't take its former lead for a present one. Fails with
+    /// `NotLeader`, or with `NotCurrent` until the quorum has answered.
+    pub fn read_after(&self, arrived: Instant) -> Result<&M> {
+        self.check_confirmed(arrived)?;
+        Ok(&self.machine)
+    }
+
+    /// Replaces the hosts that are asked to let this one join.
+    pub fn set_seeds(&mut self, seeds: Vec<HostId>) {
+        self.setup.seeds = seeds;
+    }
+
+    /// Tells whether a leader that a quorum answered was heard within this time; a leader counts
+    /// while a quorum answers it.
+    pub fn follows_within(&self, now: Instant, limit: Span) -> bool {
+        if self.leads() {
+            return self.quorum_round(None).is_some_and(|round| now.since(round) < limit);
+        }
+        self.leader.is_some() && now.since(self.heard) < limit
+    }
+
     /// Takes a command to be committed; its answer comes as an action.
     ///
     /// Fails with `NotLeader`, `NoQuorum` or `Oversized`; the command then never runs.
--- a/lagoongauge/src/replica/lead.rs
+++ b/lagoongauge/src/replica/lead.rs
@@ -77,6 +77,18 @@
         Ok(())
     }
 
+    /// Fails with `NotCurrent` until a quorum has answered what was sent after `arrived`.
+    pub(super) fn check_confirmed(&self, arrived: Instant) -> Result<()> {
+        let Role::Leading(lead) = &self.role else { return Err(self.not_leader()) };
+        if self.commit < lead.first {
+            return Err(not_current("the new leader has not committed an entry yet"));
+        }
+        if self.quorum_round(None).is_none_or(|round| round <= arrived) {
+            return Err(not_current("no quorum has answered since the request arrived"));
+        }
+        Ok(())
+    }
+
     pub(super) fn check_lease(&self) -> Result<()> {
         if self.lease_end().is_some_and(|end| self.now < end) {
             return Ok(());
@@ -124,6 +136,15 @@
         }
     }
 
+    /// Sends a heartbeat to every peer, whether or not one is due.
+    pub(super) fn send_beats(&mut self) {
+        let Role::Leading(lead) = &self.role else { return };
+        let peers: Vec<_> = lead.peers.keys().copied().collect();
+        for peer in peers {
+            self.send_beat(peer);
+        }
+    }
+
     /// Adds an entry whose answer is awaited.
     pub(super) fn append(&mut self, payload: Payload) -> ProposalId {
         let position = self.append_entry(payload);
@@ -254,7 +275,7 @@
     }
 
     /// Returns the latest round that a quorum has answered; silent peers count with `floor`.
-    fn quorum_round(&self, floor: Option<Instant>) -> Option<Instant> {
+    pub(super) fn quorum_round(&self, floor: Option<Instant>) -> Option<Instant> {
         let Role::Leading(lead) = &self.role else { return None };
         let own = self.setup.identity;
         let configuration = self.configuration();
--- a/lagoongauge/src/replica/member.rs
+++ b/lagoongauge/src/replica/member.rs
@@ -29,7 +29,7 @@
         }
         let learners = self.configuration().learners.clone();
         let step = learners.into_iter().find_map(|learner| self.next_step(learner));
-        let Some(change) = step else { return };
+        let Some(change) = step.or_else(|| self.next_retired()) else { return };
         if let Ok(next) = self.configuration().with(change) {
             self.append(Payload::Configuration(next));
             self.sync_peers();
@@ -51,6 +51,24 @@
         (self.silence(former) >= gone).then_some(Change::Remove(former))
     }
 
+    /// Returns the removal of a member that was silent for too long, if the others are all there.
+    ///
+    /// Two voters stay at least, so that no single disk holds all that was accepted. A member that
+    /// was only cut off asks to join again when it is back.
+    fn next_retired(&self) -> Option<Change> {
+        let limit = self.setup.retire?;
+        let own = self.setup.identity;
+        let configuration = self.configuration();
+        let gone = |it: &Identity| *it != own && self.silence(*it) >= limit;
+        let member = configuration.members().find(gone)?;
+        if !configuration.is_voter(member) {
+            return Some(Change::Remove(member));
+        }
+        let others = configuration.voters.iter().filter(|it| **it != member && **it != own);
+        let all_there = others.clone().all(|it| self.silence(*it) < self.setup.timing.election_min);
+        (all_there && others.count() >= 1).then_some(Change::Remove(member))
+    }
+
     /// Returns since when a peer has not answered, at most since the election.
     fn silence(&self, identity: Identity) -> Span {
         let Role::Leading(lead) = &self.role else { return Span(0) };
--- a/lagoongauge/src/replica/setup.rs
+++ b/lagoongauge/src/replica/setup.rs
@@ -91,6 +91,9 @@
     pub timing: Timing,
     /// Bounds.
     pub limits: Limits,
+    /// Silence after which a leader removes a member on its own; never if none is given, as then
+    /// operators say which hosts are gone for good.
+    pub retire: Option<Span>,
 }
 
 impl Setup {
@@ -102,6 +105,7 @@
             random,
             timing: Timing::default(),
             limits: Limits::default(),
+            retire: None,
         }
     }
 }
--- /dev/null
+++ b/lagoongauge/src/roster/entry.rs
@@ -0,0 +1,69 @@
+//! What a target says of itself.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::TargetId;
+use crate::time::Span;
+
+/// How far a target is in its life; later phases are final for an incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Phase {
+    /// Takes new flows.
+    Serving,
+    /// Takes no new flows and serves the ones that it has.
+    Draining,
+    /// Has ended.
+    Gone,
+}
+
+/// A target as it announced itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The target's own name.
+    pub target: TargetId,
+    /// When the target started, in milliseconds of the calendar; it orders incarnations.
+    pub born: u64,
+    /// Number of the announcement within the incarnation.
+    pub sequence: u64,
+    /// How far the target is in its life.
+    pub phase: Phase,
+    /// Name of the service that it serves.
+    pub service: String,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// Name of its data centre.
+    pub centre: String,
+    /// Requests that it works on at once.
+    pub slots: u16,
+    /// How much longer it is slow after its start.
+    pub cold: Span,
+}
+
+impl Entry {
+    /// Returns what orders two announcements of a target.
+    pub(super) fn rank(&self) -> (u64, Phase, u64) {
+        (self.born, self.phase, self.sequence)
+    }
+
+    /// Returns this entry after an earlier one of the same incarnation, whose phase is final.
+    pub(super) fn after(mut self, earlier: &Self) -> Self {
+        self.phase = self.phase.max(earlier.phase);
+        self.sequence = self.sequence.max(earlier.sequence);
+        self
+    }
+
+    /// Tells whether other hosts would do the same for both entries.
+    pub(super) fn is_like(&self, other: &Self) -> bool {
+        let Self { born, phase, service, address, centre, slots, .. } = self;
+        let (cold, former) = (self.cold > Span(0), other.cold > Span(0));
+        *born == other.born
+            && *phase == other.phase
+            && *service == other.service
+            && *address == other.address
+            && *centre == other.centre
+            && *slots == other.slots
+            && cold == former
+    }
+}
--- /dev/null
+++ b/lagoongauge/src/roster/mod.rs
@@ -0,0 +1,196 @@
+//! The roster: targets as they announce themselves, kept softly and merged in any order.
+//!
+//! Control hosts hear the targets and tell each other and the entry hosts. Every rule here gives
+//! the same result in whatever order announcements arrive, so no host has to decide on them first:
+//! a later incarnation goes before an earlier one, draining and gone are final for an incarnation,
+//! and an address belongs to the latest incarnation that claimed it. See "Roster" in
+//! docs/PLATFORM.md.
+
+mod entry;
+mod opinion;
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::id::TargetId;
+use crate::time::{Instant, Span};
+
+pub use self::entry::{Entry, Phase};
+pub use self::opinion::Opinions;
+
+/// Time for which a target that has gone is remembered; longer than a late message travels.
+const TOMBSTONE: Span = Span::seconds(90);
+
+/// Missed announcements after which a target counts as silent.
+const MISSED: u64 = 3;
+
+/// An announcement that repeats what is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The target.
+    pub target: TargetId,
+    /// Its incarnation.
+    pub born: u64,
+    /// Number of the announcement.
+    pub sequence: u64,
+}
+
+/// What an announcement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merged {
+    /// The target is new or something of it changed.
+    Changed,
+    /// The target is as it was, and has been heard again.
+    Heard,
+    /// The announcement is late or repeated, and changed nothing.
+    Late,
+}
+
+/// A target with what this host knows of its liveness.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// What the target announced last.
+    pub entry: Entry,
+    /// When it was last heard.
+    pub heard: Instant,
+    /// Whether it has missed several announcements.
+    pub silent: bool,
+    /// Number of the last change, see [`Roster::since`].
+    pub stamp: u64,
+}
+
+/// All targets that are known.
+#[derive(Debug, Clone)]
+pub struct Roster {
+    targets: IndexMap<TargetId, Held>,
+    claims: IndexMap<SocketAddrV4, (u64, TargetId)>,
+    patience: Span,
+    stamp: u64,
+}
+
+impl Roster {
+    /// Builds an empty roster of targets that announce themselves at this interval.
+    pub fn new(interval: Span) -> Self {
+        let patience = Span(interval.0 * MISSED);
+        Self { targets: IndexMap::new(), claims: IndexMap::new(), patience, stamp: 0 }
+    }
+
+    /// Returns a target.
+    pub fn get(&self, target: TargetId) -> Option<&Held> {
+        self.targets.get(&target)
+    }
+
+    /// Iterates over all targets, those that have gone among them.
+    pub fn iter(&self) -> impl Iterator<Item = &Held> + '_ {
+        self.targets.values()
+    }
+
+    /// Returns the number of the last change.
+    pub fn stamp(&self) -> u64 {
+        self.stamp
+    }
+
+    /// Iterates over what changed after the change of this number.
+    pub fn since(&self, stamp: u64) -> impl Iterator<Item = &Held> + '_ {
+        self.targets.values().filter(move |held| held.stamp > stamp)
+    }
+
+    /// Takes an announcement in, from the target itself or from another host.
+    pub fn merge(&mut self, now: Instant, entry: Entry) -> Merged {
+        let target = entry.target;
+        let Some(held) = self.targets.get(&target) else {
+            self.insert(now, entry);
+            return Merged::Changed;
+        };
+        if entry.rank() <= held.entry.rank() {
+            return Merged::Late;
+        }
+        let later = entry.born > held.entry.born;
+        if held.entry.phase == Phase::Gone && !later {
+            return Merged::Late;
+        }
+        let entry = if later { entry } else { entry.after(&held.entry) };
+        let changed = held.silent || !entry.is_like(&held.entry);
+        if changed {
+            self.insert(now, entry);
+            return Merged::Changed;
+        }
+        let held = self.targets.get_mut(&target).expect("it was found above");
+        held.entry = entry;
+        held.heard = now;
+        Merged::Heard
+    }
+
+    /// Takes a repeated announcement in; fails to do so for a target that is not known as such.
+    pub fn beat(&mut self, now: Instant, beat: Beat) -> Option<Merged> {
+        let held = self.targets.get(&beat.target)?;
+        if held.entry.born != beat.born {
+            return (held.entry.born > beat.born).then_some(Merged::Late);
+        }
+        let mut entry = held.entry.clone();
+        entry.sequence = beat.sequence;
+        Some(self.merge(now, entry))
+    }
+
+    /// Notes that a target said that it ends; returns its last entry if that changed something.
+    pub fn leave(&mut self, now: Instant, target: TargetId) -> Option<Entry> {
+        let held = self.targets.get(&target)?;
+        if held.entry.phase == Phase::Gone {
+            return None;
+        }
+        let entry = Entry { phase: Phase::Gone, ..held.entry.clone() };
+        self.insert(now, entry.clone());
+        Some(entry)
+    }
+
+    /// Marks targets as silent and forgets those that went long ago; returns who fell silent.
+    pub fn tick(&mut self, now: Instant) -> Vec<TargetId> {
+        let tomb = |held: &Held| held.entry.phase == Phase::Gone || held.silent;
+        self.targets.retain(|_, held| !tomb(held) || now.since(held.heard) < TOMBSTONE);
+        let targets = &self.targets;
+        self.claims.retain(|_, (_, target)| targets.contains_key(target));
+        let mut fallen = Vec::new();
+        for held in self.targets.values_mut() {
+            let missed = now.since(held.heard) >= self.patience;
+            if missed && !held.silent && held.entry.phase != Phase::Gone {
+                self.stamp += 1;
+                held.silent = true;
+                held.stamp = self.stamp;
+                fallen.push(held.entry.target);
+            }
+        }
+        fallen
+    }
+
+    fn insert(&mut self, now: Instant, mut entry: Entry) {
+        self.claim(&mut entry);
+        self.stamp += 1;
+        let held = Held { heard: now, silent: false, stamp: self.stamp, entry };
+        self.targets.insert(held.entry.target, held);
+    }
+
+    /// Gives the address to the latest incarnation that claimed it; the other one has ended.
+    fn claim(&mut self, entry: &mut Entry) {
+        let claim = (entry.born, entry.target);
+        let holder = self.claims.get(&entry.address).copied();
+        match holder {
+            Some(holder) if holder.1 != entry.target && holder > claim => {
+                entry.phase = Phase::Gone;
+            }
+            Some(holder) if holder.1 != entry.target => {
+                self.claims.insert(entry.address, claim);
+                self.stamp += 1;
+                let stamp = self.stamp;
+                if let Some(former) = self.targets.get_mut(&holder.1) {
+                    former.entry.phase = Phase::Gone;
+                    former.stamp = stamp;
+                }
+            }
+            _ => {
+                self.claims.insert(entry.address, claim);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/cluster/feed.rs
@@ -0,0 +1,107 @@
+//! Feeds entry hosts with catalog and targets.
+
+use std::io::Result;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task::sleep;
+use futures::channel::mpsc;
+use futures::{AsyncReadExt, AsyncWrite, FutureExt, StreamExt, pin_mut, select};
+use lagoongauge::id::HostId;
+use lagoongauge::replica::Store;
+
+use super::host::Shared;
+use super::message::{Answer, Feed};
+use crate::frame;
+
+/// Longest time between two messages to an entry host.
+const STATUS: Duration = Duration::from_millis(400);
+
+/// Time in which changes are collected.
+const COLLECT: Duration = Duration::from_millis(15);
+
+/// Time in which an entry host has to take a message, and to answer.
+const ANSWER: Duration = Duration::from_millis(2000);
+
+/// Entry hosts that one is told of, to share its load counts with.
+const PEERS: usize = 12;
+
+/// Feeds one entry host until its connection is lost.
+pub(super) async fn serve<S: Store + 'static>(
+    host: Shared<S>,
+    entry: HostId,
+    centre: String,
+    version: u64,
+    stream: TcpStream,
+) -> Result<()> {
+    let (mut reader, mut writer) = stream.split();
+    let mut state = Sent { stamp: 0, version };
+    let mut woken = host.add_feed();
+    host.note_entry(entry, centre.clone());
+    let sending = async {
+        loop {
+            send(&host, entry, &centre, &mut state, &mut writer).await?;
+            wait(&mut woken).await;
+        }
+    }
+    .fuse();
+    let answers = async {
+        loop {
+            let _: Answer = frame::read(&mut reader, ANSWER).await?;
+            host.note_entry(entry, centre.clone());
+        }
+    }
+    .fuse();
+    pin_mut!(sending, answers);
+    select! {
+        ended = sending => ended,
+        ended = answers => ended,
+    }
+}
+
+/// What the entry host was sent.
+struct Sent {
+    stamp: u64,
+    version: u64,
+}
+
+async fn send<S: Store + 'static, W: AsyncWrite + Unpin>(
+    host: &Shared<S>,
+    entry: HostId,
+    centre: &str,
+    sent: &mut Sent,
+    writer: &mut W,
+) -> Result<()> {
+    let document = host.document();
+    if document.version > sent.version {
+        sent.version = document.version;
+        frame::write(writer, &Feed::Catalog((*document).clone()), ANSWER).await?;
+    }
+    let (targets, stamp) = {
+        let roster = host.roster.borrow();
+        let changed = roster.since(sent.stamp).map(|held| (held.entry.clone(), held.silent));
+        (changed.collect::<Vec<_>>(), roster.stamp())
+    };
+    sent.stamp = stamp;
+    if !targets.is_empty() {
+        frame::write(writer, &Feed::Targets(targets), ANSWER).await?;
+    }
+    let entries = peers(host, entry, centre);
+    let (current, controls) = (host.is_current(), host.controls());
+    frame::write(writer, &Feed::Status { current, controls, entries }, ANSWER).await
+}
+
+/// Returns other entry hosts, those of the same data centre first.
+fn peers<S: Store + 'static>(host: &Shared<S>, entry: HostId, centre: &str) -> Vec<HostId> {
+    let mut entries = host.entries();
+    entries.retain(|(other, _)| *other != entry);
+    entries.sort_by_key(|(other, place)| (place != centre, *other));
+    entries.into_iter().take(PEERS).map(|(other, _)| other).collect()
+}
+
+async fn wait(woken: &mut mpsc::Receiver<()>) {
+    if timeout(STATUS, woken.next()).await.is_ok() {
+        sleep(COLLECT).await;
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/cluster/host.rs
@@ -0,0 +1,379 @@
+//! What the tasks of a control host share.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use futures::channel::mpsc;
+use indexmap::IndexMap;
+use lagoongauge::catalog::{Document, Shelf};
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::{HostId, TargetId};
+use lagoongauge::replica::{Message, Store};
+use lagoongauge::roster::{Beat, Entry, Merged, Phase, Roster};
+use lagoongauge::time::{Instant, Span};
+
+use super::link::Link;
+use super::message::Peer;
+use crate::daemon::Clock;
+use crate::engine::Engine;
+
+/// Time in which a change of the roster has to reach most control hosts before it is promised.
+const SPREAD: Duration = Duration::from_millis(700);
+
+/// Time in which a read has to be confirmed by a quorum.
+const CONFIRM: Duration = Duration::from_millis(800);
+
+/// Pause between two looks at what is waited for.
+const LOOK: Duration = Duration::from_millis(4);
+
+/// Time without word from a quorum after which this host does not count as current.
+const CURRENT: Span = Span::millis(1000);
+
+/// Time for which an entry host that no control host feeds is still named to others.
+const ENTRY_VALID: Span = Span::seconds(4);
+
+/// Beats that are collected before they go to the other control hosts.
+const BEATS: Duration = Duration::from_millis(300);
+
+/// What a control host is started with.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// Who it is.
+    pub host: HostId,
+    /// Port between hosts, the same everywhere.
+    pub port: u16,
+    /// Control hosts that it knows from its settings.
+    pub seeds: Vec<HostId>,
+    /// Interval at which targets announce themselves.
+    pub interval: Span,
+}
+
+/// An entry host that some control host feeds.
+#[derive(Debug, Clone)]
+struct EntryHost {
+    centre: String,
+    heard: Instant,
+}
+
+/// A control host.
+pub struct Host<S> {
+    /// What it was started with.
+    pub setup: Setup,
+    /// Its clock.
+    pub clock: Clock,
+    pub(super) engine: RefCell<Engine<S, Shelf>>,
+    pub(super) roster: RefCell<Roster>,
+    pub(super) links: RefCell<IndexMap<HostId, Link>>,
+    entries: RefCell<IndexMap<HostId, EntryHost>>,
+    beats: RefCell<IndexMap<TargetId, Beat>>,
+    feeds: RefCell<Vec<mpsc::Sender<()>>>,
+}
+
+/// A control host as its tasks hold it.
+pub type Shared<S> = Rc<Host<S>>;
+
+impl<S: Store + 'static> Host<S> {
+    pub(super) fn new(setup: Setup, clock: Clock, engine: Engine<S, Shelf>) -> Self {
+        let roster = RefCell::new(Roster::new(setup.interval));
+        Self {
+            setup,
+            clock,
+            engine: RefCell::new(engine),
+            roster,
+            links: RefCell::default(),
+            entries: RefCell::default(),
+            beats: RefCell::default(),
+            feeds: RefCell::default(),
+        }
+    }
+
+    /// Returns the host that leads, where it is known.
+    pub fn leader(&self) -> Option<HostId> {
+        self.engine.borrow().leader()
+    }
+
+    /// Returns how many control hosts vote.
+    pub fn voters(&self) -> usize {
+        self.engine.borrow().voters()
+    }
+
+    /// Tells whether this host is in touch with a quorum.
+    pub fn is_current(&self) -> bool {
+        self.engine.borrow().is_current(self.clock.now(), CURRENT)
+    }
+
+    /// Returns the newest document that is known to be accepted.
+    pub fn document(&self) -> Arc<Document> {
+        self.engine.borrow().state().document()
+    }
+
+    /// Returns all control hosts that this one knows, itself among them.
+    pub fn controls(&self) -> Vec<HostId> {
+        let mut hosts: Vec<HostId> = vec![self.setup.host];
+        let engine = self.engine.borrow();
+        let members = engine.members().into_iter().map(|member| member.host);
+        for host in members.chain(self.links.borrow().keys().copied()) {
+            if !hosts.contains(&host) {
+                hosts.push(host);
+            }
+        }
+        hosts
+    }
+
+    /// Returns the entry hosts that are fed by any control host, with their data centres.
+    pub fn entries(&self) -> Vec<(HostId, String)> {
+        let now = self.clock.now();
+        let mut entries = self.entries.borrow_mut();
+        entries.retain(|_, entry| now.since(entry.heard) < ENTRY_VALID);
+        entries.iter().map(|(host, entry)| (*host, entry.centre.clone())).collect()
+    }
+
+    /// Accepts a document, or finds that its version or a later one is held.
+    ///
+    /// Fails with `NotLeader` or `NoQuorum` if it never runs, with `Unknown` if it may.
+    pub async fn replace(&self, document: &Document) -> Result<()> {
+        self.check_founded()?;
+        let now = self.clock.now();
+        let pending = self.engine.borrow_mut().submit(now, document.to_bytes());
+        self.flush();
+        let answer = pending?.await;
+        let gone = |_| Error::new(Kind::Unknown, "the replica was started anew");
+        answer.map_err(gone)??;
+        Ok(())
+    }
+
+    /// Returns the newest document, confirmed by a quorum after this call.
+    ///
+    /// Fails with `NotLeader`, or with `NotCurrent` where no quorum answers in time.
+    pub async fn read(&self) -> Result<Arc<Document>> {
+        let arrived = self.clock.now();
+        let until = std::time::Instant::now() + CONFIRM;
+        sleep(Duration::from_millis(1)).await;
+        self.engine.borrow_mut().confirm(self.clock.now());
+        self.flush();
+        loop {
+            let read = self.engine.borrow().read_after(arrived).map(Shelf::document);
+            match read {
+                Err(error) if error.kind == Kind::NotCurrent => {
+                    if std::time::Instant::now() >= until {
+                        return Err(error);
+                    }
+                    sleep(LOOK).await;
+                }
+                other => return other,
+            }
+        }
+    }
+
+    /// Takes a target's announcement and returns what it changed.
+    ///
+    /// That a target drains or has gone is promised only once most control hosts know it, as this
+    /// one may be lost right after; otherwise fails with `NoQuorum`.
+    pub async fn announce(&self, entry: Entry) -> Result<Merged> {
+        let now = self.clock.now();
+        let beat = Beat { target: entry.target, born: entry.born, sequence: entry.sequence };
+        let target = entry.target;
+        let merged = self.roster.borrow_mut().merge(now, entry);
+        match merged {
+            Merged::Heard => {
+                self.beats.borrow_mut().insert(target, beat);
+            }
+            Merged::Changed => {}
+            Merged::Late => return Ok(merged),
+        }
+        let entry = self.roster.borrow().get(target).map(|held| held.entry.clone());
+        let Some(entry) = entry else { return Ok(merged) };
+        if merged == Merged::Changed {
+            log::info!(
+                "target {target} of service {} at {} is {:?}, incarnation {}, announcement {}",
+                entry.service,
+                entry.address,
+                entry.phase,
+                entry.born,
+                entry.sequence
+            );
+        }
+        if entry.phase == Phase::Serving {
+            if merged == Merged::Changed {
+                self.spread(&Peer::Targets(vec![entry]));
+                self.wake_feeds();
+            }
+            return Ok(merged);
+        }
+        self.promise(entry).await.map(|()| merged)
+    }
+
+    /// Notes that a target has ended; fails with `NoQuorum` like [`Self::announce`].
+    pub async fn leave(&self, target: TargetId) -> Result<()> {
+        let now = self.clock.now();
+        let left = self.roster.borrow_mut().leave(now, target);
+        let Some(entry) = left else { return Ok(()) };
+        log::info!("target {target} of service {} at {} has ended", entry.service, entry.address);
+        self.promise(entry).await
+    }
+
+    /// Makes sure that most control hosts know an entry.
+    async fn promise(&self, entry: Entry) -> Result<()> {
+        let target = entry.target;
+        let tickets = self.spread(&Peer::Targets(vec![entry]));
+        self.wake_feeds();
+        let voters = self.engine.borrow().voters();
+        let until = std::time::Instant::now() + SPREAD;
+        loop {
+            let known = 1 + self.count_taken(&tickets);
+            if known > voters / 2 {
+                return Ok(());
+            }
+            if std::time::Instant::now() >= until {
+                let detail = format!("only {known} control hosts know the state of {target}");
+                return Err(Error::new(Kind::NoQuorum, detail));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    fn count_taken(&self, tickets: &[(HostId, u64)]) -> usize {
+        let links = self.links.borrow();
+        let taken = |(host, ticket): &&(HostId, u64)| {
+            links.get(host).is_some_and(|link| link.has_taken(*ticket))
+        };
+        tickets.iter().filter(taken).count()
+    }
+
+    /// Takes a message of another control host.
+    pub(super) fn take(&self, from: HostId, message: Peer) {
+        let now = self.clock.now();
+        match message {
+            Peer::Hosts { controls, entries } => {
+                self.note_controls(&controls);
+                for (host, centre) in entries {
+                    self.note_entry(host, centre);
+                }
+            }
+            Peer::Log(bytes) => match Message::from_bytes(&bytes) {
+                Ok(message) => {
+                    self.engine.borrow_mut().message(now, message);
+                    self.flush();
+                }
+                Err(error) => log::warn!("a message of control host {from} is dropped: {error}"),
+            },
+            Peer::Targets(entries) => {
+                let mut roster = self.roster.borrow_mut();
+                let stamp = roster.stamp();
+                for entry in entries {
+                    roster.merge(now, entry);
+                }
+                let changed = roster.stamp() != stamp;
+                drop(roster);
+                if changed {
+                    self.wake_feeds();
+                }
+            }
+            Peer::Beats(beats) => {
+                let mut roster = self.roster.borrow_mut();
+                let stamp = roster.stamp();
+                for beat in beats {
+                    roster.beat(now, beat);
+                }
+                let changed = roster.stamp() != stamp;
+                drop(roster);
+                if changed {
+                    self.wake_feeds();
+                }
+            }
+        }
+    }
+
+    /// Notes that an entry host is fed.
+    pub(super) fn note_entry(&self, host: HostId, centre: String) {
+        let heard = self.clock.now();
+        self.entries.borrow_mut().insert(host, EntryHost { centre, heard });
+    }
+
+    /// Makes links to control hosts that were not known before.
+    pub fn note_controls(&self, hosts: &[HostId]) {
+        let mut links = self.links.borrow_mut();
+        for host in hosts.iter().filter(|host| **host != self.setup.host) {
+            links.entry(*host).or_default();
+        }
+        let known: Vec<HostId> = links.keys().copied().collect();
+        drop(links);
+        self.engine.borrow_mut().set_seeds(known);
+    }
+
+    /// Sends what the replica wants to be sent, and tells the feeds of a later catalog.
+    pub(super) fn flush(&self) {
+        let messages = self.engine.borrow_mut().take_messages();
+        let mut links = self.links.borrow_mut();
+        for message in messages {
+            let link = links.entry(message.to.host).or_default();
+            link.push(Peer::Log(message.to_bytes()));
+        }
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(&self) {
+        let now = self.clock.now();
+        let version = self.document().version;
+        self.engine.borrow_mut().tick(now);
+        self.flush();
+        let fallen = self.roster.borrow_mut().tick(now);
+        for target in &fallen {
+            log::warn!("target {target} has missed several announcements and counts as silent");
+        }
+        if !fallen.is_empty() || self.document().version != version {
+            self.wake_feeds();
+        }
+    }
+
+    /// Sends to all control hosts; returns what tells for each whether it has taken the message.
+    pub(super) fn spread(&self, message: &Peer) -> Vec<(HostId, u64)> {
+        let mut links = self.links.borrow_mut();
+        links.iter_mut().map(|(host, link)| (*host, link.push(message.clone()))).collect()
+    }
+
+    /// Adds a feed, which is woken when there may be something to send.
+    pub(super) fn add_feed(&self) -> mpsc::Receiver<()> {
+        let (sender, receiver) = mpsc::channel(1);
+        self.feeds.borrow_mut().push(sender);
+        receiver
+    }
+
+    pub(super) fn wake_feeds(&self) {
+        self.feeds.borrow_mut().retain_mut(|feed| {
+            let full = feed.try_send(()).err().is_some_and(|error| error.is_full());
+            full || !feed.is_closed()
+        });
+    }
+
+    fn check_founded(&self) -> Result<()> {
+        let (voters, seeds) = (self.engine.borrow().voters(), self.setup.seeds.len());
+        let founded = self.document().version > 0 || voters >= seeds;
+        let led = self.engine.borrow().leads();
+        if founded || !led {
+            return Ok(());
+        }
+        let detail = format!("{voters} of the {seeds} first control hosts vote so far");
+        Err(Error::new(Kind::NoQuorum, detail))
+    }
+}
+
+/// Sends collected beats to the other control hosts now and then, and the lists of hosts.
+pub(super) async fn gossip<S: Store + 'static>(host: Shared<S>) {
+    let mut round = 0u64;
+    loop {
+        sleep(BEATS).await;
+        let beats: Vec<Beat> = host.beats.take().into_values().collect();
+        if !beats.is_empty() {
+            host.spread(&Peer::Beats(beats));
+        }
+        if round.is_multiple_of(3) {
+            let (controls, entries) = (host.controls(), host.entries());
+            host.spread(&Peer::Hosts { controls, entries });
+        }
+        round += 1;
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/cluster/message.rs
@@ -0,0 +1,80 @@
+//! Messages between control hosts, and from control hosts to entry hosts.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use lagoongauge::catalog::Document;
+use lagoongauge::id::HostId;
+use lagoongauge::roster::{Beat, Entry};
+use serde::{Deserialize, Serialize};
+
+/// First message on every connection: who opened it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hello {
+    /// A control host.
+    Control {
+        /// Who it is.
+        host: HostId,
+    },
+    /// An entry host, which wants to be fed.
+    Entry {
+        /// Who it is.
+        host: HostId,
+        /// Name of its data centre.
+        centre: String,
+        /// Version of the catalog that it holds.
+        version: u64,
+    },
+}
+
+/// What control hosts tell each other; each is answered by a count of those that arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Peer {
+    /// Control hosts that the sender knows, and entry hosts that it feeds.
+    Hosts {
+        /// Control hosts.
+        controls: Vec<HostId>,
+        /// Entry hosts with their data centres.
+        entries: Vec<(HostId, String)>,
+    },
+    /// A message of the replicated log.
+    Log(Vec<u8>),
+    /// Targets that changed.
+    Targets(Vec<Entry>),
+    /// Targets that repeated themselves.
+    Beats(Vec<Beat>),
+}
+
+/// What a control host tells an entry host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Feed {
+    /// A later catalog.
+    Catalog(Document),
+    /// Targets that changed, each with whether it fell silent.
+    Targets(Vec<(Entry, bool)>),
+    /// All that the control host knows has been sent.
+    Status {
+        /// Whether the control host is in touch with a quorum.
+        current: bool,
+        /// Control hosts that it knows.
+        controls: Vec<HostId>,
+        /// Other entry hosts, those of the same data centre first.
+        entries: Vec<HostId>,
+    },
+}
+
+/// What an entry host answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Version of the catalog in force there.
+    pub version: u64,
+}
+
+/// Names a host by its address, as nobody hands out other keys.
+pub fn host_at(address: Ipv4Addr) -> HostId {
+    HostId(u32::from(address))
+}
+
+/// Returns where a host takes connections; all hosts use one port.
+pub fn address_of(host: HostId, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(host.0), port)
+}
--- a/lagoongauged/src/control/command.rs
+++ b/lagoongauged/src/control/command.rs
@@ -9,7 +9,7 @@
 use super::options::{Init, RawCommand, Run, folder, host};
 use super::run::{Site, begin, bind, run};
 use super::traffic::Traffic;
-use crate::daemon::{LogSetup, Stop, init_log};
+use crate::daemon::{LogOutput, LogSetup, Stop, init_log};
 use crate::store;
 
 /// Carries out a command of `lagoon-control`.
@@ -41,7 +41,9 @@
         return Ok(());
     }
     let centre = options.site.get(options.host).map_or(CentreId(0), |place| place.centre);
-    init_log(LogSetup { host: options.host, centre, level: options.level })?;
+    let output = LogOutput::Stderr;
+    let centre = centre.to_string();
+    init_log(LogSetup { host: options.host, centre, level: options.level, output })?;
     let stop = Stop::on_signals()?;
     let empty = |_| Recovered::default();
     let store = store::open_or_format(&options.folder, options.host, incarnation(), empty)?;
--- a/lagoongauged/src/control/desk.rs
+++ b/lagoongauged/src/control/desk.rs
@@ -12,12 +12,12 @@
 };
 use lagoongauge_schema::control_capnp::{edit, entry, operator};
 
-use super::engine::decode;
 use super::fault::{Fault, text};
 use super::host::Shared;
 use super::survey;
 use super::view::write_entries;
 use crate::daemon::Clock;
+use crate::engine::decode;
 
 /// Time after which an unanswered change counts as of unknown outcome.
 const CHANGE: Duration = Duration::from_secs(5);
@@ -167,7 +167,7 @@
 
 enum Proposed {
     Known(Answer),
-    Pending(super::engine::Pending),
+    Pending(crate::engine::Pending),
 }
 
 fn outcome(answer: Answer) -> std::result::Result<u64, Fault> {
--- a/lagoongauged/src/control/host.rs
+++ b/lagoongauged/src/control/host.rs
@@ -17,13 +17,13 @@
 use lagoongauge_schema::control_capnp::control;
 
 use super::book::{Book, Place};
-use super::engine::Engine;
 use super::fault::{Fault, broken};
 use super::notify::Notify;
 use super::run::Site;
 use super::traffic::Traffic;
 use super::view::EntryView;
 use crate::daemon::Clock;
+use crate::engine::Engine;
 
 /// Entry hosts that a control host remembers.
 const HEARD: usize = 4096;
--- a/lagoongauged/src/control/mod.rs
+++ b/lagoongauged/src/control/mod.rs
@@ -9,7 +9,6 @@
 pub mod client;
 pub mod command;
 mod desk;
-mod engine;
 mod fault;
 pub mod fleet;
 mod host;
--- a/lagoongauged/src/control/run.rs
+++ b/lagoongauged/src/control/run.rs
@@ -16,13 +16,13 @@
 use lagoongauge::wire::ClusterKey;
 
 use super::book::{Book, Place};
-use super::engine::Engine;
 use super::host::{Host, Shared};
 use super::links;
 use super::server;
 use super::survey::survey;
 use super::traffic::Traffic;
 use crate::daemon::{Clock, Stop};
+use crate::engine::Engine;
 
 /// Time between two steps of the replica.
 const TICK: Duration = Duration::from_millis(40);
--- a/lagoongauged/src/daemon/log.rs
+++ b/lagoongauged/src/daemon/log.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error, each with the host and its data centre.
+//! Logs as JSON lines, each with the host and its data centre.
 
 use std::str::FromStr;
 
@@ -10,7 +10,7 @@
 use log4rs::encode::json::JsonEncoder;
 
 use lagoongauge::error::{Error, Kind};
-use lagoongauge::id::{CentreId, HostId};
+use lagoongauge::id::HostId;
 
 /// Name under which log4rs keeps the only appender.
 const APPENDER: &str = "lines";
@@ -31,25 +31,38 @@
     }
 }
 
+/// Where the lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error, where programs print results on standard output.
+    Stderr,
+}
+
 /// What the logs of one process carry on every line.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct LogSetup {
     /// The host that logs.
     pub host: HostId,
-    /// The host's data centre.
-    pub centre: CentreId,
+    /// Name of the host's data centre.
+    pub centre: String,
     /// Least severe level that is logged.
     pub level: LogLevel,
+    /// Where the lines go.
+    pub output: LogOutput,
 }
 
 /// Starts logging; the mapped context `host` and `centre` stands on every line of this thread.
 ///
 /// A thread started later calls [`LogSetup::enter`] to carry the same context.
 pub fn init_log(setup: LogSetup) -> eyre::Result<()> {
-    let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
+    let target = match setup.output {
+        LogOutput::Stdout => Target::Stdout,
+        LogOutput::Stderr => Target::Stderr,
+    };
+    let appender =
+        ConsoleAppender::builder().target(target).encoder(Box::new(JsonEncoder::new())).build();
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
         .build(Root::builder().appender(APPENDER).build(setup.level.0))
@@ -63,6 +76,6 @@
     /// Puts host and data centre into the calling thread's log context.
     pub fn enter(&self) {
         log_mdc::insert("host", self.host.to_string());
-        log_mdc::insert("centre", self.centre.to_string());
+        log_mdc::insert("centre", self.centre.clone());
     }
 }
--- a/lagoongauged/src/daemon/signal.rs
+++ b/lagoongauged/src/daemon/signal.rs
@@ -1,10 +1,10 @@
-//! The request to end, as SIGTERM and SIGINT give it.
+//! What signals ask of a process: to end, or to read its settings again.
 
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::flag;
 
 /// A flag that is raised once and shared by the threads of a process.
@@ -32,3 +32,21 @@
         self.0.store(true, Ordering::Release);
     }
 }
+
+/// A flag that SIGHUP raises, which then does not end the process.
+#[derive(Debug, Clone, Default)]
+pub struct Reload(Arc<AtomicBool>);
+
+impl Reload {
+    /// Builds a flag that SIGHUP raises.
+    pub fn on_signal() -> io::Result<Self> {
+        let reload = Self::default();
+        flag::register(SIGHUP, Arc::clone(&reload.0))?;
+        Ok(reload)
+    }
+
+    /// Lowers the flag and tells whether it was raised.
+    pub fn take(&self) -> bool {
+        self.0.swap(false, Ordering::AcqRel)
+    }
+}
--- a/lagoongauged/src/control/engine.rs
+++ b/lagoongauged/src/engine.rs
@@ -6,16 +6,30 @@
 
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::id::HostId;
-use lagoongauge::replica::{Action, Change, Core, Message, ProposalId, Setup, Status, Store};
+use lagoongauge::replica::{
+    Action, Change, Core, Identity, Machine, Message, ProposalId, Setup, Status, Store,
+};
 use lagoongauge::settings::{Answer, Command, State};
-use lagoongauge::time::Instant;
+use lagoongauge::time::{Instant, Span};
 
 /// An answer that comes once the log has it.
 pub type Pending = oneshot::Receiver<Result<Vec<u8>>>;
 
+/// A machine whose state says which hosts may join the agreement.
+pub trait Admission: Machine + Default {
+    /// Tells whether a host may join.
+    fn admits(&self, host: HostId) -> bool;
+}
+
+impl Admission for State {
+    fn admits(&self, host: HostId) -> bool {
+        self.controls().iter().any(|(id, ..)| *id == host)
+    }
+}
+
 /// One host's replica with its store.
-pub struct Engine<S> {
-    core: Core<State>,
+pub struct Engine<S, M = State> {
+    core: Core<M>,
     store: S,
     setup: Setup,
     first: Vec<HostId>,
@@ -24,30 +38,64 @@
     failure: Option<Error>,
 }
 
-impl<S: Store> Engine<S> {
+impl<S: Store, M: Admission> Engine<S, M> {
     /// Starts the replica from what the store recovers; hosts in `first` may join without an
     /// entry in the settings.
     ///
     /// Returns `StorageCorrupt` where the store's parts do not fit each other.
     pub fn new(setup: Setup, store: S, first: Vec<HostId>, now: Instant) -> Result<Self> {
-        let core = Core::new(setup.clone(), store.recover()?, State::default(), now)?;
+        let core = Core::new(setup.clone(), store.recover()?, M::default(), now)?;
         let (waiting, outgoing) = (HashMap::new(), Vec::new());
         Ok(Self { core, store, setup, first, waiting, outgoing, failure: None })
     }
 
-    /// Returns the settings that are accepted, as far as this host knows.
-    pub fn state(&self) -> &State {
+    /// Returns the state with all that is accepted, as far as this host knows.
+    pub fn state(&self) -> &M {
         self.core.machine()
     }
 
-    /// Returns the settings with all that was accepted before `now`, which has to be taken after
+    /// Returns the state with all that was accepted before `now`, which has to be taken after
     /// the request arrived.
     ///
     /// Returns `NotLeader`, or `NotCurrent` while no lease holds.
-    pub fn read(&self, now: Instant) -> Result<&State> {
+    pub fn read(&self, now: Instant) -> Result<&M> {
         self.core.read(now)
     }
 
+    /// Returns the state with all that was accepted before `arrived`, without trust in clocks.
+    ///
+    /// Returns `NotLeader`, or `NotCurrent` until a quorum has answered since; see [`Self::confirm`].
+    pub fn read_after(&self, arrived: Instant) -> Result<&M> {
+        self.core.read_after(arrived)
+    }
+
+    /// Asks the other hosts for the answers that [`Self::read_after`] waits for.
+    pub fn confirm(&mut self, now: Instant) {
+        self.core.confirm(now);
+        self.act(now);
+    }
+
+    /// Tells whether this host is in touch with a quorum, as leader or through one.
+    pub fn is_current(&self, now: Instant, limit: Span) -> bool {
+        self.core.follows_within(now, limit)
+    }
+
+    /// Returns all voters and learners.
+    pub fn members(&self) -> Vec<Identity> {
+        self.core.configuration().members().collect()
+    }
+
+    /// Returns how many hosts vote.
+    pub fn voters(&self) -> usize {
+        self.core.configuration().voters.len()
+    }
+
+    /// Replaces the hosts that are asked to let this one join.
+    pub fn set_seeds(&mut self, seeds: Vec<HostId>) {
+        self.setup.seeds.clone_from(&seeds);
+        self.core.set_seeds(seeds);
+    }
+
     /// Returns what operators see of the replica.
     pub fn status(&self) -> Status {
         self.core.status()
@@ -68,9 +116,9 @@
         self.failure.as_ref()
     }
 
-    /// Proposes a command; `NotLeader` or `NoQuorum` if it never runs.
-    pub fn propose(&mut self, now: Instant, command: &Command) -> Result<Pending> {
-        let id = self.core.propose(now, command.encode()?)?;
+    /// Proposes an encoded command; `NotLeader` or `NoQuorum` if it never runs.
+    pub fn submit(&mut self, now: Instant, command: Vec<u8>) -> Result<Pending> {
+        let id = self.core.propose(now, command)?;
         Ok(self.wait_for(now, id))
     }
 
@@ -148,8 +196,7 @@
     }
 
     fn allows(&self, host: HostId) -> bool {
-        let listed = self.state().controls().iter().any(|(id, ..)| *id == host);
-        listed || self.first.contains(&host)
+        self.state().admits(host) || self.first.contains(&host)
     }
 
     /// Starts the replica anew from the store, after a write failed; only a full disk may pass.
@@ -161,7 +208,7 @@
         let fresh = self
             .store
             .recover()
-            .and_then(|recovered| Core::new(self.setup.clone(), recovered, State::default(), now));
+            .and_then(|recovered| Core::new(self.setup.clone(), recovered, M::default(), now));
         let fresh = match fresh {
             Ok(core) => core,
             Err(error) => {
@@ -178,6 +225,13 @@
     }
 }
 
+impl<S: Store> Engine<S> {
+    /// Proposes a command; `NotLeader` or `NoQuorum` if it never runs.
+    pub fn propose(&mut self, now: Instant, command: &Command) -> Result<Pending> {
+        self.submit(now, command.encode()?)
+    }
+}
+
 /// Decodes the answer of the log to a change.
 pub fn decode(answer: Result<Vec<u8>>) -> Result<Answer> {
     Answer::decode(&answer?)
--- a/lagoongauged/src/entry/settings.rs
+++ b/lagoongauged/src/entry/settings.rs
@@ -9,7 +9,7 @@
 use lagoongauge::time::Span;
 use lagoongauge::wire::ClusterKey;
 
-use crate::daemon::{LogLevel, LogSetup, flags};
+use crate::daemon::{LogLevel, LogOutput, LogSetup, flags};
 
 /// Most threads for the fabric's datagrams.
 const MAX_THREADS: usize = 64;
@@ -136,7 +136,9 @@
 impl Settings {
     /// Returns what the logs of this host carry.
     pub fn log(&self) -> LogSetup {
-        LogSetup { host: self.host, centre: self.centre, level: self.log_level }
+        let output = LogOutput::Stderr;
+        let centre = self.centre.to_string();
+        LogSetup { host: self.host, centre, level: self.log_level, output }
     }
 
     /// Checks that the fabric can be reached from the address that takes its datagrams.
--- /dev/null
+++ b/lagoongauged/src/frame.rs
@@ -0,0 +1,74 @@
+//! Frames on a TCP connection between hosts: a length and a message in postcard.
+//!
+//! Weighed against Cap'n Proto RPC: these streams carry small updates one way and a count back, so
+//! calls and promises would only add bytes; see "Between our processes" in docs/PLATFORM.md.
+
+use std::io::{Error, ErrorKind, Result};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use socket2::SockRef;
+
+/// Longest frame in bytes; a whole catalog fits.
+const MAX_FRAME: usize = 4 << 20;
+
+/// Time for which sent bytes may stay without an acknowledgement of the peer's kernel.
+const UNACKED: Duration = Duration::from_millis(1500);
+
+/// Opens a connection to a host; fails with `TimedOut` where nobody answers in time.
+pub async fn dial(address: std::net::SocketAddrV4, limit: Duration) -> Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(address)).await.map_err(|_| late())??;
+    prepare(&stream)?;
+    Ok(stream)
+}
+
+/// Sets the options of a connection that was opened or accepted.
+pub fn prepare(stream: &TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKED))
+}
+
+/// Writes one message; fails with `TimedOut` if the peer does not take it in time.
+pub async fn write<W, T>(to: &mut W, message: &T, limit: Duration) -> Result<()>
+where
+    W: AsyncWrite + Unpin,
+    T: Serialize,
+{
+    let mut bytes = vec![0; 4];
+    bytes = postcard::to_extend(message, bytes).map_err(|error| invalid(&error))?;
+    let length = u32::try_from(bytes.len() - 4).map_err(|error| invalid(&error))?;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    timeout(limit, to.write_all(&bytes)).await.map_err(|_| late())?
+}
+
+/// Reads one message; fails with `TimedOut` if none comes in time, `InvalidData` for other bytes.
+pub async fn read<R, T>(from: &mut R, limit: Duration) -> Result<T>
+where
+    R: AsyncRead + Unpin,
+    T: DeserializeOwned,
+{
+    let frame = async {
+        let mut length = [0; 4];
+        from.read_exact(&mut length).await?;
+        let length = u32::from_be_bytes(length) as usize;
+        if length > MAX_FRAME {
+            return Err(invalid(&format!("frame of {length} bytes")));
+        }
+        let mut bytes = vec![0; length];
+        from.read_exact(&mut bytes).await?;
+        postcard::from_bytes(&bytes).map_err(|error| invalid(&error))
+    };
+    timeout(limit, frame).await.map_err(|_| late())?
+}
+
+fn late() -> Error {
+    Error::new(ErrorKind::TimedOut, "the other host did not answer in time")
+}
+
+fn invalid(error: &dyn std::fmt::Display) -> Error {
+    Error::new(ErrorKind::InvalidData, error.to_string())
+}
--- a/lagoongauged/src/lib.rs
+++ b/lagoongauged/src/lib.rs
@@ -1,9 +1,13 @@
 //! Shared parts of the programs.
 
 pub mod burn;
+pub mod cluster;
 pub mod control;
 pub mod ctl;
 pub mod daemon;
+pub mod engine;
 pub mod entry;
+pub mod frame;
 pub mod measure;
+pub mod steer;
 pub mod store;
--- /dev/null
+++ b/lagoongauged/src/steer/counters.rs
@@ -0,0 +1,69 @@
+//! Counters of the data path.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lagoongauge::mark::Cause;
+
+/// What became of packets, counted since the process started.
+#[derive(Debug, Default)]
+pub struct Counters {
+    forwarded: AtomicU64,
+    begun: AtomicU64,
+    unreadable: AtomicU64,
+    unsent: AtomicU64,
+    reset: [AtomicU64; Cause::ALL.len()],
+    dropped: [AtomicU64; Cause::ALL.len()],
+}
+
+impl Counters {
+    /// Returns packets that were sent on to targets.
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded.load(Ordering::Relaxed)
+    }
+
+    /// Returns flows that were begun here.
+    pub fn begun(&self) -> u64 {
+        self.begun.load(Ordering::Relaxed)
+    }
+
+    /// Returns datagrams that were no packet.
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable.load(Ordering::Relaxed)
+    }
+
+    /// Returns datagrams that the operating system did not take.
+    pub fn unsent(&self) -> u64 {
+        self.unsent.load(Ordering::Relaxed)
+    }
+
+    /// Returns packets that were answered with a reset for this cause.
+    pub fn reset(&self, cause: Cause) -> u64 {
+        self.reset[cause as usize].load(Ordering::Relaxed)
+    }
+
+    /// Returns packets that were dropped for this cause.
+    pub fn dropped(&self, cause: Cause) -> u64 {
+        self.dropped[cause as usize].load(Ordering::Relaxed)
+    }
+
+    pub(super) fn count_forward(&self, begins: bool) {
+        self.forwarded.fetch_add(1, Ordering::Relaxed);
+        self.begun.fetch_add(u64::from(begins), Ordering::Relaxed);
+    }
+
+    pub(super) fn count_unreadable(&self) {
+        self.unreadable.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn count_unsent(&self) {
+        self.unsent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn count_reset(&self, cause: Cause) {
+        self.reset[cause as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn count_drop(&self, cause: Cause) {
+        self.dropped[cause as usize].fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/steer/feed.rs
@@ -0,0 +1,155 @@
+//! Subscriptions of an entry host to control hosts.
+
+use std::cell::RefCell;
+use std::io::{Error, ErrorKind, Result};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use async_std::task::sleep;
+use futures::{AsyncReadExt, AsyncWrite};
+use lagoongauge::id::HostId;
+
+use super::state::{Decode, FEEDS, Shared};
+use crate::cluster::message::{Answer, Feed, Hello, address_of};
+use crate::frame;
+
+/// Time in which a control host has to accept a connection.
+const DIAL: Duration = Duration::from_millis(500);
+
+/// Time after which a quiet feed counts as lost; its status comes every 400 ms.
+const QUIET: Duration = Duration::from_millis(1300);
+
+/// Pause before the next control host is tried.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for which a control host that is cut off from its quorum is borne with.
+const ASTRAY: Duration = Duration::from_millis(2500);
+
+/// Who this entry host is, and where control hosts listen.
+#[derive(Debug, Clone)]
+pub(super) struct Own {
+    pub(super) host: HostId,
+    pub(super) centre: String,
+    pub(super) port: u16,
+}
+
+/// Which control host each feed uses, so that no two use the same one.
+pub(super) type Used = Rc<RefCell<[Option<HostId>; FEEDS]>>;
+
+/// Keeps one feed connected to some control host.
+pub(super) async fn run<D: Decode>(
+    place: usize,
+    own: Own,
+    state: Shared,
+    decoder: Rc<D>,
+    used: Used,
+) {
+    let mut turn = place;
+    loop {
+        let Some(control) = choose(&own, &state, &used, place, &mut turn) else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        used.borrow_mut()[place] = Some(control);
+        let ended = subscribe(place, &own, &state, &*decoder, control).await;
+        used.borrow_mut()[place] = None;
+        if let Err(error) = ended {
+            log::debug!("control host {control} feeds this host no longer: {error}");
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Returns the next control host that no other feed uses; the order differs between entry hosts.
+fn choose(
+    own: &Own,
+    state: &Shared,
+    used: &Used,
+    place: usize,
+    turn: &mut usize,
+) -> Option<HostId> {
+    let mut controls = state.controls();
+    controls.sort_by_key(|control| rank(own.host, *control));
+    let used = *used.borrow();
+    let others = used.iter().enumerate().filter(|(other, _)| *other != place);
+    let taken: Vec<HostId> = others.filter_map(|(_, used)| *used).collect();
+    let count = controls.len();
+    let order = (0..count).map(|step| (*turn + step) % count);
+    let found = order.into_iter().find(|at| !taken.contains(&controls[*at]))?;
+    *turn = found + 1;
+    Some(controls[found])
+}
+
+/// Spreads entry hosts over control hosts: each has an order of its own.
+fn rank(own: HostId, control: HostId) -> u32 {
+    let mut bytes = [0; 8];
+    bytes[..4].copy_from_slice(&own.0.to_be_bytes());
+    bytes[4..].copy_from_slice(&control.0.to_be_bytes());
+    crc32fast::hash(&bytes)
+}
+
+async fn subscribe<D: Decode>(
+    place: usize,
+    own: &Own,
+    state: &Shared,
+    decoder: &D,
+    control: HostId,
+) -> Result<()> {
+    let stream = frame::dial(address_of(control, own.port), DIAL).await?;
+    log::info!("control host {control} feeds this host");
+    state.set_connected(place, true);
+    let ended = follow(place, own, state, decoder, stream).await;
+    state.set_connected(place, false);
+    log::warn!("control host {control} feeds this host no longer: {ended:?}");
+    ended
+}
+
+async fn follow<D: Decode>(
+    place: usize,
+    own: &Own,
+    state: &Shared,
+    decoder: &D,
+    stream: TcpStream,
+) -> Result<()> {
+    let (mut reader, mut writer) = stream.split();
+    let version = state.version();
+    let hello = Hello::Entry { host: own.host, centre: own.centre.clone(), version };
+    frame::write(&mut writer, &hello, QUIET).await?;
+    let mut confirmed = Instant::now();
+    let mut held = None;
+    loop {
+        match frame::read(&mut reader, QUIET).await? {
+            Feed::Catalog(document) => held = Some(document),
+            Feed::Targets(targets) => state.set_targets(place, targets),
+            Feed::Status { current, controls, entries } => {
+                state.set_status(place, current, controls, entries);
+                if current {
+                    confirmed = Instant::now();
+                }
+                answer(&mut writer, state.version()).await?;
+            }
+        }
+        if let Some(document) = &held {
+            match decoder.decode(document) {
+                Ok(catalog) if state.set_catalog(place, &catalog) => {
+                    log::info!("version {} of the catalog is in force", catalog.version());
+                    held = None;
+                }
+                Ok(catalog) if catalog.version() <= state.version() => held = None,
+                Ok(_) => {}
+                Err(error) => {
+                    log::error!("version {} can't be read: {error}", document.version);
+                    held = None;
+                }
+            }
+        }
+        if confirmed.elapsed() > ASTRAY {
+            return Err(Error::new(ErrorKind::NotConnected, "it is cut off from its quorum"));
+        }
+    }
+}
+
+async fn answer<W: AsyncWrite + Unpin>(writer: &mut W, version: u64) -> Result<()> {
+    frame::write(writer, &Answer { version }, QUIET).await
+}
--- /dev/null
+++ b/lagoongauged/src/steer/mod.rs
@@ -0,0 +1,15 @@
+//! Entry hosts that route by marks: packets in, decided on and sent on.
+//!
+//! Control hosts feed them catalog and targets; entry hosts of one data centre tell each other how
+//! much they have open at each target. See "Entry hosts" in docs/PLATFORM.md.
+
+mod counters;
+mod feed;
+mod plane;
+mod run;
+mod share;
+mod state;
+
+pub use self::counters::Counters;
+pub use self::run::{Options, run};
+pub use self::state::{Decode, State};
--- /dev/null
+++ b/lagoongauged/src/steer/plane.rs
@@ -0,0 +1,56 @@
+//! The data path: a datagram in, a decision, a datagram out.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddrV4, UdpSocket};
+
+use lagoongauge::mark::{Codec, Verdict};
+
+use super::state::Shared;
+
+/// Longest datagram in bytes.
+const MAX_DATAGRAM: usize = 2048;
+
+/// Carries packets until the process ends; `callers` is the port that callers take packets at.
+///
+/// No lock is held across a call, and nothing is allocated for a packet.
+pub(super) fn carry<C: Codec>(state: &Shared, codec: &C, socket: &UdpSocket, callers: u16) {
+    let mut buffer = vec![0; C::HEAD + MAX_DATAGRAM];
+    let mut reply = Vec::with_capacity(MAX_DATAGRAM);
+    loop {
+        let length = match socket.recv_from(&mut buffer[C::HEAD..]) {
+            Ok((length, _)) => length,
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(error) => {
+                log::warn!("no packet can be received: {error}");
+                continue;
+            }
+        };
+        let bytes = &mut buffer[..C::HEAD + length];
+        let Some(segment) = codec.read(&bytes[C::HEAD..]) else {
+            state.counters.count_unreadable();
+            continue;
+        };
+        let verdict = state.router().decide(state.clock.now(), &segment);
+        let sent = match verdict {
+            Verdict::Forward { target, address, mark, begins } => {
+                codec.wrap(bytes, target, mark);
+                state.counters.count_forward(begins);
+                socket.send_to(bytes, address)
+            }
+            Verdict::Reset(cause) => {
+                state.counters.count_reset(cause);
+                reply.clear();
+                codec.reset(&segment, &mut reply);
+                let caller = SocketAddrV4::new(*segment.ends.caller.ip(), callers);
+                socket.send_to(&reply, caller)
+            }
+            Verdict::Drop(cause) => {
+                state.counters.count_drop(cause);
+                continue;
+            }
+        };
+        if sent.is_err() {
+            state.counters.count_unsent();
+        }
+    }
+}
--- /dev/null
+++ b/lagoongauged/src/steer/run.rs
@@ -0,0 +1,102 @@
+//! Runs an entry host until it is asked to end.
+
+use std::net::{SocketAddrV4, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use async_std::task::{sleep, spawn_local};
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::flow::HashKey;
+use lagoongauge::id::HostId;
+use lagoongauge::mark::{Codec, Router, Setup};
+use lagoongauge::time::Span;
+
+use super::feed::{self, Own, Used};
+use super::state::{Decode, FEEDS, State};
+use super::{plane, share};
+use crate::cluster::message::address_of;
+use crate::daemon::{Clock, Stop};
+
+/// Pause between two looks at what has to be forgotten.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Most flows that are remembered; at 100 bytes each they stay within a host's memory.
+const MAX_FLOWS: usize = 200_000;
+
+/// Key by which flows are shared out over weighted services; callers gain nothing from it.
+const SHARE_KEY: HashKey = HashKey(*b"lagoongauge mark");
+
+/// What an entry host is started with.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Who it is.
+    pub host: HostId,
+    /// Name of its data centre.
+    pub centre: String,
+    /// Port between hosts, the same everywhere.
+    pub port: u16,
+    /// Control hosts that it knows from its settings.
+    pub seeds: Vec<HostId>,
+    /// Interval at which targets announce themselves.
+    pub interval: Span,
+    /// Where the fabric hands in packets; callers take packets at its port.
+    pub packets: SocketAddrV4,
+    /// Time from the request to end in which packets are still carried.
+    pub linger: Span,
+}
+
+/// Runs an entry host; `serve` gets its state once it is set up, to answer calls from outside.
+///
+/// Fails with `Usage` where an address can't be listened on.
+pub async fn run<C, D, F>(
+    options: Options,
+    codec: C,
+    decoder: D,
+    stop: &Stop,
+    serve: F,
+) -> Result<()>
+where
+    C: Codec + Send + 'static,
+    D: Decode,
+    F: AsyncFnOnce(Arc<State>) -> Result<()>,
+{
+    let Options { host, centre, port, seeds, interval, packets, linger } = options;
+    let setup = Setup { centre: centre.clone(), key: SHARE_KEY, flows: MAX_FLOWS };
+    let state = Arc::new(State::new(Clock::start(), Router::new(setup), interval, seeds));
+    let socket = UdpSocket::bind(packets).map_err(|error| unbound(packets, &error))?;
+    let shared = Arc::clone(&state);
+    let plane = move || plane::carry(&shared, &codec, &socket, packets.port());
+    thread::Builder::new().name("packets".into()).spawn(plane).map_err(|error| failed(&error))?;
+    let own = address_of(host, port);
+    let reports = share::bind(own).map_err(|error| unbound(own, &error))?;
+    let taken = reports.try_clone().map_err(|error| failed(&error))?;
+    let shared = Arc::clone(&state);
+    let receive = move || share::receive(&shared, &taken);
+    thread::Builder::new().name("load".into()).spawn(receive).map_err(|error| failed(&error))?;
+    spawn_local(share::send(Arc::clone(&state), reports, port));
+    serve(Arc::clone(&state)).await?;
+    let (decoder, used) = (Rc::new(decoder), Used::default());
+    for place in 0..FEEDS {
+        let own = Own { host, centre: centre.clone(), port };
+        let decoder = Rc::clone(&decoder);
+        spawn_local(feed::run(place, own, Arc::clone(&state), decoder, Rc::clone(&used)));
+    }
+    while !stop.is_raised() {
+        state.tick();
+        sleep(TICK).await;
+    }
+    state.stop();
+    log::info!("the entry host ends in {} ms, as it was asked to", linger.0);
+    sleep(Duration::from_millis(linger.0)).await;
+    Ok(())
+}
+
+fn unbound(address: SocketAddrV4, error: &std::io::Error) -> Error {
+    Error::new(Kind::Usage, format!("address {address} can't be listened on: {error}"))
+}
+
+fn failed(error: &std::io::Error) -> Error {
+    Error::new(Kind::Internal, format!("a thread could not be started: {error}"))
+}
--- /dev/null
+++ b/lagoongauged/src/steer/state.rs
@@ -0,0 +1,216 @@
+//! What the threads of an entry host share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use lagoongauge::catalog::{Catalog, Document};
+use lagoongauge::error::Result;
+use lagoongauge::id::{HostId, TargetId};
+use lagoongauge::mark::Router;
+use lagoongauge::roster::{Entry, Merged, Opinions, Roster};
+use lagoongauge::time::{Instant, Span};
+
+use super::counters::Counters;
+use crate::daemon::Clock;
+
+/// Control hosts that feed an entry host at a time.
+pub(super) const FEEDS: usize = 2;
+
+/// Time after the start in which only what a quorum confirms is put in force.
+const CAUTIOUS: Span = Span::millis(5000);
+
+/// Reads an operator's document.
+pub trait Decode: Send + 'static {
+    /// Returns the checked meaning of a document.
+    fn decode(&self, document: &Document) -> Result<Catalog>;
+}
+
+/// What an entry host knows of control hosts, targets and other entry hosts.
+#[derive(Debug)]
+struct Known {
+    roster: Roster,
+    opinions: Opinions<FEEDS>,
+    controls: Vec<HostId>,
+    entries: Vec<HostId>,
+    /// Whether a feed has sent all that its control host knows.
+    whole: bool,
+}
+
+/// An entry host's state.
+#[derive(Debug)]
+pub struct State {
+    /// The process's clock.
+    pub clock: Clock,
+    /// Counters of the data path.
+    pub counters: Counters,
+    router: Mutex<Router>,
+    known: Mutex<Known>,
+    started: Instant,
+    stopping: AtomicBool,
+}
+
+/// A state as the threads hold it.
+pub(super) type Shared = Arc<State>;
+
+impl State {
+    pub(super) fn new(clock: Clock, router: Router, interval: Span, seeds: Vec<HostId>) -> Self {
+        let known = Known {
+            roster: Roster::new(interval),
+            opinions: Opinions::default(),
+            controls: seeds,
+            entries: Vec::new(),
+            whole: false,
+        };
+        Self {
+            clock,
+            counters: Counters::default(),
+            router: Mutex::new(router),
+            known: Mutex::new(known),
+            started: clock.now(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells whether the fabric may send packets here.
+    pub fn is_ready(&self) -> bool {
+        if self.stopping.load(Ordering::Acquire) {
+            return false;
+        }
+        let whole = self.known().whole;
+        whole && self.router().version() > 0
+    }
+
+    /// Returns the version of the catalog in force.
+    pub fn version(&self) -> u64 {
+        self.router().version()
+    }
+
+    /// Returns remembered flows and targets that take new ones.
+    pub fn sizes(&self) -> (usize, usize) {
+        let router = self.router();
+        (router.flows(), router.serving())
+    }
+
+    pub(super) fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns all control hosts that are known.
+    pub(super) fn controls(&self) -> Vec<HostId> {
+        self.known().controls.clone()
+    }
+
+    /// Adds control hosts that the settings name.
+    pub fn note_controls(&self, hosts: &[HostId]) {
+        let mut known = self.known();
+        for host in hosts {
+            if !known.controls.contains(host) {
+                known.controls.push(*host);
+            }
+        }
+    }
+
+    /// Returns the other entry hosts to share load counts with.
+    pub(super) fn entries(&self) -> Vec<HostId> {
+        self.known().entries.clone()
+    }
+
+    /// Makes the fabric send packets elsewhere.
+    pub(super) fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Puts a catalog in force if it is later than the one in force.
+    ///
+    /// A host that has just started takes it only from a control host in touch with a quorum, or
+    /// after some seconds without one, so as not to begin with an older one than was in force.
+    pub(super) fn set_catalog(&self, feed: usize, catalog: &Catalog) -> bool {
+        let now = self.clock.now();
+        let current = self.known().opinions.is_current_feed(feed);
+        let mut router = self.router();
+        let early = router.version() == 0 && now.since(self.started) < CAUTIOUS;
+        if (early && !current) || catalog.version() <= router.version() {
+            return false;
+        }
+        router.set_catalog(catalog);
+        true
+    }
+
+    /// Takes targets of a feed in.
+    pub(super) fn set_targets(&self, feed: usize, targets: Vec<(Entry, bool)>) {
+        let now = self.clock.now();
+        let mut known = self.known();
+        let mut changed = Vec::new();
+        for (entry, silent) in targets {
+            let target = entry.target;
+            let was = known.opinions.is_silent(target);
+            known.opinions.set_silent(feed, target, silent);
+            let merged = known.roster.merge(now, entry);
+            if merged == Merged::Changed || known.opinions.is_silent(target) != was {
+                changed.push(target);
+            }
+        }
+        self.renew(now, &known, &changed);
+    }
+
+    /// Takes a feed's status in.
+    pub(super) fn set_status(
+        &self,
+        feed: usize,
+        current: bool,
+        controls: Vec<HostId>,
+        entries: Vec<HostId>,
+    ) {
+        let mut known = self.known();
+        known.opinions.set_current(feed, current);
+        let early = self.clock.now().since(self.started) < CAUTIOUS;
+        known.whole |= current || !early;
+        if current {
+            known.controls = controls;
+        }
+        known.entries = entries;
+        let confirmed = known.opinions.is_current();
+        drop(known);
+        self.router().set_current(confirmed);
+    }
+
+    /// Notes that a feed was opened or lost.
+    pub(super) fn set_connected(&self, feed: usize, connected: bool) {
+        let now = self.clock.now();
+        let mut known = self.known();
+        let silent = |known: &Known| -> Vec<(TargetId, bool)> {
+            let targets = known.roster.iter().map(|held| held.entry.target);
+            targets.map(|target| (target, known.opinions.is_silent(target))).collect()
+        };
+        let before = silent(&known);
+        known.opinions.set_connected(feed, connected);
+        let after = silent(&known);
+        let changed = before.iter().zip(&after).filter(|(before, after)| before != after);
+        let changed: Vec<TargetId> = changed.map(|((target, _), _)| *target).collect();
+        self.renew(now, &known, &changed);
+        let confirmed = known.opinions.is_current();
+        drop(known);
+        self.router().set_current(confirmed);
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(&self) {
+        self.router().tick(self.clock.now());
+    }
+
+    fn renew(&self, now: Instant, known: &Known, changed: &[TargetId]) {
+        if changed.is_empty() {
+            return;
+        }
+        // A changed target may have ended another one, whose address it took over.
+        let mut router = self.router();
+        for held in known.roster.iter() {
+            let silent = known.opinions.is_silent(held.entry.target);
+            router.set_target(now, &held.entry, silent);
+        }
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
