Elect at once after a start without leases, and place flows by their habit

In a burst entry hosts counted lasting flows and single requests alike, and knew each other's counts only 100 ms late.

Change: replica setup without leases stands and votes soon after its start; feeds are woken when touch with the quorum changes; a lasting flow is placed by flows, a single one by requests in wait, own data centre first with spill-over; counts go to the same data centre every 25 ms, elsewhere every 200 ms; a repeated SYN avoids the target that did not answer; of two targets without an incarnation that claim one address the one that announced itself less often is the later.

Tests: lagoongauge/tests/marks, two of which failed first (repeated SYN went back to the dead target; spill-over with a free slot at home).

--- a/lagoongauge/src/mark/place.rs
+++ b/lagoongauge/src/mark/place.rs
@@ -6,18 +6,34 @@
 
 use super::Count;
 
-/// What a request in wait at a target costs a new flow, in parts of a slot.
-const WAITING_COST: u32 = 64;
+/// Cost of a request in wait to a flow of one request, which has to wait behind it.
+const WAITING: u32 = 64;
 
-/// What a flow that rests at a target costs a new flow: it will bring requests later.
-const FLOW_COST: u32 = 6;
+/// Cost of a resting flow to a flow of one request: it may bring a request at any time.
+const RESTING: u32 = 2;
 
-/// What the way to another data centre costs a new flow.
-const CENTRE_COST: u32 = 12;
+/// Cost of a flow to one that lasts: both bring requests for as long as they are open.
+const LASTING: u32 = 16;
 
-/// Cost that a target's slots divide; keeps the small costs above apart after the division.
+/// Cost of a request in wait to a flow that lasts; it is over before the flow's next request.
+const LASTING_WAITING: u32 = 4;
+
+/// Share by which another data centre has to be cheaper, in eighths: its targets may be cut off,
+/// and bytes between data centres cost.
+const FAR_EIGHTHS: u32 = 9;
+
+/// Cost that the division by slots keeps exact.
 const SCALE: u32 = 64;
 
+/// What a flow is expected to bring.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Habit {
+    /// One request.
+    Single,
+    /// Requests now and then for as long as it is open.
+    Lasting,
+}
+
 /// A target that a flow may begin at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -36,25 +52,31 @@
 impl Candidate {
     /// Returns what a new flow would cost here; the lowest cost is the best.
     ///
-    /// A doubtful target comes after all others, as it may not answer at all.
-    pub fn cost(&self) -> u32 {
-        let waiting = u32::from(self.load.waiting) * WAITING_COST;
-        let flows = u32::from(self.load.flows) * FLOW_COST;
-        let mut cost = (waiting + flows) * SCALE / u32::from(self.slots.max(1));
+    /// A flow of one request goes where the fewest requests wait, a lasting one where the fewest
+    /// flows are, as those bring the load of the seconds to come. A doubtful target comes after
+    /// all others, as it may not answer at all.
+    pub fn cost(&self, habit: Habit) -> u32 {
+        let (waiting, flows) = (u32::from(self.load.waiting), u32::from(self.load.flows));
+        let (load, step) = match habit {
+            Habit::Single => (waiting * WAITING + flows * RESTING, WAITING),
+            Habit::Lasting => (waiting * LASTING_WAITING + flows * LASTING, LASTING),
+        };
+        let mut cost = load * SCALE;
         if self.cold {
-            cost = cost * 3 / 2 + WAITING_COST * SCALE / 2;
+            cost = cost * 3 / 2 + step * SCALE;
         }
+        cost /= u32::from(self.slots.max(1));
         if !self.near {
-            cost += CENTRE_COST * SCALE;
+            cost = cost * FAR_EIGHTHS / 8 + step * SCALE;
         }
         if self.doubtful { cost.saturating_add(u32::MAX / 2) } else { cost }
     }
 }
 
 /// Chooses among candidates; `start` rotates the order in which equal ones are taken.
-pub fn choose<K: Copy>(candidates: &[(K, Candidate)], start: u64) -> Option<K> {
+pub fn choose<K: Copy>(candidates: &[(K, Candidate)], habit: Habit, start: u64) -> Option<K> {
     let count = candidates.len();
     let first = if count == 0 { 0 } else { (start % count as u64) as usize };
     let rotated = candidates[first..].iter().chain(&candidates[..first]);
-    rotated.min_by_key(|(_, candidate)| candidate.cost()).map(|(key, _)| *key)
+    rotated.min_by_key(|(_, candidate)| candidate.cost(habit)).map(|(key, _)| *key)
 }
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -259,6 +259,7 @@
     /// A copy goes where the first one went, unless that target has shown no life since: two
     /// targets that both answer would leave the caller with halves of two flows.
     fn open(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let mut avoided = None;
         if let Some(flow) = self.flows.get(&segment.ends).copied() {
             let copy = flow.first == segment.sequence;
             let target = &mut self.targets[flow.target];
@@ -270,11 +271,15 @@
                 return self.forward(flow.target, false);
             }
             self.forget(segment.ends);
+            avoided = (copy && dead).then_some(flow.target);
         }
-        let Some(key) = self.place(now, segment) else {
+        let Some(key) = self.place(now, segment, avoided) else {
             return Verdict::Reset(Cause::NoTarget);
         };
         self.targets[key].note_trial(now);
+        if let Some(front) = self.fronts.get_mut(&segment.ends.front) {
+            front.note_flow();
+        }
         self.remember(segment.ends, Flow::new(key, segment.sequence, now));
         self.forward(key, true)
     }
@@ -337,22 +342,33 @@
         if fresh && !flow.finished && flow.waits.is_none() {
             flow.waits = Some(now);
             target.own.waiting = target.own.waiting.saturating_add(1);
+            if let Some(front) = self.fronts.get_mut(&segment.ends.front) {
+                front.note_request();
+            }
         }
     }
 
-    fn place(&mut self, now: Instant, segment: &Segment) -> Option<TargetKey> {
+    /// Chooses where a flow begins; `avoided` is taken only if there is no other.
+    fn place(
+        &mut self,
+        now: Instant,
+        segment: &Segment,
+        avoided: Option<TargetKey>,
+    ) -> Option<TargetKey> {
         let number = self.number(segment.ends);
         let front = self.fronts.get(&segment.ends.front)?;
-        let service = front.pick(number)?;
+        let (service, habit) = (front.pick(number)?, front.habit());
         let keys = self.services.get(service)?;
         self.candidates.clear();
         for key in keys {
             let target = &self.targets[*key];
             if target.takes_new() {
-                self.candidates.push((*key, target.candidate(now)));
+                let mut candidate = target.candidate(now);
+                candidate.doubtful |= avoided == Some(*key);
+                self.candidates.push((*key, candidate));
             }
         }
-        place::choose(&self.candidates, number >> 32)
+        place::choose(&self.candidates, habit, number >> 32)
     }
 
     /// Returns the number by which a flow is shared out, the same on every entry host.
--- a/lagoongauge/src/mark/service.rs
+++ b/lagoongauge/src/mark/service.rs
@@ -1,8 +1,15 @@
 //! Front addresses as an entry host knows them.
 
+use super::place::Habit;
 use crate::catalog::{Catalog, Route};
 use crate::time::Span;
 
+/// Flows after which their number of requests tells a habit.
+const ENOUGH: u32 = 8;
+
+/// Flows after which earlier ones count for half.
+const FADE: u32 = 256;
+
 /// Where the flows to one front address may go.
 #[derive(Debug, Clone)]
 pub(super) struct Front {
@@ -12,11 +19,21 @@
     allowed: Vec<String>,
     /// Time after which an answer is of no use to the caller.
     pub(super) timeout: Span,
+    /// Flows that began here lately.
+    flows: u32,
+    /// Requests that flows brought lately.
+    requests: u32,
 }
 
 impl Front {
     pub(super) fn new(catalog: &Catalog, route: &Route) -> Self {
-        let mut front = Self { choices: Vec::new(), allowed: Vec::new(), timeout: Span(0) };
+        let mut front = Self {
+            choices: Vec::new(),
+            allowed: Vec::new(),
+            timeout: Span(0),
+            flows: 0,
+            requests: 0,
+        };
         front.renew(catalog, route);
         front
     }
@@ -36,6 +53,26 @@
         }
     }
 
+    /// Notes that a flow began.
+    pub(super) fn note_flow(&mut self) {
+        self.flows += 1;
+        if self.flows >= FADE {
+            self.flows /= 2;
+            self.requests /= 2;
+        }
+    }
+
+    /// Notes that a flow brought a request.
+    pub(super) fn note_request(&mut self) {
+        self.requests = self.requests.saturating_add(1);
+    }
+
+    /// Returns what its flows bring, as seen lately.
+    pub(super) fn habit(&self) -> Habit {
+        let many = self.requests > 2 * self.flows.max(ENOUGH);
+        if many { Habit::Lasting } else { Habit::Single }
+    }
+
     /// Ends the route: nothing goes here any more.
     pub(super) fn remove(&mut self) {
         self.choices.clear();
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -89,9 +89,9 @@
         self.phase == Phase::Serving
     }
 
-    /// Tells whether it has shown that it lives since this instant.
+    /// Tells whether it has shown that it lives after this instant.
     pub(super) fn lives_since(&self, instant: Instant) -> bool {
-        self.alive >= instant
+        self.alive > instant
     }
 
     /// Notes that an answer of it has arrived at a caller.
--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -13,7 +13,7 @@
 use super::log::Log;
 use super::message::{Body, Message};
 use super::outbox::{Action, Mark, Outbox, ProposalId};
-use super::setup::Setup;
+use super::setup::{Setup, Timing};
 use super::snapshot::Snapshot;
 use super::store::{Ballot, Recovered};
 use super::transfer::Incoming;
@@ -118,6 +118,9 @@
         }
         core.commit_to(recovered.commit);
         core.reset_deadline();
+        if !core.setup.leases {
+            core.forget_start();
+        }
         Ok(core)
     }
 
@@ -144,7 +147,7 @@
     /// Returns the machine with all that was accepted anywhere before `now`.
     ///
     /// `now` has to be taken after the request arrived. Fails with `NotLeader`, or with
-    /// `NotCurrent` while no lease holds.
+    /// `NotCurrent` while no lease holds or where leases are not in use.
     pub fn read(&self, now: Instant) -> Result<&M> {
         self.check_current(now)?;
         Ok(&self.machine)
@@ -283,6 +286,14 @@
         self.deadline = self.now + Span(wait);
     }
 
+    /// Lets this host stand and vote soon after its start, which an earlier lease would forbid.
+    fn forget_start(&mut self) {
+        let Timing { heartbeat, election_min, .. } = self.setup.timing;
+        self.heard = self.now - election_min;
+        let wait = self.random.random_range(heartbeat.0..=2 * heartbeat.0);
+        self.deadline = self.now + Span(wait);
+    }
+
     pub(super) fn send(&mut self, to: Identity, body: Body) {
         self.send_in(self.ballot.term, to, body);
     }
--- a/lagoongauge/src/replica/lead.rs
+++ b/lagoongauge/src/replica/lead.rs
@@ -68,6 +68,9 @@
 
     pub(super) fn check_current(&self, now: Instant) -> Result<()> {
         let Role::Leading(lead) = &self.role else { return Err(self.not_leader()) };
+        if !self.setup.leases {
+            return Err(not_current("leases are not in use"));
+        }
         if self.commit < lead.first {
             return Err(not_current("the new leader has not committed an entry yet"));
         }
--- a/lagoongauge/src/replica/setup.rs
+++ b/lagoongauge/src/replica/setup.rs
@@ -94,6 +94,10 @@
     /// Silence after which a leader removes a member on its own; never if none is given, as then
     /// operators say which hosts are gone for good.
     pub retire: Option<Span>,
+    /// Whether reads rely on the lease. If not, a host that has just started may help a candidate at
+    /// once, as no former leader's lease has to end before; so a group that was killed as a whole
+    /// has a leader sooner.
+    pub leases: bool,
 }
 
 impl Setup {
@@ -106,6 +110,7 @@
             timing: Timing::default(),
             limits: Limits::default(),
             retire: None,
+            leases: true,
         }
     }
 }
--- a/lagoongauge/src/roster/mod.rs
+++ b/lagoongauge/src/roster/mod.rs
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone)]
 pub struct Roster {
     targets: IndexMap<TargetId, Held>,
-    claims: IndexMap<SocketAddrV4, (u64, TargetId)>,
+    claims: IndexMap<SocketAddrV4, TargetId>,
     patience: Span,
     stamp: u64,
 }
@@ -150,7 +150,7 @@
         let tomb = |held: &Held| held.entry.phase == Phase::Gone || held.silent;
         self.targets.retain(|_, held| !tomb(held) || now.since(held.heard) < TOMBSTONE);
         let targets = &self.targets;
-        self.claims.retain(|_, (_, target)| targets.contains_key(target));
+        self.claims.retain(|_, target| targets.contains_key(target));
         let mut fallen = Vec::new();
         for held in self.targets.values_mut() {
             let missed = now.since(held.heard) >= self.patience;
@@ -172,25 +172,26 @@
     }
 
     /// Gives the address to the latest incarnation that claimed it; the other one has ended.
+    ///
+    /// Of two that don't tell when they started, the one that has announced itself less often is
+    /// the later one. A target that lost its address never takes it back.
     fn claim(&mut self, entry: &mut Entry) {
-        let claim = (entry.born, entry.target);
-        let holder = self.claims.get(&entry.address).copied();
-        match holder {
-            Some(holder) if holder.1 != entry.target && holder > claim => {
-                entry.phase = Phase::Gone;
-            }
-            Some(holder) if holder.1 != entry.target => {
-                self.claims.insert(entry.address, claim);
-                self.stamp += 1;
-                let stamp = self.stamp;
-                if let Some(former) = self.targets.get_mut(&holder.1) {
-                    former.entry.phase = Phase::Gone;
-                    former.stamp = stamp;
-                }
-            }
-            _ => {
-                self.claims.insert(entry.address, claim);
-            }
+        if entry.phase == Phase::Gone {
+            return;
+        }
+        let claim = entry.claim();
+        let holder = self.claims.insert(entry.address, entry.target);
+        let Some(holder) = holder.filter(|holder| *holder != entry.target) else { return };
+        let Some(former) = self.targets.get_mut(&holder) else { return };
+        if former.entry.phase != Phase::Gone && former.entry.claim() > claim {
+            entry.phase = Phase::Gone;
+            self.claims.insert(entry.address, holder);
+            return;
+        }
+        if former.entry.phase != Phase::Gone {
+            self.stamp += 1;
+            former.entry.phase = Phase::Gone;
+            former.stamp = self.stamp;
         }
     }
 }
--- /dev/null
+++ b/lagoongauge/tests/marks/main.rs
@@ -0,0 +1,195 @@
+//! Routing by marks: where flows begin, where later packets go, and what is refused.
+
+mod place;
+mod world;
+
+use lagoongauge::mark::{Cause, Mark, Signal, Verdict};
+use lagoongauge::roster::Phase;
+
+use world::{FRONT, OTHER, World, target_of};
+
+#[test]
+fn a_flow_goes_on_at_a_host_that_never_saw_it() {
+    let mut first = World::new(&[1, 2, 3]);
+    let target = target_of(first.open(1));
+    let mut second = World::new(&[1, 2, 3]);
+    second.mark = Some(Mark::of(target));
+    assert_eq!(target_of(second.data(1, 1, 1)), target);
+}
+
+#[test]
+fn a_repeated_syn_keeps_its_target_while_that_lives() {
+    let mut world = World::new(&[1, 2, 3]);
+    let target = target_of(world.open(1));
+    world.pass(200);
+    world.show_life(target);
+    assert_eq!(target_of(world.open(1)), target);
+}
+
+#[test]
+fn a_repeated_syn_leaves_a_target_that_showed_no_life() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    world.pass(200);
+    assert_ne!(target_of(world.open(1)), target);
+}
+
+#[test]
+fn a_repeated_syn_leaves_a_target_that_drains() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    world.set_phase(target, Phase::Draining);
+    world.show_life(target);
+    assert_ne!(target_of(world.open(1)), target);
+}
+
+#[test]
+fn of_two_answers_the_acknowledged_one_keeps_the_flow() {
+    let mut world = World::new(&[1, 2]);
+    world.mark = Some(Mark::of(lagoongauge::id::TargetId(1)));
+    let settled = target_of(world.data(1, 1, 0));
+    // The other target's late answer replaced the mark that the caller returns.
+    world.mark = Some(Mark::of(lagoongauge::id::TargetId(2)));
+    assert_eq!(target_of(world.data(1, 2, 10)), settled);
+}
+
+#[test]
+fn the_mark_that_the_caller_acknowledges_goes_before_the_first_choice() {
+    let mut world = World::new(&[1, 2]);
+    let chosen = target_of(world.open(1));
+    let other = lagoongauge::id::TargetId(3 - chosen.0);
+    world.mark = Some(Mark::of(other));
+    assert_eq!(target_of(world.data(1, 1, 0)), other);
+}
+
+#[test]
+fn a_forged_mark_reaches_no_other_service() {
+    let mut world = World::new(&[1]);
+    world.add_target(9, "rival");
+    world.mark = Some(Mark::of(lagoongauge::id::TargetId(9)));
+    assert_eq!(world.data(1, 1, 0), Verdict::Drop(Cause::ForeignMark));
+}
+
+#[test]
+fn an_open_flow_outlives_its_route_s_change_of_service() {
+    let mut world = World::new(&[1]);
+    world.add_target(9, "rival");
+    let target = target_of(world.open(1));
+    world.set_routes(2, &[(FRONT, "rival")]);
+    world.mark = Some(Mark::of(target));
+    assert_eq!(target_of(world.data(1, 1, 0)), target);
+    assert_eq!(target_of(world.open(2)), lagoongauge::id::TargetId(9));
+}
+
+#[test]
+fn a_removed_route_ends_its_flows() {
+    let mut world = World::new(&[1]);
+    let target = target_of(world.open(1));
+    world.set_routes(2, &[(OTHER, "desk")]);
+    world.mark = Some(Mark::of(target));
+    assert_eq!(world.data(1, 1, 0), Verdict::Reset(Cause::RouteRemoved));
+    assert_eq!(world.open(2), Verdict::Reset(Cause::RouteRemoved));
+}
+
+#[test]
+fn an_older_catalog_never_comes_back() {
+    let mut world = World::new(&[1]);
+    world.set_routes(5, &[(OTHER, "desk")]);
+    world.set_routes(4, &[(FRONT, "desk")]);
+    assert_eq!(world.router.version(), 5);
+    assert_eq!(world.open(1), Verdict::Reset(Cause::RouteRemoved));
+}
+
+#[test]
+fn a_host_that_may_be_behind_refuses_no_unknown_address() {
+    let mut world = World::new(&[1]);
+    assert_eq!(world.open_to(1, OTHER), Verdict::Reset(Cause::NoRoute));
+    world.router.set_current(false);
+    assert_eq!(world.open_to(1, OTHER), Verdict::Drop(Cause::NoRoute));
+}
+
+#[test]
+fn an_unknown_mark_is_dropped_and_never_reset() {
+    let mut world = World::new(&[1]);
+    world.mark = Mark::read(77);
+    assert_eq!(world.data(1, 1, 0), Verdict::Drop(Cause::UnknownMark));
+    world.mark = None;
+    assert_eq!(world.data(1, 1, 0), Verdict::Drop(Cause::NoMark));
+}
+
+#[test]
+fn a_flow_is_reset_once_its_target_has_ended_and_its_answers_are_through() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    world.mark = Some(Mark::of(target));
+    world.data(1, 1, 0);
+    world.set_phase(target, Phase::Gone);
+    assert_eq!(target_of(world.data(1, 2, 10)), target);
+    world.pass(600);
+    assert_eq!(world.data(1, 2, 10), Verdict::Reset(Cause::TargetGone));
+}
+
+#[test]
+fn a_silent_target_keeps_its_flows() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    world.mark = Some(Mark::of(target));
+    world.data(1, 1, 0);
+    world.set_silent(target, true);
+    assert_eq!(target_of(world.data(1, 2, 10)), target);
+    for caller in 10..20 {
+        assert_ne!(target_of(world.open(caller)), target);
+    }
+}
+
+#[test]
+fn without_any_target_a_first_packet_is_refused_at_once() {
+    let mut world = World::new(&[1]);
+    world.set_phase(lagoongauge::id::TargetId(1), Phase::Draining);
+    assert_eq!(world.open(1), Verdict::Reset(Cause::NoTarget));
+}
+
+#[test]
+fn of_two_targets_with_one_mark_only_the_first_takes_flows() {
+    let (first, second) = world::same_mark();
+    let mut world = World::new(&[first, second, 1]);
+    for caller in 0..40 {
+        assert_ne!(target_of(world.open(caller)), lagoongauge::id::TargetId(second));
+    }
+}
+
+#[test]
+fn a_target_that_answers_nobody_is_avoided_until_it_shows_life() {
+    let mut world = World::new(&[1, 2]);
+    let dead = target_of(world.open(1));
+    world.pass(200);
+    world.open(1);
+    for caller in 2..30 {
+        let opened = target_of(world.open(caller));
+        world.pass(200);
+        world.open(caller);
+        if opened != dead {
+            world.show_life(opened);
+        }
+    }
+    let begun = (100..120).filter(|caller| target_of(world.open(*caller)) == dead).count();
+    assert!(begun <= 1, "a doubted target gets a trial and no more, not {begun} flows");
+    world.show_life(dead);
+    assert!((200..240).any(|caller| target_of(world.open(caller)) == dead));
+}
+
+#[test]
+fn memory_ends_with_its_flows() {
+    let mut world = World::new(&[1, 2]);
+    for caller in 0..100 {
+        let target = target_of(world.open(caller));
+        world.mark = Some(Mark::of(target));
+        world.data(caller, 1, 0);
+        world.packet(caller, Signal::Finish, 11, 2, 0);
+        world.mark = None;
+    }
+    assert_eq!(world.router.flows(), 100);
+    world.pass(3000);
+    assert_eq!(world.router.flows(), 0);
+    assert!(world.router.report().counts.is_empty());
+}
--- /dev/null
+++ b/lagoongauge/tests/marks/world.rs
@@ -0,0 +1,166 @@
+//! An entry host's router with targets and callers.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use lagoongauge::catalog::{Catalog, RawCatalog, RawChoice, RawRoute, Repeat};
+use lagoongauge::flow::HashKey;
+use lagoongauge::id::TargetId;
+use lagoongauge::mark::{Ends, Mark, Router, Segment, Setup, Signal, Verdict};
+use lagoongauge::roster::{Entry, Phase};
+use lagoongauge::time::{Instant, Span};
+
+/// The front address of the service "desk".
+pub const FRONT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Another front address.
+pub const OTHER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+
+pub struct World {
+    pub router: Router,
+    /// The mark that the callers' next packets carry.
+    pub mark: Option<Mark>,
+    pub now: Instant,
+}
+
+impl World {
+    /// A host that knows targets of the service "desk".
+    pub fn new(targets: &[u64]) -> Self {
+        let setup = Setup { centre: "a".into(), key: HashKey([1; 16]), flows: 10_000 };
+        let mut world = Self { router: Router::new(setup), mark: None, now: Instant(100_000) };
+        world.set_routes(1, &[(FRONT, "desk")]);
+        world.router.set_current(true);
+        for target in targets {
+            world.add_target(*target, "desk");
+        }
+        world
+    }
+
+    pub fn set_routes(&mut self, version: u64, routes: &[(SocketAddrV4, &str)]) {
+        self.router.set_catalog(&catalog(version, routes));
+    }
+
+    pub fn add_target(&mut self, target: u64, service: &str) {
+        self.router.set_target(self.now, &entry(target, service), false);
+    }
+
+    pub fn set_entry(&mut self, entry: &Entry) {
+        self.router.set_target(self.now, entry, false);
+    }
+
+    pub fn set_phase(&mut self, target: TargetId, phase: Phase) {
+        let entry = Entry { phase, ..entry(target.0, "desk") };
+        self.router.set_target(self.now, &entry, false);
+    }
+
+    pub fn set_silent(&mut self, target: TargetId, silent: bool) {
+        self.router.set_target(self.now, &entry(target.0, "desk"), silent);
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now = self.now + Span(millis);
+        self.router.tick(self.now);
+    }
+
+    pub fn open(&mut self, caller: u16) -> Verdict {
+        self.open_to(caller, FRONT)
+    }
+
+    pub fn open_to(&mut self, caller: u16, front: SocketAddrV4) -> Verdict {
+        let segment = Segment {
+            ends: Ends { caller: caller_of(caller), front },
+            signal: Signal::Open,
+            mark: None,
+            sequence: 1000,
+            acknowledged: 0,
+            length: 0,
+        };
+        self.router.decide(self.now, &segment)
+    }
+
+    /// Ten bytes of data from `from` on.
+    pub fn data(&mut self, caller: u16, acknowledged: u32, from: u32) -> Verdict {
+        self.packet(caller, Signal::Middle, from, acknowledged, 10)
+    }
+
+    pub fn packet(
+        &mut self,
+        caller: u16,
+        signal: Signal,
+        from: u32,
+        acknowledged: u32,
+        length: u16,
+    ) -> Verdict {
+        let segment = Segment {
+            ends: Ends { caller: caller_of(caller), front: FRONT },
+            signal,
+            mark: self.mark,
+            sequence: 1001 + from,
+            acknowledged: 5000 + acknowledged,
+            length,
+        };
+        self.router.decide(self.now, &segment)
+    }
+
+    /// Lets another flow of the target go on, which shows that the target lives.
+    pub fn show_life(&mut self, target: TargetId) {
+        let mark = self.mark.replace(Mark::of(target));
+        let caller = 60_000 + target.0 as u16;
+        let age = self.now.0 as u32;
+        assert_eq!(target_of(self.packet(caller, Signal::Middle, 0, age, 0)), target);
+        self.mark = mark;
+    }
+}
+
+pub fn target_of(verdict: Verdict) -> TargetId {
+    match verdict {
+        Verdict::Forward { target, .. } => target,
+        other => panic!("{other:?} goes to no target"),
+    }
+}
+
+pub fn entry(target: u64, service: &str) -> Entry {
+    Entry {
+        target: TargetId(target),
+        born: target,
+        sequence: 1,
+        phase: Phase::Serving,
+        service: service.into(),
+        address: SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + target as u32), 80),
+        centre: "a".into(),
+        slots: 2,
+        cold: Span(0),
+    }
+}
+
+pub fn catalog(version: u64, routes: &[(SocketAddrV4, &str)]) -> Catalog {
+    let route = |(address, service): &(SocketAddrV4, &str)| RawRoute {
+        name: address.to_string(),
+        address: *address,
+        choices: vec![RawChoice { service: (*service).into(), weight: 1 }],
+        repeat: Repeat::Idempotent,
+        timeout: Span(1500),
+        objective: Span(150),
+        priority: 1,
+    };
+    let routes = routes.iter().map(route).collect();
+    let services = vec!["desk".into(), "rival".into()];
+    Catalog::try_from(RawCatalog { version, services, routes, idle: Span(15_000) }).unwrap()
+}
+
+/// Two targets whose marks are the same.
+pub fn same_mark() -> (u64, u64) {
+    let mut seen = std::collections::HashMap::new();
+    for number in 0u64.. {
+        let target = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24;
+        if let Some(other) = seen.insert(Mark::of(TargetId(target)), target)
+            && other != target
+        {
+            return (other, target);
+        }
+    }
+    unreachable!("marks have 32 bits")
+}
+
+fn caller_of(number: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1024 + number % 60_000)
+}
--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -12,7 +12,7 @@
 use lagoongauge::replica::Store;
 
 use super::host::Shared;
-use super::message::{Answer, Feed};
+use super::message::{Answer, Feed, Neighbour};
 use crate::frame;
 
 /// Longest time between two messages to an entry host.
@@ -25,7 +25,7 @@
 const ANSWER: Duration = Duration::from_millis(2000);
 
 /// Entry hosts that one is told of, to share its load counts with.
-const PEERS: usize = 12;
+const NEIGHBOURS: usize = 12;
 
 /// Feeds one entry host until its connection is lost.
 pub(super) async fn serve<S: Store + 'static>(
@@ -87,17 +87,19 @@
     if !targets.is_empty() {
         frame::write(writer, &Feed::Targets(targets), ANSWER).await?;
     }
-    let entries = peers(host, entry, centre);
+    let entries = neighbours(host, entry, centre);
     let (current, controls) = (host.is_current(), host.controls());
     frame::write(writer, &Feed::Status { current, controls, entries }, ANSWER).await
 }
 
 /// Returns other entry hosts, those of the same data centre first.
-fn peers<S: Store + 'static>(host: &Shared<S>, entry: HostId, centre: &str) -> Vec<HostId> {
-    let mut entries = host.entries();
-    entries.retain(|(other, _)| *other != entry);
-    entries.sort_by_key(|(other, place)| (place != centre, *other));
-    entries.into_iter().take(PEERS).map(|(other, _)| other).collect()
+fn neighbours<S: Store + 'static>(host: &Shared<S>, entry: HostId, centre: &str) -> Vec<Neighbour> {
+    let others = host.entries().into_iter().filter(|(other, _)| *other != entry);
+    let mut others: Vec<Neighbour> =
+        others.map(|(host, place)| Neighbour { host, near: place == centre }).collect();
+    others.sort_by_key(|other| (!other.near, other.host));
+    others.truncate(NEIGHBOURS);
+    others
 }
 
 async fn wait(woken: &mut mpsc::Receiver<()>) {
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a control host share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,6 +70,8 @@
     entries: RefCell<IndexMap<HostId, EntryHost>>,
     beats: RefCell<IndexMap<TargetId, Beat>>,
     feeds: RefCell<Vec<mpsc::Sender<()>>>,
+    /// Whether the host was in touch with a quorum when it last looked.
+    current: Cell<bool>,
 }
 
 /// A control host as its tasks hold it.
@@ -87,6 +89,7 @@
             entries: RefCell::default(),
             beats: RefCell::default(),
             feeds: RefCell::default(),
+            current: Cell::new(false),
         }
     }
 
@@ -255,8 +258,12 @@
             }
             Peer::Log(bytes) => match Message::from_bytes(&bytes) {
                 Ok(message) => {
+                    let version = self.document().version;
                     self.engine.borrow_mut().message(now, message);
                     self.flush();
+                    if self.document().version != version {
+                        self.wake_feeds();
+                    }
                 }
                 Err(error) => log::warn!("a message of control host {from} is dropped: {error}"),
             },
@@ -324,7 +331,12 @@
         for target in &fallen {
             log::warn!("target {target} has missed several announcements and counts as silent");
         }
-        if !fallen.is_empty() || self.document().version != version {
+        let current = self.is_current();
+        let turned = self.current.replace(current) != current;
+        if turned {
+            log::warn!("touch with a quorum of control hosts is now {current}");
+        }
+        if turned || !fallen.is_empty() || self.document().version != version {
             self.wake_feeds();
         }
     }
--- a/lagoongauged/src/cluster/message.rs
+++ b/lagoongauged/src/cluster/message.rs
@@ -57,11 +57,20 @@
         current: bool,
         /// Control hosts that it knows.
         controls: Vec<HostId>,
-        /// Other entry hosts, those of the same data centre first.
-        entries: Vec<HostId>,
+        /// Other entry hosts.
+        entries: Vec<Neighbour>,
     },
 }
 
+/// Another entry host, as one is told of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Neighbour {
+    /// Who it is.
+    pub host: HostId,
+    /// Whether it stands in the same data centre.
+    pub near: bool,
+}
+
 /// What an entry host answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -65,6 +65,7 @@
     replica.timing = TIMING;
     replica.limits = LIMITS;
     replica.retire = Some(RETIRE);
+    replica.leases = false;
     let engine = Engine::new(replica, store, Vec::new(), clock.now())?;
     let address = link::listen_address(setup.host, setup.port);
     let listener = TcpListener::bind(address).await.map_err(|error| {
--- a/lagoongauged/src/steer/share.rs
+++ b/lagoongauged/src/steer/share.rs
@@ -9,31 +9,38 @@
 use super::state::Shared;
 use crate::cluster::message::{address_of, host_at};
 
-/// Interval between two reports.
-const REPORT: Duration = Duration::from_millis(100);
+/// Interval between two reports to the same data centre, whose entry hosts use the same targets.
+const NEAR: Duration = Duration::from_millis(25);
 
-/// Interval between two reports while nothing is open.
-const IDLE_ROUNDS: u32 = 5;
+/// Rounds after which the other data centres get a report too.
+const FAR_ROUNDS: u32 = 8;
 
 /// Longest report in bytes.
 const MAX_REPORT: usize = 16 << 10;
 
 /// Sends this host's counts to the others now and then.
 pub(super) async fn send(state: Shared, socket: UdpSocket, port: u16) {
-    let mut idle = 0;
-    loop {
-        sleep(REPORT).await;
+    let mut sent = Report::default();
+    for round in 0u32.. {
+        sleep(NEAR).await;
         let report = state.router().report();
-        idle = if report.counts.is_empty() { idle + 1 } else { 0 };
-        if idle > 0 && idle % IDLE_ROUNDS != 1 {
+        let far = round.is_multiple_of(FAR_ROUNDS);
+        if !far && report == sent {
             continue;
         }
-        let Ok(bytes) = postcard::to_stdvec(&report) else { continue };
-        for entry in state.entries() {
-            if let Err(error) = socket.send_to(&bytes, address_of(entry, port)) {
-                log::debug!("entry host {entry} was sent no load counts: {error}");
+        let bytes = match postcard::to_stdvec(&report) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("load counts can't be written: {error}");
+                continue;
+            }
+        };
+        for entry in state.entries().into_iter().filter(|entry| entry.near || far) {
+            if let Err(error) = socket.send_to(&bytes, address_of(entry.host, port)) {
+                log::debug!("entry host {} was sent no load counts: {error}", entry.host);
             }
         }
+        sent = report;
     }
 }
 
@@ -45,7 +52,7 @@
             Ok(received) => received,
             Err(error) => {
                 log::debug!("no load counts can be received: {error}");
-                std::thread::sleep(REPORT);
+                std::thread::sleep(NEAR);
                 continue;
             }
         };
--- a/lagoongauged/src/steer/state.rs
+++ b/lagoongauged/src/steer/state.rs
@@ -11,13 +11,15 @@
 use lagoongauge::time::{Instant, Span};
 
 use super::counters::Counters;
+use crate::cluster::message::Neighbour;
 use crate::daemon::Clock;
 
 /// Control hosts that feed an entry host at a time.
 pub(super) const FEEDS: usize = 2;
 
-/// Time after the start in which only what a quorum confirms is put in force.
-const CAUTIOUS: Span = Span::millis(5000);
+/// Time after the start in which only what a quorum confirms is put in force; a group of control
+/// hosts that starts at the same time has a leader by then.
+const CAUTIOUS: Span = Span::millis(1500);
 
 /// Reads an operator's document.
 pub trait Decode: Send + 'static {
@@ -31,7 +33,7 @@
     roster: Roster,
     opinions: Opinions<FEEDS>,
     controls: Vec<HostId>,
-    entries: Vec<HostId>,
+    entries: Vec<Neighbour>,
     /// Whether a feed has sent all that its control host knows.
     whole: bool,
 }
@@ -111,7 +113,7 @@
     }
 
     /// Returns the other entry hosts to share load counts with.
-    pub(super) fn entries(&self) -> Vec<HostId> {
+    pub(super) fn entries(&self) -> Vec<Neighbour> {
         self.known().entries.clone()
     }
 
@@ -159,7 +161,7 @@
         feed: usize,
         current: bool,
         controls: Vec<HostId>,
-        entries: Vec<HostId>,
+        entries: Vec<Neighbour>,
     ) {
         let mut known = self.known();
         known.opinions.set_current(feed, current);
