Halt a control host while its disk takes no writes, in place of ending the process

Change: the store can be opened anew in the same process; until it can, the replica halts, neither votes nor takes anything, and tries again every 500 ms. The roster is kept on disk as a hint, so that a control host that was killed knows its targets at once; hosts that start together look for a leader within a heartbeat. Folders within the data folder no longer count as files of the store.

Tests that failed first: store_goes_on_after_its_disk_refused_every_write, store_that_can_t_be_opened_anew_halts_the_host_until_it_can.

--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -64,6 +64,7 @@
     pub(super) role: Role,
     pub(super) leader: Option<Identity>,
     pub(super) heard: Instant,
+    pub(super) started: Instant,
     pub(super) deadline: Instant,
     pub(super) next_join: Instant,
     pub(super) next_note: Instant,
@@ -97,6 +98,7 @@
             role: Role::Follower,
             leader: None,
             heard: now,
+            started: now,
             deadline: now,
             next_join: now,
             next_note: now,
@@ -280,18 +282,22 @@
         self.now = self.now.max(now);
     }
 
+    /// Draws when this host stands for election.
+    ///
+    /// Without leases a host that has heard no leader since its start tries again and again within
+    /// a heartbeat: of a group that starts together, most can't reach each other at first.
     pub(super) fn reset_deadline(&mut self) {
-        let timing = self.setup.timing;
-        let wait = self.random.random_range(timing.election_min.0..=timing.election_max.0);
-        self.deadline = self.now + Span(wait);
+        let Timing { heartbeat, election_min, election_max, .. } = self.setup.timing;
+        let hasty = !self.setup.leases && self.heard < self.started;
+        let range =
+            if hasty { heartbeat.0 / 4..=heartbeat.0 } else { election_min.0..=election_max.0 };
+        self.deadline = self.now + Span(self.random.random_range(range));
     }
 
-    /// Lets this host stand and vote soon after its start, which an earlier lease would forbid.
+    /// Lets this host stand and vote right after its start, which an earlier lease would forbid.
     fn forget_start(&mut self) {
-        let Timing { heartbeat, election_min, .. } = self.setup.timing;
-        self.heard = self.now - election_min;
-        let wait = self.random.random_range(heartbeat.0..=2 * heartbeat.0);
-        self.deadline = self.now + Span(wait);
+        self.heard = self.now - self.setup.timing.election_min;
+        self.reset_deadline();
     }
 
     pub(super) fn send(&mut self, to: Identity, body: Body) {
--- a/lagoongauge/src/replica/store.rs
+++ b/lagoongauge/src/replica/store.rs
@@ -171,6 +171,13 @@
 
     /// Reads the state that the synced records add up to.
     fn recover(&self) -> Result<Recovered>;
+
+    /// Opens the store anew after a write failed; returns whether later writes may succeed again.
+    ///
+    /// Fails if the store can't be read or mended now.
+    fn reopen(&mut self) -> Result<bool> {
+        Ok(false)
+    }
 }
 
 /// A store in memory, for tests and for trials.
--- a/lagoongauge/src/roster/mod.rs
+++ b/lagoongauge/src/roster/mod.rs
@@ -123,6 +123,20 @@
         Merged::Heard
     }
 
+    /// Takes over what a former process of this host knew.
+    ///
+    /// Its targets count as heard now, so they have the usual time to announce themselves again.
+    pub fn resume(&mut self, now: Instant, entries: Vec<Entry>) {
+        for entry in entries {
+            self.merge(now, entry);
+        }
+    }
+
+    /// Returns all entries, for other hosts or for a later process.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.targets.values().map(|held| held.entry.clone()).collect()
+    }
+
     /// Takes a repeated announcement in; fails to do so for a target that is not known as such.
     pub fn beat(&mut self, now: Instant, beat: Beat) -> Option<Merged> {
         let held = self.targets.get(&beat.target)?;
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Takes over what a former process knew of targets.
+    pub(super) fn resume(&self, entries: Vec<Entry>) {
+        log::info!("{} targets are known from before", entries.len());
+        self.roster.borrow_mut().resume(self.clock.now(), entries);
+    }
+
     /// Returns the host that leads, where it is known.
     pub fn leader(&self) -> Option<HostId> {
         self.engine.borrow().leader()
--- /dev/null
+++ b/lagoongauged/src/cluster/keep.rs
@@ -0,0 +1,100 @@
+//! The roster on disk, for the next process of a control host.
+//!
+//! It is a hint and never synced: what was lost of it the targets say again. Without it a control
+//! host that was killed would know no target until each has announced itself.
+
+use std::fs;
+use std::io::{Error, ErrorKind, Result};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use lagoongauge::replica::Store;
+use lagoongauge::roster::Entry;
+
+use super::host::Shared;
+
+/// Name of the file within the folder beside the log.
+const NAME: &str = "roster";
+
+/// Name under which the file is written before it replaces the last one.
+const FRESH: &str = "roster.new";
+
+/// Pause between two looks for changes.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Where the roster is kept.
+#[derive(Debug, Clone)]
+pub struct Keeper {
+    folder: PathBuf,
+}
+
+impl Keeper {
+    /// Keeps the roster in a folder of its own, which is created if it is missing.
+    pub fn new(folder: PathBuf) -> Result<Self> {
+        fs::create_dir_all(&folder)?;
+        Ok(Self { folder })
+    }
+
+    /// Reads what the former process wrote; nothing if there is none or it is damaged.
+    pub(super) fn read(&self) -> Vec<Entry> {
+        let bytes = match fs::read(self.folder.join(NAME)) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == ErrorKind::NotFound => return Vec::new(),
+            Err(error) => {
+                log::warn!("the kept roster can't be read: {error}");
+                return Vec::new();
+            }
+        };
+        decode(&bytes).unwrap_or_else(|error| {
+            log::warn!("the kept roster is damaged and is not used: {error}");
+            Vec::new()
+        })
+    }
+
+    fn write(&self, entries: &[Entry]) -> Result<()> {
+        let mut bytes = postcard::to_stdvec(entries).map_err(|error| invalid(&error))?;
+        let checksum = crc32fast::hash(&bytes);
+        bytes.extend_from_slice(&checksum.to_be_bytes());
+        fs::write(self.folder.join(FRESH), bytes)?;
+        fs::rename(self.folder.join(FRESH), self.folder.join(NAME))
+    }
+}
+
+/// Writes the roster whenever it has changed.
+pub(super) async fn keep<S: Store + 'static>(host: Shared<S>, keeper: Keeper) {
+    let mut kept = 0;
+    let mut failing = false;
+    loop {
+        sleep(PAUSE).await;
+        let stamp = host.roster.borrow().stamp();
+        if stamp == kept {
+            continue;
+        }
+        let entries = host.roster.borrow().entries();
+        match keeper.write(&entries) {
+            Ok(()) => {
+                kept = stamp;
+                failing = false;
+            }
+            Err(error) if !failing => {
+                log::warn!("the roster can't be kept: {error}");
+                failing = true;
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<Vec<Entry>> {
+    let (bytes, checksum) =
+        bytes.split_last_chunk::<4>().ok_or_else(|| invalid(&"it is cut short"))?;
+    if crc32fast::hash(bytes) != u32::from_be_bytes(*checksum) {
+        return Err(invalid(&"its checksum is wrong"));
+    }
+    postcard::from_bytes(bytes).map_err(|error| invalid(&error))
+}
+
+fn invalid(error: &dyn std::fmt::Display) -> Error {
+    Error::new(ErrorKind::InvalidData, error.to_string())
+}
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -143,7 +143,7 @@
 /// Puts all that this host knows at the head of the queue; returns the number before the first
 /// queued message, from which the receiver counts.
 fn greet<S: Store + 'static>(host: &Shared<S>, peer: HostId, wake: mpsc::Sender<()>) -> u64 {
-    let entries = host.roster.borrow().iter().map(|held| held.entry.clone()).collect();
+    let entries = host.roster.borrow().entries();
     let hosts = Peer::Hosts { controls: host.controls(), entries: host.entries() };
     let mut links = host.links.borrow_mut();
     let Some(link) = links.get_mut(&peer) else { return 0 };
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -6,11 +6,13 @@
 
 mod feed;
 mod host;
+mod keep;
 mod link;
 pub mod message;
 mod run;
 
 pub use self::host::{Host, Setup, Shared};
+pub use self::keep::Keeper;
 pub use self::run::run;
 
 use lagoongauge::catalog::Shelf;
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -11,6 +11,7 @@
 use lagoongauge::time::Span;
 
 use super::host::{Host, Setup, Shared, gossip};
+use super::keep::{Keeper, keep};
 use super::message::Hello;
 use super::{feed, link};
 use crate::daemon::{Clock, Stop};
@@ -53,6 +54,7 @@
     setup: Setup,
     identity: Identity,
     store: S,
+    keeper: Keeper,
     stop: &Stop,
     serve: F,
 ) -> Result<()>
@@ -75,6 +77,8 @@
     host.note_controls(&host.setup.seeds.clone());
     serve(Rc::clone(&host)).await?;
     spawn_local(accept(Rc::clone(&host), listener));
+    host.resume(keeper.read());
+    spawn_local(keep(Rc::clone(&host), keeper));
     spawn_local(gossip(Rc::clone(&host)));
     let mut led = None;
     while !stop.is_raised() {
--- a/lagoongauged/src/engine.rs
+++ b/lagoongauged/src/engine.rs
@@ -12,6 +12,9 @@
 use lagoongauge::settings::{Answer, Command, State};
 use lagoongauge::time::{Instant, Span};
 
+/// Pause before a store that takes no writes is tried again.
+const RETRY: Span = Span::millis(500);
+
 /// An answer that comes once the log has it.
 pub type Pending = oneshot::Receiver<Result<Vec<u8>>>;
 
@@ -36,6 +39,8 @@
     waiting: HashMap<ProposalId, oneshot::Sender<Result<Vec<u8>>>>,
     outgoing: Vec<Message>,
     failure: Option<Error>,
+    /// When the store is tried again, while it takes no writes.
+    halted: Option<Instant>,
 }
 
 impl<S: Store, M: Admission> Engine<S, M> {
@@ -46,7 +51,7 @@
     pub fn new(setup: Setup, store: S, first: Vec<HostId>, now: Instant) -> Result<Self> {
         let core = Core::new(setup.clone(), store.recover()?, M::default(), now)?;
         let (waiting, outgoing) = (HashMap::new(), Vec::new());
-        Ok(Self { core, store, setup, first, waiting, outgoing, failure: None })
+        Ok(Self { core, store, setup, first, waiting, outgoing, failure: None, halted: None })
     }
 
     /// Returns the state with all that is accepted, as far as this host knows.
@@ -71,8 +76,10 @@
 
     /// Asks the other hosts for the answers that [`Self::read_after`] waits for.
     pub fn confirm(&mut self, now: Instant) {
-        self.core.confirm(now);
-        self.act(now);
+        if self.halted.is_none() {
+            self.core.confirm(now);
+            self.act(now);
+        }
     }
 
     /// Tells whether this host is in touch with a quorum, as leader or through one.
@@ -118,6 +125,7 @@
 
     /// Proposes an encoded command; `NotLeader` or `NoQuorum` if it never runs.
     pub fn submit(&mut self, now: Instant, command: Vec<u8>) -> Result<Pending> {
+        self.check_running()?;
         let id = self.core.propose(now, command)?;
         Ok(self.wait_for(now, id))
     }
@@ -126,6 +134,7 @@
     ///
     /// Returns `NotFound` for a host that is neither, and what the replica refuses with.
     pub fn retire(&mut self, now: Instant, host: HostId) -> Result<Pending> {
+        self.check_running()?;
         let configuration = self.core.configuration();
         let identity = configuration.members().find(|identity| identity.host == host);
         let identity = identity.ok_or_else(|| {
@@ -137,12 +146,18 @@
 
     /// Takes a message from another replica.
     pub fn message(&mut self, now: Instant, message: Message) {
-        self.core.message(now, message);
-        self.act(now);
+        if self.halted.is_none() {
+            self.core.message(now, message);
+            self.act(now);
+        }
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Instant) {
+        if let Some(due) = self.halted {
+            self.resume(now, due);
+            return;
+        }
         self.core.tick(now);
         self.act(now);
     }
@@ -199,30 +214,70 @@
         self.state().admits(host) || self.first.contains(&host)
     }
 
-    /// Starts the replica anew from the store, after a write failed; only a full disk may pass.
+    /// Starts the replica anew from the store, after a write failed.
+    ///
+    /// A full disk may have room again, and a store that can be opened anew goes on. While it can't
+    /// be, the replica halts: it neither votes nor takes anything.
     fn restart(&mut self, now: Instant, error: &Error) {
         log::error!("The store refused a write: {error}.");
-        if error.kind != Kind::StorageFull {
-            self.failure = Some(error.clone());
+        match self.store.reopen() {
+            Ok(fit) if fit || error.kind == Kind::StorageFull => {}
+            Ok(_) => self.failure = Some(error.clone()),
+            Err(error) if error.kind == Kind::StorageCorrupt => self.failure = Some(error),
+            Err(error) => self.halt(now, &error),
+        }
+        let Some(failed) = self.renew(now) else { return };
+        for action in failed.abandon(error) {
+            if let Action::Applied { .. } | Action::Rejected { .. } = action {
+                self.carry_out(now, action);
+            }
         }
+    }
+
+    /// Replaces the replica by one from the store; returns the former one.
+    fn renew(&mut self, now: Instant) -> Option<Core<M>> {
         let fresh = self
             .store
             .recover()
             .and_then(|recovered| Core::new(self.setup.clone(), recovered, M::default(), now));
-        let fresh = match fresh {
-            Ok(core) => core,
+        match fresh {
+            Ok(core) => Some(std::mem::replace(&mut self.core, core)),
             Err(error) => {
                 self.failure = Some(error);
-                return;
+                None
             }
-        };
-        let failed = std::mem::replace(&mut self.core, fresh);
-        for action in failed.abandon(error) {
-            if let Action::Applied { .. } | Action::Rejected { .. } = action {
-                self.carry_out(now, action);
+        }
+    }
+
+    fn halt(&mut self, now: Instant, error: &Error) {
+        if self.halted.is_none() {
+            log::error!("The replica halts until its store takes writes again: {error}.");
+        }
+        self.halted = Some(now + RETRY);
+    }
+
+    /// Tries to go on after a halt.
+    fn resume(&mut self, now: Instant, due: Instant) {
+        if now < due {
+            return;
+        }
+        match self.store.reopen() {
+            Ok(_) => {
+                log::warn!("The store takes writes again, the replica goes on.");
+                self.halted = None;
+                self.renew(now);
             }
+            Err(error) if error.kind == Kind::StorageCorrupt => self.failure = Some(error),
+            Err(error) => self.halt(now, &error),
         }
     }
+
+    fn check_running(&self) -> Result<()> {
+        if self.halted.is_none() {
+            return Ok(());
+        }
+        Err(Error::new(Kind::StorageFull, "the disk of this control host takes no writes"))
+    }
 }
 
 impl<S: Store> Engine<S> {
@@ -251,6 +306,9 @@
     struct Failing {
         memory: Memory,
         kind: Rc<Cell<Option<Kind>>>,
+        /// What opening the store anew fails with; it is not tried without one at first.
+        reopen: Rc<Cell<Option<Kind>>>,
+        opens: bool,
     }
 
     impl Store for Failing {
@@ -264,14 +322,27 @@
         fn recover(&self) -> Result<Recovered> {
             self.memory.recover()
         }
+
+        fn reopen(&mut self) -> Result<bool> {
+            match self.reopen.get() {
+                Some(kind) => Err(Error::new(kind, "as told")),
+                None => Ok(self.opens),
+            }
+        }
     }
 
     /// Fails the write of a change, and returns its answer with the replica and the time.
     fn fail(kind: Kind) -> (Error, Engine<Failing>, Instant) {
+        fail_with(kind, None)
+    }
+
+    fn fail_with(kind: Kind, reopen: Option<Kind>) -> (Error, Engine<Failing>, Instant) {
         let identity = Identity { host: HostId(1), incarnation: 1 };
         let told = Rc::new(Cell::new(None));
         let memory = Memory::new(Recovered::bootstrap(vec![identity]));
-        let store = Failing { memory, kind: Rc::clone(&told) };
+        let opens = reopen.is_some();
+        let reopen = Rc::new(Cell::new(reopen));
+        let store = Failing { memory, kind: Rc::clone(&told), reopen, opens };
         let mut now = Instant(0);
         let mut engine = Engine::new(Setup::new(identity, 1), store, Vec::new(), now).unwrap();
         now = lead(&mut engine, now);
@@ -302,6 +373,20 @@
         lead(&mut engine, now);
     }
 
+    #[test]
+    fn store_that_can_t_be_opened_anew_halts_the_host_until_it_can() {
+        let (error, mut engine, mut now) = fail_with(Kind::Internal, Some(Kind::Internal));
+        assert_eq!(error.kind, Kind::Unknown, "the change may be on the disk");
+        assert!(engine.failure().is_none());
+        now = now + Span(10_000);
+        engine.tick(now);
+        let refused = engine.submit(now, vec![1]).map(drop).unwrap_err();
+        assert_eq!(refused.kind, Kind::StorageFull);
+        engine.store.reopen.set(None);
+        lead(&mut engine, now + Span(10_000));
+        assert!(engine.failure().is_none());
+    }
+
     #[test]
     fn broken_disk_ends_the_host_and_leaves_the_outcome_open() {
         let (error, engine, _) = fail(Kind::Internal);
--- a/lagoongauged/src/store/files.rs
+++ b/lagoongauged/src/store/files.rs
@@ -54,17 +54,26 @@
     pub fn with_limit(mut volume: V, limit: u64) -> Result<Self> {
         let mut scan = Scan::read(&volume)?;
         mend(&mut volume, &mut scan)?;
-        let covered = |it: &segment::Segment| Covered { number: it.number, highest: it.highest() };
-        let snapshot = scan.recovered.snapshot.as_ref().map_or(0, |it| it.position().index);
-        Ok(Self {
+        let mut store = Self {
             volume,
             identity: scan.identity,
-            segments: scan.segments.iter().map(covered).collect(),
-            length: scan.segments.last().map_or(0, |segment| segment.length),
+            segments: Vec::new(),
+            length: 0,
             limit,
-            snapshot,
+            snapshot: 0,
             poisoned: false,
-        })
+        };
+        store.adopt(&scan);
+        Ok(store)
+    }
+
+    /// Takes over what was found in the folder.
+    fn adopt(&mut self, scan: &Scan) {
+        let covered = |it: &segment::Segment| Covered { number: it.number, highest: it.highest() };
+        self.segments = scan.segments.iter().map(covered).collect();
+        self.length = scan.segments.last().map_or(0, |segment| segment.length);
+        self.snapshot = scan.recovered.snapshot.as_ref().map_or(0, |it| it.position().index);
+        self.poisoned = false;
     }
 
     /// Returns whose folder it is.
@@ -219,6 +228,16 @@
     fn recover(&self) -> Result<Recovered> {
         Ok(Scan::read(&self.volume)?.recovered)
     }
+
+    fn reopen(&mut self) -> Result<bool> {
+        if !self.poisoned {
+            return Ok(true);
+        }
+        let mut scan = Scan::read(&self.volume)?;
+        mend(&mut self.volume, &mut scan)?;
+        self.adopt(&scan);
+        Ok(true)
+    }
 }
 
 fn sort(records: &[Record]) -> Batch<'_> {
--- a/lagoongauged/src/store/volume.rs
+++ b/lagoongauged/src/store/volume.rs
@@ -12,7 +12,7 @@
 
 /// A flat folder; nothing lasts before it is synced.
 pub trait Volume {
-    /// Lists the names of all files, sorted.
+    /// Lists the names of all files, sorted; folders beside them belong to somebody else.
     fn list(&self) -> io::Result<Vec<String>>;
 
     /// Reads a whole file.
@@ -95,8 +95,9 @@
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.folder)? {
-            let name = entry?.file_name().to_string_lossy().into_owned();
-            if name != LOCK {
+            let entry = entry?;
+            let name = entry.file_name().to_string_lossy().into_owned();
+            if name != LOCK && !entry.file_type()?.is_dir() {
                 names.push(name);
             }
         }
--- a/lagoongauged/tests/store/crash.rs
+++ b/lagoongauged/tests/store/crash.rs
@@ -102,3 +102,26 @@
         prop_assert_eq!(store.recover().unwrap().last(), next.last());
     }
 }
+
+/// A disk that refuses every write for a while leaves the store unable to say what it holds; once
+/// it takes writes again, the same process goes on.
+#[test]
+fn store_goes_on_after_its_disk_refused_every_write() {
+    for index in [2_u64, 100, 301] {
+        let mut store = made();
+        for index in 2..index {
+            store.write(&change(index)).unwrap();
+        }
+        let fake = store.into_volume();
+        let refuses = Rc::clone(&fake.refuses);
+        let mut store = FileStore::with_limit(fake, SEGMENT).unwrap();
+        refuses.set(true);
+        store.write(&change(index)).unwrap_err();
+        let reopened = store.reopen();
+        assert!(reopened.is_err() || store.write(&change(index)).is_err());
+        refuses.set(false);
+        assert!(store.reopen().unwrap(), "change {index}");
+        store.write(&change(index)).unwrap();
+        assert_eq!(store.recover().unwrap().last().index, index);
+    }
+}
--- a/lagoongauged/tests/store/fake.rs
+++ b/lagoongauged/tests/store/fake.rs
@@ -29,12 +29,15 @@
     pub room: Rc<Cell<usize>>,
     /// Steps that change something before the process is killed.
     pub steps: usize,
+    /// Whether every step is refused, as a full disk does that takes nothing at all.
+    pub refuses: Rc<Cell<bool>>,
 }
 
 impl Default for Fake {
     fn default() -> Self {
         let (files, names, synced) = Default::default();
-        Self { files, names, synced, room: Rc::new(Cell::new(usize::MAX)), steps: usize::MAX }
+        let room = Rc::new(Cell::new(usize::MAX));
+        Self { files, names, synced, room, steps: usize::MAX, refuses: Rc::default() }
     }
 }
 
@@ -64,6 +67,9 @@
     }
 
     fn step(&mut self) -> io::Result<()> {
+        if self.refuses.get() {
+            return Err(ErrorKind::StorageFull.into());
+        }
         let killed = || io::Error::from(ErrorKind::Interrupted);
         self.steps = self.steps.checked_sub(1).ok_or_else(killed)?;
         Ok(())
