Keep a learner that has just been added, and test control hosts that nobody looks after

Cause: the removal of silent members counted a new learner's silence from the leader's election, so a leader older than 9 s removed each joining host at once; found by a_member_that_is_gone_for_long_is_removed_and_joins_again, which failed first. Whether a leader was heard since the start was told by comparing instants, which fails right after instant 0.

Change: silence counts from when the peer was added; a flag tells whether a leader was heard.

--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -64,7 +64,8 @@
     pub(super) role: Role,
     pub(super) leader: Option<Identity>,
     pub(super) heard: Instant,
-    pub(super) started: Instant,
+    /// Whether a leader was heard since the start.
+    pub(super) led: bool,
     pub(super) deadline: Instant,
     pub(super) next_join: Instant,
     pub(super) next_note: Instant,
@@ -98,7 +99,7 @@
             role: Role::Follower,
             leader: None,
             heard: now,
-            started: now,
+            led: false,
             deadline: now,
             next_join: now,
             next_note: now,
@@ -120,9 +121,6 @@
         }
         core.commit_to(recovered.commit);
         core.reset_deadline();
-        if !core.setup.leases {
-            core.forget_start();
-        }
         Ok(core)
     }
 
@@ -288,18 +286,12 @@
     /// a heartbeat: of a group that starts together, most can't reach each other at first.
     pub(super) fn reset_deadline(&mut self) {
         let Timing { heartbeat, election_min, election_max, .. } = self.setup.timing;
-        let hasty = !self.setup.leases && self.heard < self.started;
+        let hasty = !self.setup.leases && !self.led;
         let range =
             if hasty { heartbeat.0 / 4..=heartbeat.0 } else { election_min.0..=election_max.0 };
         self.deadline = self.now + Span(self.random.random_range(range));
     }
 
-    /// Lets this host stand and vote right after its start, which an earlier lease would forbid.
-    fn forget_start(&mut self) {
-        self.heard = self.now - self.setup.timing.election_min;
-        self.reset_deadline();
-    }
-
     pub(super) fn send(&mut self, to: Identity, body: Body) {
         self.send_in(self.ballot.term, to, body);
     }
--- a/lagoongauge/src/replica/election.rs
+++ b/lagoongauge/src/replica/election.rs
@@ -76,9 +76,12 @@
 
     /// Tells whether a leader was heard so recently that no other may be helped.
     ///
-    /// This holds after a start as well, as the process may have forgotten a leader.
+    /// Where leases are in use this holds after a start as well, as the process may have forgotten
+    /// a leader.
     fn follows(&self) -> bool {
-        self.leads_with_lease() || self.now < self.heard + self.setup.timing.election_min
+        let may_follow = self.led || self.setup.leases;
+        let heard = self.now < self.heard + self.setup.timing.election_min;
+        self.leads_with_lease() || (may_follow && heard)
     }
 
     fn leads_with_lease(&self) -> bool {
@@ -108,6 +111,7 @@
         self.role = Role::Follower;
         self.leader = Some(from);
         self.heard = self.now;
+        self.led = true;
         self.reset_deadline();
         true
     }
--- a/lagoongauge/src/replica/lead.rs
+++ b/lagoongauge/src/replica/lead.rs
@@ -29,6 +29,8 @@
     pub(super) chunk: Option<Instant>,
     /// Latest round that it answered.
     pub(super) answered: Option<Instant>,
+    /// When this leader began to send to it.
+    pub(super) added: Instant,
     /// When the last message was sent.
     sent: Option<Instant>,
     /// When a message last brought the newest entry.
@@ -36,9 +38,9 @@
 }
 
 impl Peer {
-    fn new(next: u64) -> Self {
+    fn new(next: u64, added: Instant) -> Self {
         let (chunk, answered, sent, paced) = Default::default();
-        Self { matched: 0, next, probing: true, offset: None, chunk, answered, sent, paced }
+        Self { matched: 0, next, probing: true, offset: None, chunk, answered, added, sent, paced }
     }
 
     /// Tells whether entries up to `last` may be sent now.
@@ -111,6 +113,7 @@
     pub(super) fn lead(&mut self) {
         let own = self.setup.identity;
         self.leader = Some(own);
+        self.led = true;
         self.role = Role::Leading(Lead {
             peers: IndexMap::new(),
             elected: self.now,
@@ -166,7 +169,7 @@
         let Role::Leading(lead) = &mut self.role else { return };
         lead.peers.retain(|identity, _| members.contains(identity));
         for member in members {
-            lead.peers.entry(member).or_insert_with(|| Peer::new(next));
+            lead.peers.entry(member).or_insert_with(|| Peer::new(next, self.now));
         }
     }
 
--- a/lagoongauge/src/replica/member.rs
+++ b/lagoongauge/src/replica/member.rs
@@ -69,10 +69,10 @@
         (all_there && others.count() >= 1).then_some(Change::Remove(member))
     }
 
-    /// Returns since when a peer has not answered, at most since the election.
+    /// Returns since when a peer has not answered, at most since it was added or this host elected.
     fn silence(&self, identity: Identity) -> Span {
         let Role::Leading(lead) = &self.role else { return Span(0) };
-        let answered = lead.peers.get(&identity).and_then(|peer| peer.answered);
-        self.now.since(answered.unwrap_or(lead.elected))
+        let Some(peer) = lead.peers.get(&identity) else { return Span(0) };
+        self.now.since(peer.answered.unwrap_or(peer.added))
     }
 }
--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -4,4 +4,5 @@
 mod model;
 mod paths;
 mod rules;
+mod unattended;
 mod world;
--- /dev/null
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -0,0 +1,135 @@
+//! Control hosts that nobody looks after: reads without trust in clocks, quick starts, and members
+//! that are gone for good.
+
+use lagoongauge::error::Kind;
+use lagoongauge::replica::{Limits, Timing};
+use lagoongauge::time::{Instant, Span};
+
+use crate::world::World;
+
+/// Rounds of 50 ms in which a new leader is found for certain.
+const ELECTION: usize = 200;
+
+fn unattended(count: usize) -> World {
+    let mut world = World::with(count, Limits::default(), Timing::default());
+    world.leases = false;
+    world.retire = Some(Span::seconds(9));
+    world.restart_all();
+    world
+}
+
+fn leader(world: &World) -> Option<usize> {
+    (0..world.hosts.len())
+        .find(|&at| world.hosts[at].core.as_ref().is_some_and(|core| core.leads()))
+}
+
+fn voters(world: &World) -> usize {
+    let leader = leader(world).expect("one host leads");
+    world.hosts[leader].core.as_ref().unwrap().configuration().voters.len()
+}
+
+#[test]
+fn a_leader_that_stood_still_reads_nothing_as_current() {
+    for leases in [true, false] {
+        let mut world = unattended(3);
+        world.leases = leases;
+        world.restart_all();
+        world.run(ELECTION);
+        let former = leader(&world).unwrap();
+        world.hosts[former].isolated = true;
+        let stood = world.time;
+        world.run(ELECTION);
+        let others = (0..3).filter(|at| *at != former);
+        let next = others.into_iter().find(|&at| {
+            let core = world.hosts[at].core.as_ref().unwrap();
+            core.leads()
+        });
+        assert!(next.is_some_and(|next| next != former), "the others elect another leader");
+        // The host's clock shows the instant at which it stood still.
+        let now = Instant(stood.saturating_sub(1));
+        world.suspend(former, world.time - stood);
+        let core = world.hosts[former].core.as_ref().unwrap();
+        let read = core.read_after(now).map(drop).unwrap_err();
+        assert!(matches!(read.kind, Kind::NotCurrent | Kind::NotLeader), "{read}");
+    }
+}
+
+#[test]
+fn a_read_waits_for_a_quorum_s_answer_to_something_sent_later() {
+    let mut world = unattended(3);
+    world.run(ELECTION);
+    let at = leader(&world).unwrap();
+    let arrived = world.now(at);
+    let core = world.hosts[at].core.as_ref().unwrap();
+    assert_eq!(core.read_after(arrived).map(drop).unwrap_err().kind, Kind::NotCurrent);
+    world.advance(2);
+    let now = world.now(at);
+    world.hosts[at].core.as_mut().unwrap().confirm(now);
+    world.run(1);
+    assert!(world.hosts[at].core.as_ref().unwrap().read_after(arrived).is_ok());
+}
+
+/// With leases a host holds off for an election timeout after its start. Without, most groups have a
+/// leader before that has passed, and the others, in which two stood at once, soon after.
+#[test]
+fn hosts_that_start_together_soon_have_a_leader() {
+    let Timing { heartbeat, election_min, .. } = Timing::default();
+    for count in [3, 4, 7] {
+        let mut world = unattended(count);
+        world.run(ELECTION);
+        let mut times: Vec<u64> = (0..15).map(|_| time_to_leader(&mut world)).collect();
+        times.sort_unstable();
+        let (middle, most) = (times[times.len() / 2], times[times.len() - 1]);
+        assert!(middle <= heartbeat.0, "{count} hosts take {middle} ms in the middle");
+        assert!(most <= 2 * election_min.0, "{count} hosts take {most} ms at most");
+    }
+}
+
+fn time_to_leader(world: &mut World) -> u64 {
+    world.restart_all();
+    let started = world.time;
+    while leader(world).is_none() {
+        world.run(1);
+        assert!(world.time < started + 10_000, "one host leads");
+    }
+    let took = world.time - started;
+    world.run(ELECTION);
+    world.check();
+    took
+}
+
+#[test]
+fn a_member_that_is_gone_for_long_is_removed_and_joins_again() {
+    let mut world = unattended(4);
+    world.run(ELECTION);
+    world.crash(3, usize::MAX);
+    world.run(2 * ELECTION);
+    assert_eq!(voters(&world), 3);
+    world.start(3);
+    world.run(ELECTION);
+    assert_eq!(voters(&world), 4);
+    world.check();
+}
+
+#[test]
+fn two_voters_stay_at_least() {
+    let mut world = unattended(3);
+    world.run(ELECTION);
+    world.crash(2, usize::MAX);
+    world.run(2 * ELECTION);
+    assert_eq!(voters(&world), 2);
+    world.crash(1, usize::MAX);
+    world.run(2 * ELECTION);
+    assert!(world.current().is_none() && leader(&world).is_none(), "one of two is no quorum");
+}
+
+#[test]
+fn a_short_absence_removes_nobody() {
+    let mut world = unattended(3);
+    world.run(ELECTION);
+    world.crash(2, usize::MAX);
+    world.run(120);
+    world.start(2);
+    world.run(ELECTION);
+    assert_eq!(voters(&world), 3);
+}
--- a/lagoongauge/tests/replica/world.rs
+++ b/lagoongauge/tests/replica/world.rs
@@ -8,7 +8,7 @@
     Action, Body, Change, Core, Identity, Limits, Machine, Mark, Memory, Message, ProposalId,
     Record, Recovered, Setup, Store, Timing,
 };
-use lagoongauge::time::Instant;
+use lagoongauge::time::{Instant, Span};
 
 /// Length of one round of [`World::run`] in milliseconds.
 const ROUND: u64 = 50;
@@ -65,6 +65,8 @@
     /// Pairs of hosts that can't reach each other.
     pub cuts: Vec<[usize; 2]>,
     pub timing: Timing,
+    pub leases: bool,
+    pub retire: Option<Span>,
     pub time: u64,
     pub appends: usize,
     pub chunk_bytes: usize,
@@ -105,6 +107,8 @@
             barred: Vec::new(),
             cuts: Vec::new(),
             timing,
+            leases: true,
+            retire: None,
             time: 0,
             appends: 0,
             chunk_bytes: 0,
@@ -136,6 +140,22 @@
         world
     }
 
+    /// The host stands still for a while and its clock does not count it.
+    pub fn suspend(&mut self, at: usize, millis: u64) {
+        self.hosts[at].started += millis;
+    }
+
+    /// Starts all hosts anew at once, with their disks.
+    pub fn restart_all(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.crash(at, usize::MAX);
+        }
+        self.network.clear();
+        for at in 0..self.hosts.len() {
+            self.start(at);
+        }
+    }
+
     /// The host's own clock, which runs up to one percent fast or slow.
     pub fn now(&self, at: usize) -> Instant {
         let host = &self.hosts[at];
@@ -174,6 +194,8 @@
         let mut setup = Setup::new(host.identity, at as u64 * 1000 + host.starts);
         setup.limits = self.limits;
         setup.timing = self.timing;
+        setup.leases = self.leases;
+        setup.retire = self.retire;
         setup.seeds = self.hosts.iter().map(|host| host.identity.host).collect();
         let recovered = host.disk.recover().unwrap();
         let core = Core::new(setup, recovered, Journal::default(), Instant(0)).unwrap();
