Never end a target for one that has gone, and sync the roster

Announcements there carry no incarnation; a control host whose disk was wiped knew the target before its predecessor at the same address, handed both on in that order, and the predecessor, gone with fewer announcements, counted as the later one.

Change: without incarnations a target that has gone or fell silent never ends another. A flow is reset for a target's end only if no caller heard from it since.

Tests that failed first: a_target_without_incarnation_that_has_gone_ends_nobody, a_target_that_answers_after_its_end_was_told_keeps_its_flows.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -27,9 +27,6 @@
 /// Time after which a SYN that nobody acknowledged is forgotten; callers give up after 1.4 s.
 const FORGET_OPENING: Span = Span::millis(1600);
 
-/// Time after a target said that it ends in which its last answers may be under way.
-const FAREWELL: Span = Span::millis(500);
-
 /// Time for which another entry host's report counts.
 const REPORT_VALID: Span = Span::millis(1500);
 
@@ -319,7 +316,7 @@
             (None, None) => return Verdict::Drop(Cause::NoMark),
         };
         let target = &self.targets[key];
-        if target.phase == Phase::Gone && now.since(target.ended) >= FAREWELL {
+        if target.has_ended(now) {
             self.forget(segment.ends);
             return Verdict::Reset(Cause::TargetGone);
         }
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -24,6 +24,12 @@
 /// Time after which a doubted target is tried with another flow.
 const TRIAL: Span = Span::millis(1000);
 
+/// Time after the word of a target's end in which its last answers may be under way.
+const FAREWELL: Span = Span::millis(500);
+
+/// Time after the word of a target's end in which callers may still acknowledge earlier answers.
+const ECHOES: Span = Span::millis(200);
+
 /// A target.
 #[derive(Debug, Clone)]
 pub(super) struct Target {
@@ -99,6 +105,13 @@
         now.since(self.alive)
     }
 
+    /// Tells whether it has ended for certain: its end was told, its last answers are through, and
+    /// no caller has heard from it since.
+    pub(super) fn has_ended(&self, now: Instant) -> bool {
+        let told = self.phase == Phase::Gone && now.since(self.ended) >= FAREWELL;
+        told && !self.lives_since(self.ended + ECHOES)
+    }
+
     /// Notes that an answer of it has arrived at a caller.
     pub(super) fn show_life(&mut self, now: Instant) {
         self.alive = now;
--- a/lagoongauge/src/roster/entry.rs
+++ b/lagoongauge/src/roster/entry.rs
@@ -1,6 +1,5 @@
 //! What a target says of itself.
 
-use std::cmp::Reverse;
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
@@ -48,11 +47,6 @@
         (self.born, self.phase, self.sequence)
     }
 
-    /// Returns what orders two targets that claim one address; the greater one started later.
-    pub(super) fn claim(&self) -> (u64, Reverse<u64>, TargetId) {
-        (self.born, Reverse(self.sequence), self.target)
-    }
-
     /// Returns this entry after an earlier one of the same incarnation, whose phase is final.
     pub(super) fn after(mut self, earlier: &Self) -> Self {
         self.phase = self.phase.max(earlier.phase);
--- a/lagoongauge/src/roster/mod.rs
+++ b/lagoongauge/src/roster/mod.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod opinion;
 
+use std::cmp::Reverse;
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
@@ -187,23 +188,20 @@
 
     /// Gives the address to the latest incarnation that claimed it; the other one has ended.
     ///
-    /// Of two that don't tell when they started, the one that has announced itself less often is
-    /// the later one, unless the other is silent. A target that lost its address never takes it
-    /// back, and one that has gone still shows that those before it have ended.
+    /// A target that lost its address never takes it back.
     fn claim(&mut self, entry: &mut Entry) {
-        let holder = self.claims.insert(entry.address, entry.target);
-        let Some(holder) = holder.filter(|holder| *holder != entry.target) else { return };
-        let Some(former) = self.targets.get_mut(&holder) else { return };
-        if former.entry.address != entry.address {
+        let holder = self.claims.get(&entry.address).copied();
+        let former = holder.filter(|holder| *holder != entry.target);
+        let former = former.and_then(|holder| self.targets.get_mut(&holder));
+        let Some(former) = former.filter(|former| former.entry.address == entry.address) else {
+            self.claims.insert(entry.address, entry.target);
             return;
-        }
-        let quiet = former.silent || former.entry.phase == Phase::Gone;
-        let dated = entry.born > 0 || former.entry.born > 0;
-        if former.entry.claim() > entry.claim() && (dated || !quiet) {
+        };
+        if !started_after(entry, former) {
             entry.phase = Phase::Gone;
-            self.claims.insert(entry.address, holder);
             return;
         }
+        self.claims.insert(entry.address, entry.target);
         if former.entry.phase != Phase::Gone {
             self.stamp += 1;
             former.entry.phase = Phase::Gone;
@@ -211,3 +209,19 @@
         }
     }
 }
+
+/// Tells which of two targets with one address started later.
+///
+/// Of two that don't tell when they started, one that has gone or fell silent started earlier, and
+/// else the one that has announced itself more often.
+fn started_after(entry: &Entry, former: &Held) -> bool {
+    let other = &former.entry;
+    if entry.born > 0 || other.born > 0 {
+        return (entry.born, entry.target) > (other.born, other.target);
+    }
+    if entry.phase == Phase::Gone {
+        return false;
+    }
+    let ended = former.silent || other.phase == Phase::Gone;
+    ended || (Reverse(entry.sequence), entry.target) > (Reverse(other.sequence), other.target)
+}
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -129,6 +129,21 @@
     assert_eq!(world.data(1, 2, 10), Verdict::Reset(Cause::TargetGone));
 }
 
+/// The word that a target has ended may be wrong, as it may come from hosts that mistook its
+/// address for another's; a target that callers hear from keeps its flows.
+#[test]
+fn a_target_that_answers_after_its_end_was_told_keeps_its_flows() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    world.mark = Some(Mark::of(target));
+    world.data(1, 1, 0);
+    world.set_phase(target, Phase::Gone);
+    world.pass(300);
+    world.show_life(target);
+    world.pass(300);
+    assert_eq!(target_of(world.data(1, 2, 10)), target);
+}
+
 #[test]
 fn a_silent_target_keeps_its_flows() {
     let mut world = World::new(&[1, 2]);
--- a/lagoongauge/tests/roster.rs
+++ b/lagoongauge/tests/roster.rs
@@ -89,6 +89,21 @@
     }
 }
 
+/// Seen on cbgha scale-2, seed 3: a control host whose disk was wiped learned of the successor
+/// first, and handed both on in that order.
+#[test]
+fn a_target_without_incarnation_that_has_gone_ends_nobody() {
+    let former = Entry { phase: Phase::Gone, ..entry(1, 0, 12) };
+    let successor = entry(2, 0, 17);
+    for order in [[&former, &successor], [&successor, &former]] {
+        let mut roster = roster();
+        for entry in order {
+            roster.merge(NOW, entry.clone());
+        }
+        assert_eq!((phase(&roster, 1), phase(&roster, 2)), (Phase::Gone, Phase::Serving));
+    }
+}
+
 #[test]
 fn a_silent_target_without_incarnation_gives_its_address_up() {
     let mut roster = roster();
--- a/lagoongauged/src/cluster/keep.rs
+++ b/lagoongauged/src/cluster/keep.rs
@@ -1,11 +1,14 @@
 //! The roster on disk, for the next process of a control host.
 //!
-//! It is a hint and never synced: what was lost of it the targets say again. Without it a control
-//! host that was killed would know no target until each has announced itself.
+//! It is a hint, written by a thread of its own some hundred milliseconds late: what it lacks the
+//! targets say again. Without it a group of control hosts that lost power as a whole would know no
+//! target until each has announced itself.
 
-use std::fs;
-use std::io::{Error, ErrorKind, Result};
+use std::fs::{self, File};
+use std::io::{Error, ErrorKind, Result, Write};
 use std::path::PathBuf;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
 use std::time::Duration;
 
 use async_std::task::sleep;
@@ -21,7 +24,7 @@
 const FRESH: &str = "roster.new";
 
 /// Pause between two looks for changes.
-const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(400);
 
 /// Where the roster is kept.
 #[derive(Debug, Clone)]
@@ -33,6 +36,9 @@
     /// Keeps the roster in a folder of its own, which is created if it is missing.
     pub fn new(folder: PathBuf) -> Result<Self> {
         fs::create_dir_all(&folder)?;
+        if let Some(parent) = folder.parent() {
+            File::open(parent)?.sync_all()?;
+        }
         Ok(Self { folder })
     }
 
@@ -56,15 +62,41 @@
         let mut bytes = postcard::to_stdvec(entries).map_err(|error| invalid(&error))?;
         let checksum = crc32fast::hash(&bytes);
         bytes.extend_from_slice(&checksum.to_be_bytes());
-        fs::write(self.folder.join(FRESH), bytes)?;
-        fs::rename(self.folder.join(FRESH), self.folder.join(NAME))
+        let fresh = self.folder.join(FRESH);
+        let mut file = File::create(&fresh)?;
+        file.write_all(&bytes)?;
+        file.sync_all()?;
+        fs::rename(&fresh, self.folder.join(NAME))?;
+        File::open(&self.folder)?.sync_all()
+    }
+
+    /// Writes what comes, as a disk may be slow and nothing else may wait for it.
+    fn write_all(&self, rosters: &Receiver<Vec<Entry>>) {
+        let mut failing = false;
+        while let Ok(entries) = rosters.recv() {
+            match self.write(&entries) {
+                Ok(()) => failing = false,
+                Err(error) if !failing => {
+                    log::warn!("the roster can't be kept: {error}");
+                    failing = true;
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Starts the writing thread.
+    pub(super) fn start(self) -> Result<SyncSender<Vec<Entry>>> {
+        let (sender, receiver) = sync_channel(1);
+        let write = move || self.write_all(&receiver);
+        thread::Builder::new().name("roster".into()).spawn(write)?;
+        Ok(sender)
     }
 }
 
-/// Writes the roster whenever it has changed.
-pub(super) async fn keep<S: Store + 'static>(host: Shared<S>, keeper: Keeper) {
+/// Hands the roster to the writing thread whenever it has changed and the thread is free.
+pub(super) async fn keep<S: Store + 'static>(host: Shared<S>, writer: SyncSender<Vec<Entry>>) {
     let mut kept = 0;
-    let mut failing = false;
     loop {
         sleep(PAUSE).await;
         let stamp = host.roster.borrow().stamp();
@@ -72,16 +104,8 @@
             continue;
         }
         let entries = host.roster.borrow().entries();
-        match keeper.write(&entries) {
-            Ok(()) => {
-                kept = stamp;
-                failing = false;
-            }
-            Err(error) if !failing => {
-                log::warn!("the roster can't be kept: {error}");
-                failing = true;
-            }
-            Err(_) => {}
+        if writer.try_send(entries).is_ok() {
+            kept = stamp;
         }
     }
 }
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -81,7 +81,10 @@
     serve(Rc::clone(&host)).await?;
     spawn_local(accept(Rc::clone(&host), listener));
     host.resume(keeper.read());
-    spawn_local(keep(Rc::clone(&host), keeper));
+    let writer = keeper.start().map_err(|error| {
+        Error::new(Kind::Internal, format!("the roster can't be kept: {error}"))
+    })?;
+    spawn_local(keep(Rc::clone(&host), writer));
     spawn_local(gossip(Rc::clone(&host)));
     let mut led = None;
     while !stop.is_raised() {
