Lead from a caller's address to the cause, and join the operators' pages

Cause: on call there was no way from a complaint to a cause.

Change: lagoonctl explain reads log lines of several hosts and tells the story of a flow with its cause; docs/OPERATIONS.md, joined with OPERATING.md, shows three kinds of failed request with lines of a run. Lines of threads other than the first carried no host; they carry it now.

--- a/lagoongauge/src/burn/mod.rs
+++ b/lagoongauge/src/burn/mod.rs
@@ -1,7 +1,7 @@
 //! Service-level burn: how fast a service uses up the errors that its objectives allow.
 //!
 //! Entry hosts count in a [`Ledger`]; their [`HostBurn`]s are summed into a [`Report`], which names
-//! the hosts that are missing. See "Burn" in docs/OPERATING.md.
+//! the hosts that are missing. See "Burn" in docs/OPERATIONS.md.
 
 mod ledger;
 mod objective;
--- a/lagoongauged/src/bin/lagoon-control.rs
+++ b/lagoongauged/src/bin/lagoon-control.rs
@@ -1,4 +1,4 @@
-//! The control host; see docs/OPERATING.md.
+//! The control host; see docs/OPERATIONS.md.
 
 use std::process::ExitCode;
 
--- a/lagoongauged/src/bin/lagoon-entry.rs
+++ b/lagoongauged/src/bin/lagoon-entry.rs
@@ -1,4 +1,4 @@
-//! The entry host; see docs/OPERATING.md.
+//! The entry host; see docs/OPERATIONS.md.
 
 use std::process::ExitCode;
 use std::thread;
--- a/lagoongauged/src/bin/lagoonctl.rs
+++ b/lagoongauged/src/bin/lagoonctl.rs
@@ -1,14 +1,17 @@
-//! The operators' tool; see docs/OPERATING.md.
+//! The operators' tool; see docs/OPERATIONS.md.
 
 use std::process::ExitCode;
 
-use lagoongauged::ctl::{self, Failure, Options, raw_options};
+use lagoongauged::ctl::{self, Command, Failure, Options, raw_options};
 use lagoongauged::daemon::flags;
 
 fn main() -> ExitCode {
     let raw = flags::parse(raw_options());
     let json = raw.json;
-    let result = Options::try_from(raw).map_err(Failure::from).and_then(ctl::run);
+    let result = match &raw.command {
+        Command::Explain { caller, files } => ctl::explain_flow(caller, files),
+        _ => Options::try_from(raw).map_err(Failure::from).and_then(ctl::run),
+    };
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
--- a/lagoongauged/src/cluster/keep.rs
+++ b/lagoongauged/src/cluster/keep.rs
@@ -16,6 +16,7 @@
 use lagoongauge::roster::Entry;
 
 use super::host::Shared;
+use crate::daemon::LogContext;
 
 /// Name of the file within the folder beside the log.
 const NAME: &str = "roster";
@@ -88,7 +89,11 @@
     /// Starts the writing thread.
     pub(super) fn start(self) -> Result<SyncSender<Vec<Entry>>> {
         let (sender, receiver) = sync_channel(1);
-        let write = move || self.write_all(&receiver);
+        let context = LogContext::capture();
+        let write = move || {
+            context.enter();
+            self.write_all(&receiver);
+        };
         thread::Builder::new().name("roster".into()).spawn(write)?;
         Ok(sender)
     }
--- a/lagoongauged/src/ctl/commands.rs
+++ b/lagoongauged/src/ctl/commands.rs
@@ -9,7 +9,7 @@
 use lagoongauge::settings::{Change, Edit};
 
 use super::options::{Command, Options, Plan, TokenAction};
-use super::{Failure, print, tokens, words};
+use super::{Failure, explain, print, tokens, words};
 use crate::control::client::{Client, Query};
 
 /// How often a change without `--expect` is asked for anew when another change came first.
@@ -52,6 +52,7 @@
             tool.change(paths.into_iter().map(|path| Edit::Remove { path }).collect(), &plan)
         }
         Command::Watch { count, path } => tool.watch(&path, count),
+        Command::Explain { caller, files } => explain(&caller, &files),
         Command::Status => tool.status(),
         Command::Hosts => tool.hosts(),
         Command::Drain { undo, host } => tool.drain(host, !undo),
@@ -60,6 +61,16 @@
     }
 }
 
+/// Prints the story of a flow and its cause.
+pub fn explain(caller: &str, files: &[String]) -> Done {
+    let story = explain::explain(&explain::read(files)?, caller);
+    for line in &story.lines {
+        println!("{line}");
+    }
+    println!("cause: {}", story.cause);
+    Ok(())
+}
+
 struct Tool {
     client: Client,
     json: bool,
--- /dev/null
+++ b/lagoongauged/src/ctl/explain.rs
@@ -0,0 +1,208 @@
+//! The story of one flow, told from the log lines of several hosts.
+//!
+//! See "From a failed request to its cause" in docs/OPERATIONS.md.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+
+use chrono::{DateTime, TimeDelta, Utc};
+use indexmap::IndexMap;
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::mark::Cause;
+use serde::Deserialize;
+
+/// Time before a flow's first decision, and after its last, whose other lines may explain it.
+const WINDOW: TimeDelta = TimeDelta::seconds(5);
+
+/// A log line of any program.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Line {
+    /// When it was written, by the writing host's calendar.
+    pub time: DateTime<Utc>,
+    /// What happened.
+    pub message: String,
+    /// Host and data centre.
+    #[serde(default)]
+    pub mdc: IndexMap<String, String>,
+    /// Inputs and outcome of a decision.
+    #[serde(default)]
+    pub attributes: IndexMap<String, String>,
+}
+
+/// What explains a flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Story {
+    /// The lines in the order of their times.
+    pub lines: Vec<Line>,
+    /// What the lines come to.
+    pub cause: Finding,
+}
+
+/// What the lines of a flow come to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Finding {
+    /// No line speaks of the flow.
+    Unknown,
+    /// The flow was reset, or its packets were dropped, for this cause.
+    Refused(String),
+    /// The flow's packets were dropped by a host that had just started and had no catalog yet.
+    Starting,
+    /// The flow's target fell silent, drained or ended after the flow began.
+    Target(String),
+    /// The host that carried the flow stopped or started while it was open.
+    Host(String),
+    /// The flow began, and nothing that was logged speaks against it.
+    Carried,
+}
+
+/// Reads the lines of files, or of standard input if there are none; other lines are left out.
+///
+/// Fails with `NotFound` for a file that can't be read.
+pub fn read(files: &[String]) -> Result<Vec<Line>> {
+    if files.is_empty() {
+        return parse(io::stdin().lock(), "standard input");
+    }
+    let mut lines = Vec::new();
+    for name in files {
+        let file = File::open(name).map_err(|error| unreadable(name, &error))?;
+        lines.extend(parse(BufReader::new(file), name)?);
+    }
+    Ok(lines)
+}
+
+/// Tells the story of the flows from a caller's address and port.
+pub fn explain(lines: &[Line], caller: &str) -> Story {
+    let prefix = format!("{caller}>");
+    let own = |line: &&Line| line.attribute("flow").is_some_and(|flow| flow.starts_with(&prefix));
+    let decisions: Vec<&Line> = lines.iter().filter(own).collect();
+    let Some(first) = decisions.iter().map(|line| line.time).min() else {
+        return Story { lines: Vec::new(), cause: Finding::Unknown };
+    };
+    let last = decisions.iter().map(|line| line.time).max().unwrap_or(first);
+    let targets: BTreeSet<&str> =
+        decisions.iter().filter_map(|line| line.attribute("target")).collect();
+    let hosts: BTreeSet<&str> = decisions.iter().filter_map(|line| line.host()).collect();
+    let near = |line: &&Line| line.time >= first - WINDOW && line.time <= last + WINDOW;
+    let about = |line: &&Line| {
+        line.attribute("target").is_some_and(|target| targets.contains(target))
+            || targets.iter().any(|target| names(&line.message, target))
+            || (line.host().is_some_and(|host| hosts.contains(host)) && line.is_life())
+    };
+    let speaks = |line: &&Line| own(line) || (line.attribute("flow").is_none() && about(line));
+    let mut told: Vec<Line> = lines.iter().filter(near).filter(speaks).cloned().collect();
+    told.sort_by_key(|line| line.time);
+    let cause = find(&told, first);
+    Story { lines: told, cause }
+}
+
+/// Finds the cause: what was decided on the flow goes before what happened around it.
+fn find(lines: &[Line], began: DateTime<Utc>) -> Finding {
+    let refused = lines.iter().rev().find(|line| line.attribute("cause").is_some());
+    if let Some(line) = refused {
+        let cause = line.attribute("cause").unwrap_or_default();
+        let starting = line.attribute("version") == Some("0");
+        return if starting { Finding::Starting } else { Finding::Refused(cause.into()) };
+    }
+    let later = || lines.iter().filter(|line| line.time >= began);
+    let ended = |line: &&Line| {
+        let phase = line.attribute("phase").is_some_and(|phase| phase != "Serving");
+        phase || line.attribute("silent") == Some("true")
+    };
+    if let Some(line) = later().find(ended) {
+        let target = line.attribute("target").unwrap_or("the target");
+        let phase = line.attribute("phase").unwrap_or_default();
+        let silent = line.attribute("silent").unwrap_or_default();
+        return Finding::Target(format!("{target} is {phase}, silent {silent}"));
+    }
+    match later().find(|line| line.is_life()) {
+        Some(line) => Finding::Host(line.message.clone()),
+        None => Finding::Carried,
+    }
+}
+
+impl Line {
+    fn attribute(&self, name: &str) -> Option<&str> {
+        self.attributes.get(name).map(String::as_str)
+    }
+
+    fn host(&self) -> Option<&str> {
+        self.mdc.get("host").map(String::as_str)
+    }
+
+    /// Tells whether the line says that its process starts or ends.
+    fn is_life(&self) -> bool {
+        self.message.contains(" starts as ") || self.message.contains(" host ends")
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = self.time.format("%H:%M:%S%.3f");
+        write!(f, "{time} {:<12} {}", self.host().unwrap_or("-"), self.message)?;
+        for (name, value) in &self.attributes {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => f.write_str(
+                "no line speaks of the flow: it reached no entry host whose log was given, or its \
+                 lines were left out (lagoon_entry_omitted_log_lines_total)",
+            ),
+            Self::Refused(cause) => write!(f, "{cause}: {}", meaning(cause)),
+            Self::Starting => f.write_str(
+                "starting: the packets reached an entry host that had just started and had no \
+                 catalog yet; see why it started, and whether control hosts had a leader",
+            ),
+            Self::Target(state) => {
+                write!(f, "the flow's target changed while it was open: {state}")
+            }
+            Self::Host(message) => write!(f, "the flow's entry host: {message}"),
+            Self::Carried => f.write_str(
+                "the entry hosts carried the flow; look at the target and at the caller's side",
+            ),
+        }
+    }
+}
+
+/// Returns what a cause means to a person.
+fn meaning(cause: &str) -> &'static str {
+    match Cause::ALL.into_iter().find(|known| known.name() == cause) {
+        Some(Cause::NoRoute) => "no catalog in force here has a route for the address",
+        Some(Cause::RouteRemoved) => "a later catalog removed the route",
+        Some(Cause::NoTarget) => "no target of the service takes new flows; nothing was run",
+        Some(Cause::TargetGone) => "the flow's target has ended",
+        Some(Cause::UnknownMark) => "the host does not know the flow's target yet",
+        Some(Cause::ForeignMark) => "the packet names a target of another service",
+        Some(Cause::NoMark) => "the host knows neither the flow nor its target",
+        None => "written by another version",
+    }
+}
+
+/// Tells whether a text names a target as a word.
+fn names(text: &str, target: &str) -> bool {
+    text.split(|letter: char| !letter.is_alphanumeric()).any(|word| word == target)
+}
+
+fn parse(reader: impl BufRead, name: &str) -> Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for text in reader.lines() {
+        let text = text.map_err(|error| unreadable(name, &error))?;
+        // Collectors put times and names of machines in front of what a process wrote.
+        let Some(start) = text.find('{') else { continue };
+        if let Ok(line) = serde_json::from_str(&text[start..]) {
+            lines.push(line);
+        }
+    }
+    Ok(lines)
+}
+
+fn unreadable(name: &str, error: &io::Error) -> Error {
+    Error::new(Kind::NotFound, format!("{name} can't be read: {error}"))
+}
--- a/lagoongauged/src/ctl/mod.rs
+++ b/lagoongauged/src/ctl/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' tool: commands, what they ask the control hosts for, and how answers are shown.
 
 mod commands;
+pub mod explain;
 mod options;
 mod print;
 mod tokens;
@@ -8,7 +9,7 @@
 
 use lagoongauge::error::Error;
 
-pub use commands::run;
+pub use commands::{explain as explain_flow, run};
 pub use options::{Command, Options, RawOptions, raw_options};
 pub use print::failure as fail;
 
--- a/lagoongauged/src/ctl/options.rs
+++ b/lagoongauged/src/ctl/options.rs
@@ -26,6 +26,7 @@
   lagoonctl set / lock=max_rate /tsenkher ~max_rate
   lagoonctl watch /tsenkher
   lagoonctl drain 12
+  lagoonctl explain 100.64.0.7:40001 entry-1.log entry-2.log control-1.log
   lagoonctl token make /tsenkher/operators/ann --subtree /tsenkher"
     )
 )]
@@ -103,6 +104,16 @@
         #[bpaf(positional("PATH"), fallback("/".to_string()))]
         path: String,
     },
+    /// Tells the story of a flow from the logs of entry and control hosts; asks no control host.
+    #[bpaf(command)]
+    Explain {
+        /// The caller's address and port, as in 100.64.0.7:40001.
+        #[bpaf(positional("CALLER"))]
+        caller: String,
+        /// Log files; standard input if none are given.
+        #[bpaf(positional("FILE"))]
+        files: Vec<String>,
+    },
     /// Shows all hosts, which version is in force where, and what entry hosts report.
     #[bpaf(command)]
     Status,
--- a/lagoongauged/src/daemon/log.rs
+++ b/lagoongauged/src/daemon/log.rs
@@ -79,3 +79,23 @@
         log_mdc::insert("centre", self.centre.clone());
     }
 }
+
+/// The log context of a thread, to be carried over to another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogContext {
+    pairs: Vec<(String, String)>,
+}
+
+impl LogContext {
+    /// Returns the context of the calling thread.
+    pub fn capture() -> Self {
+        let mut pairs = Vec::new();
+        log_mdc::iter(|name, value| pairs.push((name.to_string(), value.to_string())));
+        Self { pairs }
+    }
+
+    /// Puts the context on every line of the calling thread.
+    pub fn enter(self) {
+        log_mdc::extend(self.pairs);
+    }
+}
--- a/lagoongauged/src/daemon/mod.rs
+++ b/lagoongauged/src/daemon/mod.rs
@@ -8,5 +8,5 @@
 
 pub use self::clock::Clock;
 pub use self::exit::{exit, fail};
-pub use self::log::{LogLevel, LogOutput, LogSetup, init_log};
+pub use self::log::{LogContext, LogLevel, LogOutput, LogSetup, init_log};
 pub use self::signal::{Reload, Stop};
--- a/lagoongauged/src/steer/decisions.rs
+++ b/lagoongauged/src/steer/decisions.rs
@@ -9,6 +9,8 @@
 use lagoongauge::mark::{Cause, Ends, Mark, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
+use crate::daemon::LogContext;
+
 /// Lines that may wait for the thread that writes them.
 const WAITING: usize = 512;
 
@@ -60,7 +62,12 @@
     /// Starts the writing thread.
     pub fn start(now: Instant) -> std::io::Result<Self> {
         let (sender, receiver) = sync_channel(WAITING);
-        thread::Builder::new().name("decisions".into()).spawn(move || write_all(&receiver))?;
+        let context = LogContext::capture();
+        let write = move || {
+            context.enter();
+            write_all(&receiver);
+        };
+        thread::Builder::new().name("decisions".into()).spawn(write)?;
         let budget = Budget { left: BURST, refilled: now, omitted: 0 };
         Ok(Self { sender, budgets: Mutex::new([budget; KINDS]) })
     }
--- a/lagoongauged/src/store/mod.rs
+++ b/lagoongauged/src/store/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Files: `identity` (format version and incarnation), `ballot` (term and vote, twice), `snapshot`
 //! and the segments of the log (`log-…`), of which all but the last are sealed. Everything is
-//! checksummed. See "Data folder" in docs/OPERATING.md.
+//! checksummed. See "Data folder" in docs/OPERATIONS.md.
 //!
 //! Errors: `StorageCorrupt` for damage, `StorageFull` for a full disk, `StorageLocked` while
 //! another process holds the folder, `NotFound` for a folder without data, `Usage` for a folder
