Back off from short pauses, and reset repeatable flows to targets that are out of reach

A request that may be repeated is reset when its target is out of reach: callers repeat and hear nothing for a second, and either control hosts hear nothing of it as well, or this host is cut off and the target stands elsewhere. Requests that may run once are left alone.

Ruled out: resetting on the callers' silence alone; a slow target with one flow looks the same.

Tests that failed first: four in lagoongauge/tests/marks on lost targets.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -12,7 +12,7 @@
 use super::service::Front;
 use super::target::{Target, TargetKey};
 use super::{Ends, Mark, Segment, Signal};
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, Repeat};
 use crate::flow::{FlowHash, HashKey, Protocol, Tuple};
 use crate::id::{HostId, TargetId};
 use crate::roster::{Entry, Phase};
@@ -33,6 +33,9 @@
 /// Time for which a target that went is kept, so that its flows can be reset.
 const KEEP_GONE: Span = Span::seconds(90);
 
+/// Time without a confirming control host after which this host counts as cut off.
+const CUT_OFF: Span = Span::millis(1000);
+
 /// Most waits that are kept until they are taken.
 const MAX_WAITS: usize = 4096;
 
@@ -58,6 +61,8 @@
     NoTarget,
     /// The flow's target has ended.
     TargetGone,
+    /// The flow's target is out of reach, and its requests may be repeated elsewhere.
+    TargetLost,
     /// The packet's mark names no target that is known here.
     UnknownMark,
     /// The packet's mark names a target of a service that the route never led to.
@@ -68,11 +73,12 @@
 
 impl Cause {
     /// All causes, in the order of their numbers.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::NoRoute,
         Self::RouteRemoved,
         Self::NoTarget,
         Self::TargetGone,
+        Self::TargetLost,
         Self::UnknownMark,
         Self::ForeignMark,
         Self::NoMark,
@@ -85,6 +91,7 @@
             Self::RouteRemoved => "route_removed",
             Self::NoTarget => "no_target",
             Self::TargetGone => "target_gone",
+            Self::TargetLost => "target_lost",
             Self::UnknownMark => "unknown_mark",
             Self::ForeignMark => "foreign_mark",
             Self::NoMark => "no_mark",
@@ -127,6 +134,8 @@
     waits: Vec<Span>,
     version: u64,
     current: bool,
+    /// When control hosts last confirmed what this host knows.
+    confirmed: Instant,
 }
 
 impl Router {
@@ -145,6 +154,7 @@
             waits: Vec::new(),
             version: 0,
             current: false,
+            confirmed: Instant::default(),
         }
     }
 
@@ -206,10 +216,18 @@
     }
 
     /// Notes whether what this host knows is confirmed as the newest.
-    pub fn set_current(&mut self, current: bool) {
+    pub fn set_current(&mut self, now: Instant, current: bool) {
+        if self.current || current {
+            self.confirmed = now;
+        }
         self.current = current;
     }
 
+    /// Tells whether this host has heard of no quorum of control hosts for some time.
+    fn is_cut_off(&self, now: Instant) -> bool {
+        !self.current && now.since(self.confirmed) >= CUT_OFF
+    }
+
     /// Takes over what a target announced of itself, and whether it fell silent since.
     pub fn set_target(&mut self, now: Instant, entry: &Entry, silent: bool) {
         let key = match self.names.get(&entry.target) {
@@ -320,6 +338,13 @@
             self.forget(segment.ends);
             return Verdict::Reset(Cause::TargetGone);
         }
+        let request = segment.signal == Signal::Middle && segment.length > 0;
+        let repeats = self.fronts[&segment.ends.front].repeat == Repeat::Idempotent;
+        if request && repeats && target.is_lost(now, self.is_cut_off(now)) {
+            self.targets[key].note_repeat();
+            self.forget(segment.ends);
+            return Verdict::Reset(Cause::TargetLost);
+        }
         if known.is_some_and(|flow| flow.target != key) {
             self.forget(segment.ends);
         }
--- a/lagoongauge/src/mark/service.rs
+++ b/lagoongauge/src/mark/service.rs
@@ -1,7 +1,7 @@
 //! Front addresses as an entry host knows them.
 
 use super::place::Habit;
-use crate::catalog::{Catalog, Route};
+use crate::catalog::{Catalog, Repeat, Route};
 use crate::time::Span;
 
 /// Flows after which their number of requests tells a habit.
@@ -19,6 +19,8 @@
     allowed: Vec<String>,
     /// Time after which an answer is of no use to the caller.
     pub(super) timeout: Span,
+    /// Whether callers may repeat its requests.
+    pub(super) repeat: Repeat,
     /// Flows that began here lately.
     flows: u32,
     /// Requests that flows brought lately.
@@ -31,6 +33,7 @@
             choices: Vec::new(),
             allowed: Vec::new(),
             timeout: Span(0),
+            repeat: route.repeat,
             flows: 0,
             requests: 0,
         };
@@ -46,6 +49,7 @@
             .map(|choice| (names[usize::from(choice.service.0)].clone(), choice.weight))
             .collect();
         self.timeout = route.timeout;
+        self.repeat = route.repeat;
         for (name, _) in &self.choices {
             if !self.allowed.contains(name) {
                 self.allowed.push(name.clone());
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -21,6 +21,10 @@
 /// Repeated packets without a sign of life in between that make a target doubtful.
 const DOUBT_REPEATS: u16 = 3;
 
+/// Time without any sign of life after which a doubted target is out of reach, if other evidence
+/// says so too.
+const LOST: Span = Span::millis(1000);
+
 /// Time after which a doubted target is tried with another flow.
 const TRIAL: Span = Span::millis(1000);
 
@@ -128,6 +132,13 @@
         self.repeats >= DOUBT_REPEATS && now.since(self.alive) >= DOUBT
     }
 
+    /// Tells whether it is out of reach: callers hear nothing from it, and either control hosts hear
+    /// nothing as well, or this host is cut off and the target stands in another data centre.
+    pub(super) fn is_lost(&self, now: Instant, cut_off: bool) -> bool {
+        let unheard = self.doubtful(now) && self.quiet(now) >= LOST;
+        unheard && (self.silent || (cut_off && !self.near))
+    }
+
     /// Returns it as a candidate; a doubted one is tried now and then.
     pub(super) fn candidate(&self, now: Instant) -> Candidate {
         let mut load = self.own;
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -104,7 +104,7 @@
 fn a_host_that_may_be_behind_refuses_no_unknown_address() {
     let mut world = World::new(&[1]);
     assert_eq!(world.open_to(1, OTHER), Verdict::Reset(Cause::NoRoute));
-    world.router.set_current(false);
+    world.cut_off();
     assert_eq!(world.open_to(1, OTHER), Verdict::Drop(Cause::NoRoute));
 }
 
@@ -144,6 +144,52 @@
     assert_eq!(target_of(world.data(1, 2, 10)), target);
 }
 
+#[test]
+fn a_flow_to_a_target_that_control_hosts_and_callers_hear_nothing_of_is_reset() {
+    let target = lagoongauge::id::TargetId(1);
+    let mut world = World::new(&[1, 2]);
+    world.fall_quiet(1, target);
+    assert_eq!(target_of(world.data(1, 1, 0)), target, "callers alone are no proof");
+    world.set_silent(target, true);
+    assert_eq!(world.data(1, 1, 0), Verdict::Reset(Cause::TargetLost));
+}
+
+#[test]
+fn a_host_that_is_cut_off_resets_flows_to_other_data_centres_that_are_out_of_reach() {
+    let target = lagoongauge::id::TargetId(1);
+    for far in [true, false] {
+        let mut world = World::new(&[1, 2]);
+        if far {
+            world = World::new(&[2]);
+            world.set_far(target);
+        }
+        world.cut_off();
+        world.fall_quiet(1, target);
+        let lost = world.data(1, 1, 0) == Verdict::Reset(Cause::TargetLost);
+        assert_eq!(lost, far, "only another data centre can be cut off");
+    }
+}
+
+#[test]
+fn a_request_that_may_run_once_is_left_with_its_target() {
+    let target = lagoongauge::id::TargetId(1);
+    let mut world = World::once(&[1, 2]);
+    world.fall_quiet(1, target);
+    world.set_silent(target, true);
+    assert_eq!(target_of(world.data(1, 1, 0)), target);
+}
+
+#[test]
+fn a_slow_target_that_answers_somebody_keeps_its_flows() {
+    let target = lagoongauge::id::TargetId(1);
+    let mut world = World::new(&[2]);
+    world.set_far(target);
+    world.cut_off();
+    world.fall_quiet(1, target);
+    world.show_life(target);
+    assert_eq!(target_of(world.data(1, 1, 0)), target);
+}
+
 #[test]
 fn a_silent_target_keeps_its_flows() {
     let mut world = World::new(&[1, 2]);
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -28,7 +28,7 @@
         let setup = Setup { centre: "a".into(), key: HashKey([1; 16]), flows: 10_000 };
         let mut world = Self { router: Router::new(setup), mark: None, now: Instant(100_000) };
         world.set_routes(1, &[(FRONT, "desk")]);
-        world.router.set_current(true);
+        world.router.set_current(world.now, true);
         for target in targets {
             world.add_target(*target, "desk");
         }
@@ -36,7 +36,34 @@
     }
 
     pub fn set_routes(&mut self, version: u64, routes: &[(SocketAddrV4, &str)]) {
-        self.router.set_catalog(&catalog(version, routes));
+        self.router.set_catalog(&catalog(version, routes, Repeat::Idempotent));
+    }
+
+    /// A host whose requests may run once at most.
+    pub fn once(targets: &[u64]) -> Self {
+        let mut world = Self::new(targets);
+        world.router.set_catalog(&catalog(2, &[(FRONT, "desk")], Repeat::Once));
+        world
+    }
+
+    pub fn set_far(&mut self, target: TargetId) {
+        let entry = Entry { centre: "b".into(), ..entry(target.0, "desk") };
+        self.router.set_target(self.now, &entry, false);
+    }
+
+    /// The control hosts confirm nothing any more.
+    pub fn cut_off(&mut self) {
+        self.router.set_current(self.now, false);
+    }
+
+    /// A flow of the target whose caller repeats its request and hears nothing for a second.
+    pub fn fall_quiet(&mut self, caller: u16, target: TargetId) {
+        self.mark = Some(Mark::of(target));
+        self.data(caller, 1, 0);
+        for _ in 0..4 {
+            self.pass(300);
+            self.data(caller, 1, 0);
+        }
     }
 
     pub fn add_target(&mut self, target: u64, service: &str) {
@@ -132,12 +159,12 @@
     }
 }
 
-pub fn catalog(version: u64, routes: &[(SocketAddrV4, &str)]) -> Catalog {
+pub fn catalog(version: u64, routes: &[(SocketAddrV4, &str)], repeat: Repeat) -> Catalog {
     let route = |(address, service): &(SocketAddrV4, &str)| RawRoute {
         name: address.to_string(),
         address: *address,
         choices: vec![RawChoice { service: (*service).into(), weight: 1 }],
-        repeat: Repeat::Idempotent,
+        repeat,
         timeout: Span(1500),
         objective: Span(150),
         priority: 1,
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -14,6 +14,7 @@
 
 use super::host::Shared;
 use super::message::{Hello, Peer, address_of};
+use crate::daemon::Backoff;
 use crate::frame;
 
 /// Time in which a control host has to accept a connection.
@@ -25,9 +26,6 @@
 /// Time after which a quiet connection counts as lost; lists of hosts are sent more often.
 pub(super) const QUIET: Duration = Duration::from_millis(4000);
 
-/// Pause before a lost connection is opened anew.
-const PAUSE: Duration = Duration::from_millis(200);
-
 /// Messages that wait for a connection; the oldest are dropped, as the log repeats itself.
 const WAITING: usize = 512;
 
@@ -75,6 +73,7 @@
 async fn run<S: Store + 'static>(host: Shared<S>, peer: HostId) {
     let address = address_of(peer, host.setup.port);
     let mut lost = false;
+    let mut backoff = Backoff::default();
     loop {
         match frame::dial(address, DIAL).await {
             Ok(stream) => {
@@ -82,6 +81,7 @@
                 let ended = carry(&host, peer, stream).await;
                 log::warn!("control host {peer} at {address} is lost: {}", shown(&ended));
                 lost = false;
+                backoff.reset();
             }
             Err(error) if !lost => {
                 log::warn!("control host {peer} at {address} can't be reached: {error}");
@@ -94,7 +94,7 @@
             let log = |message: &Peer| matches!(message, Peer::Log(_));
             link.queue.retain(|message| !log(message));
         }
-        sleep(PAUSE).await;
+        sleep(backoff.pause()).await;
     }
 }
 
--- a/lagoongauged/src/ctl/explain.rs
+++ b/lagoongauged/src/ctl/explain.rs
@@ -178,6 +178,7 @@
         Some(Cause::RouteRemoved) => "a later catalog removed the route",
         Some(Cause::NoTarget) => "no target of the service takes new flows; nothing was run",
         Some(Cause::TargetGone) => "the flow's target has ended",
+        Some(Cause::TargetLost) => "the flow's target is out of reach, and the caller may repeat",
         Some(Cause::UnknownMark) => "the host does not know the flow's target yet",
         Some(Cause::ForeignMark) => "the packet names a target of another service",
         Some(Cause::NoMark) => "the host knows neither the flow nor its target",
--- a/lagoongauged/src/daemon/mod.rs
+++ b/lagoongauged/src/daemon/mod.rs
@@ -1,11 +1,13 @@
 //! What every program of the system does alike: logs, clock, signals and the way it ends.
 
+mod backoff;
 mod clock;
 mod exit;
 pub mod flags;
 mod log;
 mod signal;
 
+pub use self::backoff::Backoff;
 pub use self::clock::Clock;
 pub use self::exit::{exit, fail};
 pub use self::log::{LogContext, LogLevel, LogOutput, LogSetup, init_log};
--- a/lagoongauged/src/steer/feed.rs
+++ b/lagoongauged/src/steer/feed.rs
@@ -12,6 +12,7 @@
 
 use super::state::{Decode, FEEDS, Shared};
 use crate::cluster::message::{Answer, Feed, Hello, address_of};
+use crate::daemon::Backoff;
 use crate::frame;
 
 /// Time in which a control host has to accept a connection.
@@ -20,9 +21,6 @@
 /// Time after which a quiet feed counts as lost; its status comes every 400 ms.
 const QUIET: Duration = Duration::from_millis(1300);
 
-/// Pause before the next control host is tried.
-const PAUSE: Duration = Duration::from_millis(100);
-
 /// Time for which a control host that is cut off from its quorum is borne with.
 const ASTRAY: Duration = Duration::from_millis(2500);
 
@@ -46,18 +44,20 @@
     used: Used,
 ) {
     let mut turn = place;
+    let mut backoff = Backoff::default();
     loop {
         let Some(control) = choose(&own, &state, &used, place, &mut turn) else {
-            sleep(PAUSE).await;
+            sleep(backoff.pause()).await;
             continue;
         };
         used.borrow_mut()[place] = Some(control);
         let ended = subscribe(place, &own, &state, &*decoder, control).await;
         used.borrow_mut()[place] = None;
-        if let Err(error) = ended {
-            log::debug!("control host {control} feeds this host no longer: {error}");
+        match ended {
+            Ok(()) => backoff.reset(),
+            Err(error) => log::debug!("control host {control} can't be reached: {error}"),
         }
-        sleep(PAUSE).await;
+        sleep(backoff.pause()).await;
     }
 }
 
@@ -89,6 +89,7 @@
     crc32fast::hash(&bytes)
 }
 
+/// Follows one control host until its feed is lost; fails if it can't be reached.
 async fn subscribe<D: Decode>(
     place: usize,
     own: &Own,
@@ -102,7 +103,7 @@
     let ended = follow(place, own, state, decoder, stream).await;
     state.set_connected(place, false);
     log::warn!("control host {control} feeds this host no longer: {ended:?}");
-    ended
+    Ok(())
 }
 
 async fn follow<D: Decode>(
--- a/lagoongauged/src/steer/state.rs
+++ b/lagoongauged/src/steer/state.rs
@@ -187,7 +187,7 @@
         known.entries = entries;
         let confirmed = known.opinions.is_current();
         drop(known);
-        self.router().set_current(confirmed);
+        self.router().set_current(self.clock.now(), confirmed);
     }
 
     /// Notes that a feed was opened or lost.
@@ -206,7 +206,7 @@
         self.renew(now, &known, &changed);
         let confirmed = known.opinions.is_current();
         drop(known);
-        self.router().set_current(confirmed);
+        self.router().set_current(self.clock.now(), confirmed);
     }
 
     /// Returns the metrics in the Prometheus text format.
