--- a/lagoongauged/src/cluster/metrics.rs
+++ b/lagoongauged/src/cluster/metrics.rs
@@ -1,11 +1,10 @@
 //! Metrics of a control host in the Prometheus text format.
 
 use lagoongauge::replica::Store;
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
-};
+use prometheus::{Histogram, IntGauge, IntGaugeVec};
 
 use super::host::Host;
+use crate::daemon::series::Series;
 
 /// Upper bounds of the histogram of changes, in seconds.
 const BOUNDS: [f64; 8] = [0.002, 0.005, 0.01, 0.025, 0.1, 0.25, 1.0, 4.0];
@@ -13,7 +12,7 @@
 /// The metrics of a control host; values are taken over from its state at each scrape.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
+    series: Series,
     changes: Histogram,
     version: IntGauge,
     voters: IntGauge,
@@ -29,30 +28,19 @@
 impl Metrics {
     /// Registers the metrics.
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(format!("lagoon_control_{name}"), help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            prometheus::Result::Ok(gauge)
-        };
-        let opts = HistogramOpts::new(
-            "lagoon_control_change_seconds",
-            "Time from a change's arrival at the leader to its acceptance.",
-        );
-        let changes = Histogram::with_opts(opts.buckets(BOUNDS.to_vec()))?;
-        registry.register(Box::new(changes.clone()))?;
-        let opts = Opts::new("lagoon_control_targets", "Targets that are known, by state.");
-        let targets = IntGaugeVec::new(opts, &["state"])?;
-        registry.register(Box::new(targets.clone()))?;
+        let series = Series::new("lagoon_control");
+        let changes = "Time from a change's arrival at the leader to its acceptance.";
+        let current = "1 while this host is in touch with a quorum, else 0.";
+        let entries = "Entry hosts that are fed by any control host.";
         Ok(Self {
-            changes,
-            version: gauge("catalog_version", "Version of the newest accepted catalog.")?,
-            voters: gauge("voters", "Control hosts that vote.")?,
-            leads: gauge("leads", "1 while this host leads, else 0.")?,
-            current: gauge("current", "1 while this host is in touch with a quorum, else 0.")?,
-            entries: gauge("entry_hosts", "Entry hosts that are fed by any control host.")?,
-            targets,
-            registry,
+            changes: series.histogram("change_seconds", changes, &BOUNDS)?,
+            version: series.gauge("catalog_version", "Version of the newest accepted catalog.")?,
+            voters: series.gauge("voters", "Control hosts that vote.")?,
+            leads: series.gauge("leads", "1 while this host leads, else 0.")?,
+            current: series.gauge("current", current)?,
+            entries: series.gauge("entry_hosts", entries)?,
+            targets: series.gauges("targets", "Targets that are known, by state.", "state")?,
+            series,
         })
     }
 
@@ -71,8 +59,6 @@
         for (state, count) in STATES.iter().zip(host.count_targets()) {
             self.targets.with_label_values(&[state]).set(count);
         }
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8_lossy(&text).into_owned())
+        self.series.render()
     }
 }
--- a/lagoongauged/src/daemon/mod.rs
+++ b/lagoongauged/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod exit;
 pub mod flags;
 mod log;
+pub mod series;
 mod signal;
 
 pub use self::backoff::Backoff;
--- a/lagoongauged/src/entry/metrics.rs
+++ b/lagoongauged/src/entry/metrics.rs
@@ -1,14 +1,15 @@
 //! Metrics in the Prometheus text format; the labels come from closed lists only.
 
 use lagoongauge::packet::Reason;
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 use super::Counters;
+use crate::daemon::series::{Series, raise};
 
 /// The metrics of an entry host; values are taken over from the counters at each scrape.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
+    series: Series,
     packets: IntCounterVec,
     dropped: IntCounterVec,
     unsent: IntCounter,
@@ -35,37 +36,20 @@
 impl Metrics {
     /// Registers the metrics.
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let packets = IntCounterVec::new(
-            Opts::new("lagoon_entry_packets_total", "Packets carried, by what was done."),
-            &["outcome"],
-        )?;
-        let dropped = IntCounterVec::new(
-            Opts::new("lagoon_entry_dropped_packets_total", "Packets dropped, by reason."),
-            &["reason"],
-        )?;
-        let unsent = IntCounter::new(
-            "lagoon_entry_unsent_datagrams_total",
-            "Datagrams that the operating system did not take.",
-        )?;
-        let control = IntCounter::new(
-            "lagoon_entry_peer_message_bytes_total",
-            "Bytes of messages sent to other entry hosts.",
-        )?;
-        let version =
-            IntGauge::new("lagoon_entry_settings_version", "Version of the settings in force.")?;
-        let records = IntGauge::new("lagoon_entry_flow_records", "Records of flows held here.")?;
-        let targets = IntGauge::new("lagoon_entry_targets", "Targets whose announcements hold.")?;
-        let leased = IntGauge::new("lagoon_entry_leased", "1 while the host may act, else 0.")?;
-        registry.register(Box::new(packets.clone()))?;
-        registry.register(Box::new(dropped.clone()))?;
-        registry.register(Box::new(unsent.clone()))?;
-        registry.register(Box::new(control.clone()))?;
-        registry.register(Box::new(version.clone()))?;
-        registry.register(Box::new(records.clone()))?;
-        registry.register(Box::new(targets.clone()))?;
-        registry.register(Box::new(leased.clone()))?;
-        Ok(Self { registry, packets, dropped, unsent, control, version, records, targets, leased })
+        let series = Series::new("lagoon_entry");
+        let control = "Bytes of messages sent to other entry hosts.";
+        Ok(Self {
+            packets: series.counters("packets", "Packets carried, by what was done.", "outcome")?,
+            dropped: series.counters("dropped_packets", "Packets dropped, by reason.", "reason")?,
+            unsent: series
+                .counter("unsent_datagrams", "Datagrams that the operating system did not take.")?,
+            control: series.counter("peer_message_bytes", control)?,
+            version: series.gauge("settings_version", "Version of the settings in force.")?,
+            records: series.gauge("flow_records", "Records of flows held here.")?,
+            targets: series.gauge("targets", "Targets whose announcements hold.")?,
+            leased: series.gauge("leased", "1 while the host may act, else 0.")?,
+            series,
+        })
     }
 
     /// Renders the metrics with the counters' values of now.
@@ -87,17 +71,10 @@
         self.records.set(shown.records as i64);
         self.targets.set(shown.targets as i64);
         self.leased.set(i64::from(shown.leased));
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8_lossy(&text).into_owned())
+        self.series.render()
     }
 }
 
-/// Raises a counter to a value.
-fn raise(counter: &IntCounter, value: u64) {
-    counter.inc_by(value.saturating_sub(counter.get()));
-}
-
 #[cfg(test)]
 mod tests {
     use lagoongauge::forward::Step;
--- a/lagoongauged/src/measure/policy/driver.rs
+++ b/lagoongauged/src/measure/policy/driver.rs
@@ -245,7 +245,7 @@
         };
         match flow.phase {
             Phase::Opening => {
-                self.tally.flows += 1;
+                self.tally.counts.flows += 1;
                 packet.signal = if flow.data { Signal::OpenData } else { Signal::Open };
                 if self.world.rng.random_ratio(1, DUPLICATE_ONE_IN) {
                     self.world.after(SYN_RETRY, Event::Again(packet));
@@ -306,7 +306,7 @@
         }
         match flow.phase {
             Phase::Opening if flow.service < 2 => {
-                self.tally.unopened += 1;
+                self.tally.counts.unopened += 1;
                 self.world.finish(packet.flow);
             }
             Phase::Opening => self.world.finish(packet.flow),
@@ -324,12 +324,12 @@
         let down = target.is_some_and(|target| !target.up);
         let severed = target.is_some_and(|target| !self.world.reaches(flow.centre, target.centre));
         match (severed, self.faulty) {
-            (true, _) => self.tally.severed += 1,
-            (_, true) => self.tally.broken_unplanned += 1,
-            _ => self.tally.broken_planned += 1,
+            (true, _) => self.tally.counts.severed += 1,
+            (_, true) => self.tally.counts.broken_unplanned += 1,
+            _ => self.tally.counts.broken_planned += 1,
         }
         if down {
-            self.tally.on_lost_target += 1;
+            self.tally.counts.on_lost_target += 1;
         }
         self.world.finish(index);
         if flow.feed {
@@ -388,7 +388,7 @@
             }
             Verdict::Refuse(_) => self.refused(packet),
             Verdict::Drop(_) => {
-                self.tally.drops += 1;
+                self.tally.counts.drops += 1;
                 self.lost(packet);
             }
         }
@@ -409,14 +409,14 @@
             return;
         }
         if flow.target.is_some() {
-            self.tally.false_refused += 1;
+            self.tally.counts.false_refused += 1;
         }
         if flow.phase != Phase::Opening {
             return self.broke(packet.flow);
         }
         match flow.service {
-            2 => self.tally.rival_refused += 1,
-            _ => self.tally.refused += 1,
+            2 => self.tally.counts.rival_refused += 1,
+            _ => self.tally.counts.refused += 1,
         }
         self.world.finish(packet.flow);
     }
@@ -447,7 +447,7 @@
             Step::Start(host) => self.start(host),
             Step::Attach(host) => {
                 self.hosts[host as usize].attached = true;
-                self.tally.restarts += 1;
+                self.tally.counts.restarts += 1;
                 match host + 1 < self.size.hosts {
                     true => self.world.after(REST, Event::Do(Step::Restart(host + 1))),
                     false => self.end = self.end.min(self.world.now + 20 * SECOND),
@@ -482,7 +482,8 @@
         }
         self.tally.close_second(counts);
         if second == BEGIN {
-            self.tally.open = self.world.targets.iter().map(|target| u64::from(target.open)).sum();
+            self.tally.counts.open =
+                self.world.targets.iter().map(|target| u64::from(target.open)).sum();
         }
         if counts {
             self.tally.imbalance.push((second, self.world.imbalance(0)));
--- a/lagoongauged/src/measure/policy/ends.rs
+++ b/lagoongauged/src/measure/policy/ends.rs
@@ -15,7 +15,7 @@
         let flow = self.world.flows[packet.flow as usize];
         let target = &mut self.world.targets[usize::from(index)];
         if target.service != flow.service {
-            self.tally.misrouted += 1;
+            self.tally.counts.misrouted += 1;
             return self.broke(packet.flow);
         }
         if !target.up {
@@ -43,7 +43,7 @@
         match flow.target {
             Some(first) if first != index => {
                 if flow.data {
-                    self.tally.double_run += 1;
+                    self.tally.counts.double_run += 1;
                 }
                 return;
             }
--- a/lagoongauged/src/measure/policy/tally.rs
+++ b/lagoongauged/src/measure/policy/tally.rs
@@ -5,9 +5,9 @@
 /// Imbalance under which a change counts as absorbed.
 const ABSORBED: f64 = 1.15;
 
-/// What is counted while a run goes on.
-#[derive(Debug, Default)]
-pub struct Tally {
+/// What is counted while a run goes on and stands in its figures.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
     /// Flows whose first packet was sent.
     pub flows: u64,
     /// Open flows at the scenario's begin.
@@ -36,6 +36,13 @@
     pub drops: u64,
     /// Hosts that were restarted and came back.
     pub restarts: u64,
+}
+
+/// What is counted while a run goes on.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// What also stands in the figures.
+    pub counts: Counts,
     /// Packets that entry hosts took from the fabric.
     pub packets: u64,
     /// Packets handed to another entry host.
@@ -67,34 +74,9 @@
     pub design: String,
     /// Seed.
     pub seed: u64,
-    /// Flows whose first packet was sent.
-    pub flows: u64,
-    /// Open flows at the scenario's begin.
-    pub open: u64,
-    /// Established flows that broke without a fault before.
-    pub broken_planned: u64,
-    /// Established flows that broke after a fault.
-    pub broken_unplanned: u64,
-    /// Those of them whose target was lost.
-    pub on_lost_target: u64,
-    /// Flows whose caller was cut off from their target.
-    pub severed: u64,
-    /// Packets that reached another service's target.
-    pub misrouted: u64,
-    /// Flows whose SYN with data reached two targets.
-    pub double_run: u64,
-    /// Flows refused although something of them was forwarded.
-    pub false_refused: u64,
-    /// Refused flows of the first member.
-    pub refused: u64,
-    /// Refused flows of the rival.
-    pub rival_refused: u64,
-    /// Flows of the first member that nobody answered.
-    pub unopened: u64,
-    /// Packets that a host chose to drop.
-    pub drops: u64,
-    /// Hosts that were restarted and came back.
-    pub restarts: u64,
+    /// What was counted.
+    #[serde(flatten)]
+    pub counts: Counts,
     /// Highest ratio of the fullest target's open flows to the mean.
     pub imbalance_max: f64,
     /// 99th percentile of that ratio over the seconds.
@@ -143,20 +125,7 @@
             scenario,
             design,
             seed,
-            flows: self.flows,
-            open: self.open,
-            broken_planned: self.broken_planned,
-            broken_unplanned: self.broken_unplanned,
-            on_lost_target: self.on_lost_target,
-            severed: self.severed,
-            misrouted: self.misrouted,
-            double_run: self.double_run,
-            false_refused: self.false_refused,
-            refused: self.refused,
-            rival_refused: self.rival_refused,
-            unopened: self.unopened,
-            drops: self.drops,
-            restarts: self.restarts,
+            counts: self.counts,
             imbalance_max: round(ratios.last().copied().unwrap_or(0.0)),
             imbalance_p99: round(percentile(&ratios, 0.99)),
             imbalance_mean: round(ratios.iter().sum::<f64>() / ratios.len().max(1) as f64),
--- a/lagoongauged/tests/policy.rs
+++ b/lagoongauged/tests/policy.rs
@@ -24,12 +24,12 @@
 
 fn holds_under_planned_change(size: &str, scenario: &str) {
     let figures = figures(size, scenario);
-    assert!(figures.open > 400, "{figures:?}");
-    assert_eq!(figures.broken_planned, 0, "{figures:?}");
-    assert_eq!(figures.misrouted, 0, "{figures:?}");
-    assert_eq!(figures.double_run, 0, "{figures:?}");
-    assert_eq!(figures.false_refused, 0, "{figures:?}");
-    assert_eq!(figures.refused, 0, "{figures:?}");
+    assert!(figures.counts.open > 400, "{figures:?}");
+    assert_eq!(figures.counts.broken_planned, 0, "{figures:?}");
+    assert_eq!(figures.counts.misrouted, 0, "{figures:?}");
+    assert_eq!(figures.counts.double_run, 0, "{figures:?}");
+    assert_eq!(figures.counts.false_refused, 0, "{figures:?}");
+    assert_eq!(figures.counts.refused, 0, "{figures:?}");
     assert!(figures.drain_max_s <= 3.0, "{figures:?}");
 }
 
@@ -56,14 +56,14 @@
 #[test]
 fn a_rivals_flood_is_refused_to_the_rival_alone() {
     let figures = figures("grain", "rival_flood");
-    assert_eq!((figures.refused, figures.broken_planned), (0, 0), "{figures:?}");
-    assert!(figures.rival_refused > 1000, "{figures:?}");
+    assert_eq!((figures.counts.refused, figures.counts.broken_planned), (0, 0), "{figures:?}");
+    assert!(figures.counts.rival_refused > 1000, "{figures:?}");
 }
 
 fn runs_nothing_twice(scenario: &str) {
     let figures = figures("grain", scenario);
-    assert_eq!((figures.misrouted, figures.double_run), (0, 0), "{figures:?}");
-    assert_eq!(figures.false_refused, 0, "{figures:?}");
+    assert_eq!((figures.counts.misrouted, figures.counts.double_run), (0, 0), "{figures:?}");
+    assert_eq!(figures.counts.false_refused, 0, "{figures:?}");
 }
 
 #[test]
