Share load counts within a budget of bytes, and give duties a file of their own

Change: mark::share chooses the receivers of each report in turn, 2,400 bytes a second to the same data centre and 600 elsewhere; few hosts still hear each change within 60 ms.

Tests: lagoongauge/tests/marks/share.rs holds both ways together to 8,192 bytes at 2, 17 and 128 near hosts; the former way would send 70,000 bytes a second at 17.

--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -11,6 +11,7 @@
 pub mod place;
 mod router;
 mod service;
+pub mod share;
 mod target;
 
 use std::net::SocketAddrV4;
--- a/lagoongauge/src/route/core.rs
+++ b/lagoongauge/src/route/core.rs
@@ -5,9 +5,10 @@
 use indexmap::IndexMap;
 
 use super::admit::Admit;
+use super::duty::Duty;
 use super::follower::{Follower, History};
 use super::handover::Handover;
-use super::ledger::{Bounds, Duty, Ledger, RETRY_SPAN};
+use super::ledger::{Bounds, Ledger, RETRY_SPAN};
 use super::message::{Action, Event, Message};
 use super::plan::{Plan, Stamp, Step};
 use super::planner::Planner;
--- a/lagoongauge/src/route/handover.rs
+++ b/lagoongauge/src/route/handover.rs
@@ -6,7 +6,8 @@
 
 use super::admit::Admit;
 use super::core::Core;
-use super::ledger::{Duty, second};
+use super::duty::Duty;
+use super::ledger::second;
 use super::message::{Action, Gift, Gifts, Message, Pins};
 use super::plan::{Stamp, View};
 use super::record::Record;
--- a/lagoongauge/src/route/ledger.rs
+++ b/lagoongauge/src/route/ledger.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::admit::Admit;
+use super::duty::{Duty, Tally};
 use super::plan::{Layout, View};
 use super::record::{KEY_BITS, Key, Record, Shard};
 use crate::id::{HostId, ServiceId};
@@ -21,30 +22,6 @@
 /// A bucket's live flows are not known, and won't be until it has been held for the idle limit.
 pub(super) const UNKNOWN: u32 = u32::MAX;
 
-/// What a host does for a bucket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Duty {
-    /// Another host decides.
-    Other,
-    /// This host decides.
-    Own,
-    /// This host decides as soon as every host knows that the former home is lost.
-    Pause,
-    /// This host decides as soon as the former home has handed the records over.
-    Wait(HostId),
-    /// This host decides until it hands the records over.
-    Give,
-    /// The records are under way; nobody decides until they arrive.
-    Given,
-}
-
-impl Duty {
-    /// Returns whether this host decides on the bucket's flows now.
-    pub(super) const fn decides(self) -> bool {
-        matches!(self, Self::Own | Self::Give)
-    }
-}
-
 /// What the settings say of a service's flows.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Bounds {
@@ -83,39 +60,6 @@
     tally: Tally,
 }
 
-/// Number of buckets whose handover is under way; it spares a look at every bucket's duty.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct Tally {
-    /// Buckets that this host hands over or is about to.
-    giving: usize,
-    /// Buckets that this host waits for.
-    waiting: usize,
-}
-
-impl Tally {
-    fn of(duties: &[Duty]) -> Self {
-        let mut tally = Self::default();
-        duties.iter().for_each(|&duty| tally.add(duty));
-        tally
-    }
-
-    fn add(&mut self, duty: Duty) {
-        match duty {
-            Duty::Give | Duty::Given => self.giving += 1,
-            Duty::Wait(_) => self.waiting += 1,
-            Duty::Other | Duty::Own | Duty::Pause => {}
-        }
-    }
-
-    fn remove(&mut self, duty: Duty) {
-        match duty {
-            Duty::Give | Duty::Given => self.giving -= 1,
-            Duty::Wait(_) => self.waiting -= 1,
-            Duty::Other | Duty::Own | Duty::Pause => {}
-        }
-    }
-}
-
 /// Returns an instant as whole seconds.
 pub(super) const fn second(now: Instant) -> u32 {
     (now.0 / 1000) as u32
@@ -297,7 +241,7 @@
             let former = prior.home(self.service, bucket);
             let old = self.duties[bucket as usize];
             let new = match present {
-                true => next_duty(old, own, home, former, view),
+                true => old.next(own, home, former, view),
                 false => Duty::Other,
             };
             if new == Duty::Other && old != Duty::Other {
@@ -487,35 +431,6 @@
     shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-/// Returns a host's duty for a bucket under a new view, see "Homes that change" in docs/DESIGN.md.
-fn next_duty(
-    old: Duty,
-    own: HostId,
-    home: Option<HostId>,
-    former: Option<HostId>,
-    view: &View,
-) -> Duty {
-    let mine = home == Some(own);
-    let lost = |host: HostId| !view.knows(host);
-    match old {
-        Duty::Own if mine => Duty::Own,
-        Duty::Own => Duty::Give,
-        Duty::Give | Duty::Given => match former {
-            Some(receiver) if !lost(receiver) => old,
-            _ if mine => Duty::Pause,
-            _ => Duty::Other,
-        },
-        Duty::Wait(source) if mine && lost(source) => Duty::Pause,
-        Duty::Wait(_) | Duty::Pause if mine => old,
-        Duty::Wait(_) | Duty::Pause => Duty::Other,
-        Duty::Other if !mine => Duty::Other,
-        Duty::Other => match former {
-            Some(source) if source != own && !lost(source) => Duty::Wait(source),
-            _ => Duty::Pause,
-        },
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::super::admit::Unlimited;
--- a/lagoongauge/src/route/mod.rs
+++ b/lagoongauge/src/route/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 mod decide;
 mod deltas;
+mod duty;
 mod follower;
 mod handover;
 mod home;
--- a/lagoongauge/src/route/router.rs
+++ b/lagoongauge/src/route/router.rs
@@ -4,7 +4,7 @@
 
 use super::admit::{Admit, Unlimited};
 use super::core::Core;
-use super::ledger::Duty;
+use super::duty::Duty;
 use super::message::{Action, Message};
 use super::plan::Stamp;
 use super::table::Table;
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -1,6 +1,7 @@
 //! Routing by marks: where flows begin, where later packets go, and what is refused.
 
 mod place;
+mod share;
 mod world;
 
 use lagoongauge::mark::{Cause, Mark, Signal, Verdict};
--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -25,7 +25,7 @@
 const ANSWER: Duration = Duration::from_millis(2000);
 
 /// Entry hosts that one is told of, to share its load counts with.
-const NEIGHBOURS: usize = 12;
+const NEIGHBOURS: usize = 32;
 
 /// Feeds one entry host until its connection is lost.
 pub(super) async fn serve<S: Store + 'static>(
--- a/lagoongauged/src/steer/share.rs
+++ b/lagoongauged/src/steer/share.rs
@@ -5,27 +5,29 @@
 
 use async_std::task::sleep;
 use lagoongauge::mark::Report;
+use lagoongauge::mark::share::Sharing;
 
 use super::state::Shared;
 use crate::cluster::message::{address_of, host_at};
 
-/// Interval between two reports to the same data centre, whose entry hosts use the same targets.
-const NEAR: Duration = Duration::from_millis(25);
+/// Pause between two looks at what has changed.
+const LOOK: Duration = Duration::from_millis(25);
 
-/// Rounds after which the other data centres get a report too.
-const FAR_ROUNDS: u32 = 8;
+/// Looks after which a report is sent although nothing has changed.
+const STEADY_LOOKS: u32 = 8;
 
 /// Longest report in bytes.
 const MAX_REPORT: usize = 16 << 10;
 
-/// Sends this host's counts to the others now and then.
+/// Sends this host's counts to the others, as often as the budget of bytes lets it.
 pub(super) async fn send(state: Shared, socket: UdpSocket, port: u16) {
+    let mut sharing = Sharing::new(state.clock.now());
+    let mut receivers = Vec::new();
     let mut sent = Report::default();
     for round in 0u32.. {
-        sleep(NEAR).await;
+        sleep(LOOK).await;
         let report = state.router().report();
-        let far = round.is_multiple_of(FAR_ROUNDS);
-        if !far && report == sent {
+        if report == sent && !round.is_multiple_of(STEADY_LOOKS) {
             continue;
         }
         let bytes = match postcard::to_stdvec(&report) {
@@ -35,9 +37,12 @@
                 continue;
             }
         };
-        for entry in state.entries().into_iter().filter(|entry| entry.near || far) {
-            if let Err(error) = socket.send_to(&bytes, address_of(entry.host, port)) {
-                log::debug!("entry host {} was sent no load counts: {error}", entry.host);
+        let (near, far) = state.entries();
+        receivers.clear();
+        sharing.take(state.clock.now(), bytes.len(), (&near, &far), &mut receivers);
+        for entry in &receivers {
+            if let Err(error) = socket.send_to(&bytes, address_of(*entry, port)) {
+                log::debug!("entry host {entry} was sent no load counts: {error}");
             }
         }
         sent = report;
@@ -52,7 +57,7 @@
             Ok(received) => received,
             Err(error) => {
                 log::debug!("no load counts can be received: {error}");
-                std::thread::sleep(NEAR);
+                std::thread::sleep(LOOK);
                 continue;
             }
         };
--- a/lagoongauged/src/steer/state.rs
+++ b/lagoongauged/src/steer/state.rs
@@ -126,9 +126,13 @@
         }
     }
 
-    /// Returns the other entry hosts to share load counts with.
-    pub(super) fn entries(&self) -> Vec<Neighbour> {
-        self.known().entries.clone()
+    /// Returns the entry hosts to share load counts with, of this data centre and of others.
+    pub(super) fn entries(&self) -> (Vec<HostId>, Vec<HostId>) {
+        let known = self.known();
+        let (near, far): (Vec<&Neighbour>, Vec<_>) =
+            known.entries.iter().partition(|entry| entry.near);
+        let hosts = |entries: Vec<&Neighbour>| entries.into_iter().map(|it| it.host).collect();
+        (hosts(near), hosts(far))
     }
 
     /// Makes the fabric send packets elsewhere.
