Replay bursts against other ways of placing

Change: lagoon-measure burst plays callers, targets with slots and a queue, and entry hosts with the real router and shared counts in given time; a way of placing is a trait, of which least cost is the product's. Weighed: least flows, two choices, and a blind hash.

--- a/lagoongauge/src/mark/place.rs
+++ b/lagoongauge/src/mark/place.rs
@@ -73,10 +73,31 @@
     }
 }
 
-/// Chooses among candidates; `start` rotates the order in which equal ones are taken.
-pub fn choose<K: Copy>(candidates: &[(K, Candidate)], habit: Habit, start: u64) -> Option<K> {
-    let count = candidates.len();
-    let first = if count == 0 { 0 } else { (start % count as u64) as usize };
-    let rotated = candidates[first..].iter().chain(&candidates[..first]);
-    rotated.min_by_key(|(_, candidate)| candidate.cost(habit)).map(|(key, _)| *key)
+/// A way of placing flows; baselines implement it as well.
+pub trait Policy {
+    /// Chooses among candidates; `number` is drawn for each flow, the same on every host.
+    fn choose<K: Copy>(
+        &self,
+        candidates: &[(K, Candidate)],
+        habit: Habit,
+        number: u64,
+    ) -> Option<K>;
+}
+
+/// Takes the candidate of the least cost; of equal ones the flow's number decides.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeastCost;
+
+impl Policy for LeastCost {
+    fn choose<K: Copy>(
+        &self,
+        candidates: &[(K, Candidate)],
+        habit: Habit,
+        number: u64,
+    ) -> Option<K> {
+        let count = candidates.len() as u64;
+        let first = (number >> 32).checked_rem(count)? as usize;
+        let rotated = candidates[first..].iter().chain(&candidates[..first]);
+        rotated.min_by_key(|(_, candidate)| candidate.cost(habit)).map(|(key, _)| *key)
+    }
 }
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -8,7 +8,7 @@
 
 use super::flow::Flow;
 use super::load::{Count, Report};
-use super::place::{self, Candidate};
+use super::place::{Candidate, LeastCost, Policy};
 use super::service::Front;
 use super::target::{Target, TargetKey};
 use super::{Ends, Mark, Segment, Signal};
@@ -121,8 +121,9 @@
 
 /// Decides on each packet from a caller; see the module's documentation.
 #[derive(Debug)]
-pub struct Router {
+pub struct Router<P = LeastCost> {
     setup: Setup,
+    policy: P,
     fronts: IndexMap<SocketAddrV4, Front>,
     targets: SlotMap<TargetKey, Target>,
     names: IndexMap<TargetId, TargetKey>,
@@ -141,8 +142,16 @@
 impl Router {
     /// Builds a router that knows no route and no target.
     pub fn new(setup: Setup) -> Self {
+        Self::with(setup, LeastCost)
+    }
+}
+
+impl<P: Policy> Router<P> {
+    /// Builds a router that places flows in another way.
+    pub fn with(setup: Setup, policy: P) -> Self {
         Self {
             setup,
+            policy,
             fronts: IndexMap::new(),
             targets: SlotMap::with_key(),
             names: IndexMap::new(),
@@ -410,7 +419,7 @@
                 self.candidates.push((*key, candidate));
             }
         }
-        place::choose(&self.candidates, habit, number >> 32)
+        self.policy.choose(&self.candidates, habit, number)
     }
 
     /// Returns the number by which a flow is shared out, the same on every entry host.
--- a/lagoongauge/tests/marks/place.rs
+++ b/lagoongauge/tests/marks/place.rs
@@ -1,12 +1,16 @@
 //! Placing under the loads that it answers.
 
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::place::{Candidate, Habit, choose};
+use lagoongauge::mark::place::{Candidate, Habit, LeastCost, Policy};
 use lagoongauge::mark::{Count, Mark, Report, Signal};
 use lagoongauge::time::Span;
 
 use super::world::{World, entry, target_of};
 
+fn choose(candidates: &[(u8, Candidate)], habit: Habit, number: u64) -> Option<u8> {
+    LeastCost.choose(candidates, habit, number)
+}
+
 fn candidate(waiting: u16, flows: u16) -> Candidate {
     let load = Count { waiting, flows };
     Candidate { load, slots: 2, near: true, cold: false, doubtful: false }
--- a/lagoongauged/src/bin/lagoon-measure.rs
+++ b/lagoongauged/src/bin/lagoon-measure.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 
 use lagoongauged::measure::meter::{self, Counting};
-use lagoongauged::measure::{capacity, path, policy, replica, settings};
+use lagoongauged::measure::{burst, capacity, path, policy, replica, settings};
 
 /// Counts the memory that the measured structures take.
 #[global_allocator]
@@ -16,6 +16,9 @@
     /// Measures what the data path costs per packet and per flow.
     #[bpaf(command)]
     Path(#[bpaf(external(path::options))] path::Options),
+    /// Compares ways of placing flows under a replayed burst.
+    #[bpaf(command)]
+    Burst(#[bpaf(external(burst::options))] burst::Options),
     /// Measures the slopes behind docs/CAPACITY.md.
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::options))] capacity::Options),
@@ -33,6 +36,7 @@
 fn main() -> eyre::Result<()> {
     match command().run() {
         Command::Path(options) => path::run(&options, &ALLOCATOR),
+        Command::Burst(options) => burst::run(&options),
         Command::Capacity(options) => capacity::run(&options, &ALLOCATOR),
         Command::Policy(options) => policy::run(&options),
         Command::Replica(options) => replica::run(&options, &ALLOCATOR),
--- /dev/null
+++ b/lagoongauged/src/measure/burst/baseline.rs
@@ -0,0 +1,40 @@
+//! Ways of placing to compare with.
+
+use lagoongauge::mark::place::{Candidate, Habit, Policy};
+
+/// Takes a target by the flow's number alone, as a stateless hash does.
+#[derive(Debug, Clone, Copy)]
+pub struct Blind;
+
+/// Takes the target with the fewest flows, whatever they bring.
+#[derive(Debug, Clone, Copy)]
+pub struct LeastFlows;
+
+/// Takes the better of two targets that the flow's number names.
+#[derive(Debug, Clone, Copy)]
+pub struct TwoChoices;
+
+impl Policy for Blind {
+    fn choose<K: Copy>(&self, list: &[(K, Candidate)], _: Habit, number: u64) -> Option<K> {
+        at(list, number).map(|(key, _)| *key)
+    }
+}
+
+impl Policy for LeastFlows {
+    fn choose<K: Copy>(&self, list: &[(K, Candidate)], _: Habit, _: u64) -> Option<K> {
+        list.iter().min_by_key(|(_, candidate)| candidate.load.flows).map(|(key, _)| *key)
+    }
+}
+
+impl Policy for TwoChoices {
+    fn choose<K: Copy>(&self, list: &[(K, Candidate)], habit: Habit, number: u64) -> Option<K> {
+        let (first, second) = (at(list, number)?, at(list, number >> 24)?);
+        let better = if first.1.cost(habit) <= second.1.cost(habit) { first } else { second };
+        Some(better.0)
+    }
+}
+
+fn at<K>(list: &[(K, Candidate)], number: u64) -> Option<&(K, Candidate)> {
+    let place = number.checked_rem(list.len() as u64)?;
+    list.get(place as usize)
+}
--- a/lagoongauged/src/measure/mod.rs
+++ b/lagoongauged/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A module offers `options`, a command-line parser, and `run`, which prints JSON lines.
 
+pub mod burst;
 pub mod capacity;
 pub mod meter;
 pub mod path;
