Send catalogs compressed, after targets, and by one feed of two

A change adds 1,440 routes, so the document has about 390 KB; an entry host's link takes 437 KB a second. Both feeds sent it at once and before changed targets, and a frame had 1.3 s to arrive whole: feeds were cut, opened and sent it again, and for seconds no entry host there heard that a target drained.

Change: documents are compressed once a version (a tenth or less is left); changed targets and the status go first; the second feed leaves a catalog to the first for 600 ms; the time limit of a frame holds for each 16 KiB of it.

Tests that failed first: a_large_catalog_takes_a_narrow_link_for_a_tenth_of_a_second, a_slow_frame_arrives_and_a_silent_one_does_not.

--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -1,7 +1,8 @@
 //! Feeds entry hosts with catalog and targets.
 
+use std::cell::Cell;
 use std::io::Result;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -21,6 +22,9 @@
 /// Time in which changes are collected.
 const COLLECT: Duration = Duration::from_millis(15);
 
+/// Time for which the second feed leaves a later catalog to the first one.
+const SECOND: Duration = Duration::from_millis(600);
+
 /// Time in which an entry host has to take a message, and to answer.
 const ANSWER: Duration = Duration::from_millis(2000);
 
@@ -32,15 +36,17 @@
     host: Shared<S>,
     entry: HostId,
     centre: String,
-    version: u64,
+    (version, second): (u64, bool),
     stream: TcpStream,
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
-    let mut state = Sent { stamp: 0, version };
+    let held = Cell::new(version);
+    let mut state = Sent { stamp: 0, version, second, since: Instant::now() };
     let mut woken = host.add_feed();
     host.note_entry(entry, centre.clone());
     let sending = async {
         loop {
+            state.skip(held.get());
             send(&host, entry, &centre, &mut state, &mut writer).await?;
             wait(&mut woken).await;
         }
@@ -48,7 +54,8 @@
     .fuse();
     let answers = async {
         loop {
-            let _: Answer = frame::read(&mut reader, ANSWER).await?;
+            let answer: Answer = frame::read(&mut reader, ANSWER).await?;
+            held.set(answer.version);
             host.note_entry(entry, centre.clone());
         }
     }
@@ -64,6 +71,26 @@
 struct Sent {
     stamp: u64,
     version: u64,
+    /// Whether another feed sends catalogs first.
+    second: bool,
+    /// Since when the entry host has had no later catalog to wait for.
+    since: Instant,
+}
+
+impl Sent {
+    /// Notes which version the entry host holds, from whichever feed.
+    fn skip(&mut self, held: u64) {
+        self.version = self.version.max(held);
+    }
+
+    /// Tells whether a later catalog is to be sent now; the second feed waits for the first one.
+    fn is_due(&mut self, version: u64) -> bool {
+        if version <= self.version {
+            self.since = Instant::now();
+            return false;
+        }
+        !self.second || self.since.elapsed() >= SECOND
+    }
 }
 
 async fn send<S: Store + 'static, W: AsyncWrite + Unpin>(
@@ -73,11 +100,6 @@
     sent: &mut Sent,
     writer: &mut W,
 ) -> Result<()> {
-    let document = host.document();
-    if document.version > sent.version {
-        sent.version = document.version;
-        frame::write(writer, &Feed::Catalog((*document).clone()), ANSWER).await?;
-    }
     let (targets, stamp) = {
         let roster = host.roster.borrow();
         let changed = roster.since(sent.stamp).map(|held| (held.entry.clone(), held.silent));
@@ -89,7 +111,14 @@
     }
     let entries = neighbours(host, entry, centre);
     let (current, controls) = (host.is_current(), host.controls());
-    frame::write(writer, &Feed::Status { current, controls, entries }, ANSWER).await
+    frame::write(writer, &Feed::Status { current, controls, entries }, ANSWER).await?;
+    // Targets go first, as a catalog may take long and what drains can't wait.
+    let packed = host.packed();
+    if sent.is_due(packed.version) {
+        sent.version = packed.version;
+        frame::write(writer, &Feed::Catalog((*packed).clone()), ANSWER).await?;
+    }
+    Ok(())
 }
 
 /// Returns other entry hosts, those of the same data centre first.
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -18,6 +18,7 @@
 use super::link::Link;
 use super::message::Peer;
 use super::metrics::Metrics;
+use super::packed::Packed;
 use crate::daemon::Clock;
 use crate::engine::Engine;
 
@@ -73,6 +74,8 @@
     feeds: RefCell<Vec<mpsc::Sender<()>>>,
     /// Whether the host was in touch with a quorum when it last looked.
     current: Cell<bool>,
+    /// The newest document as entry hosts get it.
+    packed: RefCell<Rc<Packed>>,
     metrics: Metrics,
 }
 
@@ -97,6 +100,7 @@
             beats: RefCell::default(),
             feeds: RefCell::default(),
             current: Cell::new(false),
+            packed: RefCell::default(),
             metrics,
         }
     }
@@ -127,6 +131,18 @@
         self.engine.borrow().state().document()
     }
 
+    /// Returns the newest document as entry hosts get it; it is compressed once.
+    pub(super) fn packed(&self) -> Rc<Packed> {
+        let document = self.document();
+        if self.packed.borrow().version != document.version {
+            match Packed::pack(&document) {
+                Ok(packed) => *self.packed.borrow_mut() = Rc::new(packed),
+                Err(error) => log::error!("version {} can't be packed: {error}", document.version),
+            }
+        }
+        Rc::clone(&self.packed.borrow())
+    }
+
     /// Returns all control hosts that this one knows, itself among them.
     pub fn controls(&self) -> Vec<HostId> {
         let mut hosts: Vec<HostId> = vec![self.setup.host];
--- a/lagoongauged/src/cluster/message.rs
+++ b/lagoongauged/src/cluster/message.rs
@@ -2,11 +2,12 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use lagoongauge::catalog::Document;
 use lagoongauge::id::HostId;
 use lagoongauge::roster::{Beat, Entry};
 use serde::{Deserialize, Serialize};
 
+use super::packed::Packed;
+
 /// First message on every connection: who opened it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hello {
@@ -23,6 +24,8 @@
         centre: String,
         /// Version of the catalog that it holds.
         version: u64,
+        /// Whether another control host feeds it too, which sends catalogs first.
+        second: bool,
     },
 }
 
@@ -48,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Feed {
     /// A later catalog.
-    Catalog(Document),
+    Catalog(Packed),
     /// Targets that changed, each with whether it fell silent.
     Targets(Vec<(Entry, bool)>),
     /// All that the control host knows has been sent.
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -10,10 +10,12 @@
 mod link;
 pub mod message;
 mod metrics;
+mod packed;
 mod run;
 
 pub use self::host::{Host, Setup, Shared};
 pub use self::keep::Keeper;
+pub use self::packed::Packed;
 pub use self::run::run;
 
 use lagoongauge::catalog::Shelf;
--- /dev/null
+++ b/lagoongauged/src/cluster/packed.rs
@@ -0,0 +1,48 @@
+//! Documents compressed for the way to entry hosts, whose links are narrow.
+//!
+//! A catalog of 1,400 routes has 390 KB, mostly the same words again and again; at 3.5 Mbit/s it
+//! would fill a host's link for a second with each change.
+
+use std::io::{Error, ErrorKind, Read, Result, Write};
+
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
+use lagoongauge::catalog::Document;
+use serde::{Deserialize, Serialize};
+
+/// Longest text of a document in bytes.
+const MAX_TEXT: u64 = 4 << 20;
+
+/// A compressed document.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packed {
+    /// The operator's version.
+    pub version: u64,
+    /// The compressed text.
+    text: Vec<u8>,
+}
+
+impl Packed {
+    /// Compresses a document; fails only where memory can't be written.
+    pub fn pack(document: &Document) -> Result<Self> {
+        let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(&document.text)?;
+        Ok(Self { version: document.version, text: encoder.finish()? })
+    }
+
+    /// Returns the document; fails with `InvalidData` if it is damaged or too long.
+    pub fn unpack(&self) -> Result<Document> {
+        let mut text = Vec::new();
+        ZlibDecoder::new(self.text.as_slice()).take(MAX_TEXT + 1).read_to_end(&mut text)?;
+        if text.len() as u64 > MAX_TEXT {
+            return Err(Error::new(ErrorKind::InvalidData, "the document is too long"));
+        }
+        Ok(Document { version: self.version, text })
+    }
+
+    /// Returns the bytes that travel.
+    pub fn size(&self) -> usize {
+        self.text.len()
+    }
+}
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -130,9 +130,9 @@
     let mut reader = stream.clone();
     match frame::read(&mut reader, HELLO).await? {
         Hello::Control { host: peer } => link::serve(host, peer, stream).await,
-        Hello::Entry { host: entry, centre, version } => {
+        Hello::Entry { host: entry, centre, version, second } => {
             log::info!("entry host {entry} of {centre} is fed, it has version {version}");
-            let ended = feed::serve(host, entry, centre, version, stream).await;
+            let ended = feed::serve(host, entry, centre, (version, second), stream).await;
             log::info!("entry host {entry} is fed no longer");
             ended
         }
--- a/lagoongauged/src/frame.rs
+++ b/lagoongauged/src/frame.rs
@@ -32,7 +32,10 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(UNACKED))
 }
 
-/// Writes one message; fails with `TimedOut` if the peer does not take it in time.
+/// Bytes that each have the time of a whole message, as a long one may pass a narrow link.
+const PART: usize = 16 << 10;
+
+/// Writes one message; fails with `TimedOut` if the peer does not take a part of it in time.
 pub async fn write<W, T>(to: &mut W, message: &T, limit: Duration) -> Result<()>
 where
     W: AsyncWrite + Unpin,
@@ -42,27 +45,30 @@
     bytes = postcard::to_extend(message, bytes).map_err(|error| invalid(&error))?;
     let length = u32::try_from(bytes.len() - 4).map_err(|error| invalid(&error))?;
     bytes[..4].copy_from_slice(&length.to_be_bytes());
-    timeout(limit, to.write_all(&bytes)).await.map_err(|_| late())?
+    for part in bytes.chunks(PART) {
+        timeout(limit, to.write_all(part)).await.map_err(|_| late())??;
+    }
+    Ok(())
 }
 
-/// Reads one message; fails with `TimedOut` if none comes in time, `InvalidData` for other bytes.
+/// Reads one message; fails with `TimedOut` if a part of it does not come in time, and with
+/// `InvalidData` for other bytes.
 pub async fn read<R, T>(from: &mut R, limit: Duration) -> Result<T>
 where
     R: AsyncRead + Unpin,
     T: DeserializeOwned,
 {
-    let frame = async {
-        let mut length = [0; 4];
-        from.read_exact(&mut length).await?;
-        let length = u32::from_be_bytes(length) as usize;
-        if length > MAX_FRAME {
-            return Err(invalid(&format!("frame of {length} bytes")));
-        }
-        let mut bytes = vec![0; length];
-        from.read_exact(&mut bytes).await?;
-        postcard::from_bytes(&bytes).map_err(|error| invalid(&error))
-    };
-    timeout(limit, frame).await.map_err(|_| late())?
+    let mut length = [0; 4];
+    timeout(limit, from.read_exact(&mut length)).await.map_err(|_| late())??;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > MAX_FRAME {
+        return Err(invalid(&format!("frame of {length} bytes")));
+    }
+    let mut bytes = vec![0; length];
+    for part in bytes.chunks_mut(PART) {
+        timeout(limit, from.read_exact(part)).await.map_err(|_| late())??;
+    }
+    postcard::from_bytes(&bytes).map_err(|error| invalid(&error))
 }
 
 fn late() -> Error {
--- a/lagoongauged/src/steer/feed.rs
+++ b/lagoongauged/src/steer/feed.rs
@@ -115,13 +115,14 @@
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
     let version = state.version();
-    let hello = Hello::Entry { host: own.host, centre: own.centre.clone(), version };
+    let second = place > 0;
+    let hello = Hello::Entry { host: own.host, centre: own.centre.clone(), version, second };
     frame::write(&mut writer, &hello, QUIET).await?;
     let mut confirmed = Instant::now();
     let mut held = None;
     loop {
         match frame::read(&mut reader, QUIET).await? {
-            Feed::Catalog(document) => held = Some(document),
+            Feed::Catalog(packed) => held = Some(packed.unpack()?),
             Feed::Targets(targets) => state.set_targets(place, targets),
             Feed::Status { current, controls, entries } => {
                 state.set_status(place, current, controls, entries);
--- /dev/null
+++ b/lagoongauged/tests/feed.rs
@@ -0,0 +1,78 @@
+//! Large catalogs on narrow links.
+
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::AsyncWriteExt;
+use lagoongauge::catalog::Document;
+use lagoongauged::cluster::Packed;
+use lagoongauged::frame;
+
+/// Routes of the largest change that the users announced, with those that are there before.
+const ROUTES: u32 = 1700;
+
+/// Bytes a second of an entry host's link on the users' larger deployments.
+const LINK: usize = 437_000;
+
+fn document() -> Document {
+    let route = |number: u32| {
+        let name = number.wrapping_mul(0x9e37_79b9);
+        format!(
+            r#"{{"Name":"r-{name:x}","Host":"198.18.{}.{}","PathPrefix":"/{}/","Type":"safe","TimeoutMs":3000,"TargetLatencyMs":200,"Priority":2,"Service":"huvo11a","MaxAttempts":2}}"#,
+            number / 250,
+            number % 250,
+            1024 + name % 60_000
+        )
+    };
+    let routes: Vec<String> = (0..ROUTES).map(route).collect();
+    let text = format!(r#"{{"Version":7,"Routes":[{}]}}"#, routes.join(",")).into_bytes();
+    Document { version: 7, text }
+}
+
+#[test]
+fn a_large_catalog_takes_a_narrow_link_for_a_tenth_of_a_second() {
+    let document = document();
+    let packed = Packed::pack(&document).unwrap();
+    let (before, after) = (document.text.len(), packed.size());
+    assert!(before > LINK / 2, "{before} bytes are a large document");
+    assert!(after <= LINK / 10, "{after} of {before} bytes are left");
+    assert_eq!(packed.unpack().unwrap(), document);
+}
+
+#[test]
+fn a_damaged_catalog_is_refused() {
+    let packed = Packed::pack(&document()).unwrap();
+    let mut bytes = postcard::to_stdvec(&packed).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0xff;
+    let damaged: Packed = postcard::from_bytes(&bytes).unwrap();
+    assert!(damaged.unpack().is_err());
+}
+
+/// A frame that takes longer than the limit arrives, as long as parts of it keep coming.
+#[test]
+fn a_slow_frame_arrives_and_a_silent_one_does_not() {
+    let limit = Duration::from_millis(200);
+    for silent in [false, true] {
+        let read = task::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut sender = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let (mut receiver, _) = listener.accept().await.unwrap();
+            let bytes = postcard::to_stdvec(&vec![1_u8; 100_000]).unwrap();
+            let sending = task::spawn(async move {
+                let length = (bytes.len() as u32).to_be_bytes();
+                sender.write_all(&length).await.unwrap();
+                for part in bytes.chunks(10_000).take(if silent { 3 } else { usize::MAX }) {
+                    sender.write_all(part).await.unwrap();
+                    task::sleep(Duration::from_millis(40)).await;
+                }
+                task::sleep(2 * limit).await;
+            });
+            let read: std::io::Result<Vec<u8>> = frame::read(&mut receiver, limit).await;
+            sending.await;
+            read
+        });
+        assert_eq!(read.is_err(), silent);
+    }
+}
