Say three things once: hearing of targets, reading a catalog, where hosts listen

Cause: targets and beats of other control hosts were taken in by the same lines twice; an entry host that could not take a catalog yet read the whole document again with each message; listen_address only called address_of.

Change: Host::hear serves both messages, a catalog is read once when it arrives, the wrapper is gone. Behaviour stays as it was.

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -321,30 +321,28 @@
                 }
                 Err(error) => log::warn!("a message of control host {from} is dropped: {error}"),
             },
-            Peer::Targets(entries) => {
-                let mut roster = self.roster.borrow_mut();
-                let stamp = roster.stamp();
+            Peer::Targets(entries) => self.hear(|roster| {
                 for entry in entries {
                     roster.merge(now, entry);
                 }
-                let changed = roster.stamp() != stamp;
-                drop(roster);
-                if changed {
-                    self.wake_feeds();
-                }
-            }
-            Peer::Beats(beats) => {
-                let mut roster = self.roster.borrow_mut();
-                let stamp = roster.stamp();
+            }),
+            Peer::Beats(beats) => self.hear(|roster| {
                 for beat in beats {
                     roster.beat(now, beat);
                 }
-                let changed = roster.stamp() != stamp;
-                drop(roster);
-                if changed {
-                    self.wake_feeds();
-                }
-            }
+            }),
+        }
+    }
+
+    /// Lets the roster take something in, and wakes the feeds if that changed it.
+    fn hear(&self, take: impl FnOnce(&mut Roster)) {
+        let mut roster = self.roster.borrow_mut();
+        let stamp = roster.stamp();
+        take(&mut roster);
+        let changed = roster.stamp() != stamp;
+        drop(roster);
+        if changed {
+            self.wake_feeds();
         }
     }
 
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -2,7 +2,6 @@
 
 use std::collections::VecDeque;
 use std::io::Result;
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use async_std::net::TcpStream;
@@ -173,8 +172,3 @@
         frame::write(&mut writer, &count, ANSWER).await?;
     }
 }
-
-/// Returns where this host listens for other hosts.
-pub(super) fn listen_address(host: HostId, port: u16) -> SocketAddrV4 {
-    address_of(host, port)
-}
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -12,7 +12,7 @@
 
 use super::host::{Host, Setup, Shared, gossip};
 use super::keep::{Keeper, keep};
-use super::message::Hello;
+use super::message::{Hello, address_of};
 use super::metrics::Metrics;
 use super::{feed, link};
 use crate::daemon::{Clock, Stop};
@@ -70,7 +70,7 @@
     replica.retire = Some(RETIRE);
     replica.leases = false;
     let engine = Engine::new(replica, store, Vec::new(), clock.now())?;
-    let address = link::listen_address(setup.host, setup.port);
+    let address = address_of(setup.host, setup.port);
     let listener = TcpListener::bind(address).await.map_err(|error| {
         Error::new(Kind::Usage, format!("address {address} can't be listened on: {error}"))
     })?;
--- a/lagoongauged/src/steer/feed.rs
+++ b/lagoongauged/src/steer/feed.rs
@@ -8,6 +8,7 @@
 use async_std::net::TcpStream;
 use async_std::task::sleep;
 use futures::{AsyncReadExt, AsyncWrite};
+use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::id::HostId;
 
 use super::state::{Decode, FEEDS, Shared};
@@ -122,7 +123,7 @@
     let mut held = None;
     loop {
         match frame::read(&mut reader, QUIET).await? {
-            Feed::Catalog(packed) => held = Some(packed.unpack()?),
+            Feed::Catalog(packed) => held = decode(decoder, &packed.unpack()?),
             Feed::Targets(targets) => state.set_targets(place, targets),
             Feed::Status { current, controls, entries } => {
                 state.set_status(place, current, controls, entries);
@@ -132,18 +133,13 @@
                 answer(&mut writer, state.version()).await?;
             }
         }
-        if let Some(document) = &held {
-            match decoder.decode(document) {
-                Ok(catalog) if state.set_catalog(place, &catalog) => {
-                    log::info!("version {} of the catalog is in force", catalog.version());
-                    held = None;
-                }
-                Ok(catalog) if catalog.version() <= state.version() => held = None,
-                Ok(_) => {}
-                Err(error) => {
-                    log::error!("version {} can't be read: {error}", document.version);
-                    held = None;
-                }
+        // A catalog is held until the control host is known to be in touch with a quorum.
+        if let Some(catalog) = &held {
+            if state.set_catalog(place, catalog) {
+                log::info!("version {} of the catalog is in force", catalog.version());
+            }
+            if catalog.version() <= state.version() {
+                held = None;
             }
         }
         if confirmed.elapsed() > ASTRAY {
@@ -152,6 +148,13 @@
     }
 }
 
+/// Reads a document; one that can't be read is left out, as no other feed has a better copy.
+fn decode<D: Decode>(decoder: &D, document: &Document) -> Option<Catalog> {
+    let read = decoder.decode(document);
+    read.inspect_err(|error| log::error!("version {} can't be read: {error}", document.version))
+        .ok()
+}
+
 async fn answer<W: AsyncWrite + Unpin>(writer: &mut W, version: u64) -> Result<()> {
     frame::write(writer, &Answer { version }, QUIET).await
 }
