Promise an end anew when it is said again, and spread who hears whom

Cause: Host::announce answered a repeated announcement as a success without a look at whether the first one had been promised. A target that got 503 for `draining`, as most control hosts were out of reach, sent the same again and got 200; the entry hosts fed by others went on sending it flows. A second DELETE was answered likewise. A DELETE at a control host that had started after the target's last announcement was told to nobody. Ruled out: the merge rules of the roster; they are right about what changed, which isn't what a promise hangs on. Change: whatever says that a target drains or has ended waits for most control hosts each time. A host that doesn't know the target tells the others with a message of its own (`Left`), which is dropped with its connection, since the name may be used again.

Found on the way: with more than 32 other entry hosts all of them were told of the same lowest addresses, so load counts of the highest went to nobody. Each now takes the next ones by address, those of its data centre first.

--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -28,9 +28,6 @@
 /// Time in which an entry host has to take a message, and to answer.
 const ANSWER: Duration = Duration::from_millis(2000);
 
-/// Entry hosts that one is told of, to share its load counts with.
-const NEIGHBOURS: usize = 32;
-
 /// Feeds one entry host until its connection is lost.
 pub(super) async fn serve<S: Store + 'static>(
     host: Shared<S>,
@@ -109,7 +106,7 @@
     if !targets.is_empty() {
         frame::write(writer, &Feed::Targets(targets), ANSWER).await?;
     }
-    let entries = neighbours(host, entry, centre);
+    let entries = Neighbour::choose(host.entries(), entry, centre);
     let (current, controls) = (host.is_current(), host.controls());
     frame::write(writer, &Feed::Status { current, controls, entries }, ANSWER).await?;
     // Targets go first, as a catalog may take long and what drains can't wait.
@@ -121,16 +118,6 @@
     Ok(())
 }
 
-/// Returns other entry hosts, those of the same data centre first.
-fn neighbours<S: Store + 'static>(host: &Shared<S>, entry: HostId, centre: &str) -> Vec<Neighbour> {
-    let others = host.entries().into_iter().filter(|(other, _)| *other != entry);
-    let mut others: Vec<Neighbour> =
-        others.map(|(host, place)| Neighbour { host, near: place == centre }).collect();
-    others.sort_by_key(|other| (!other.near, other.host));
-    others.truncate(NEIGHBOURS);
-    others
-}
-
 async fn wait(woken: &mut mpsc::Receiver<()>) {
     if timeout(STATUS, woken.next()).await.is_ok() {
         sleep(COLLECT).await;
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -232,50 +232,57 @@
     pub async fn announce(&self, entry: Entry) -> Result<Merged> {
         let now = self.clock.now();
         let beat = Beat { target: entry.target, born: entry.born, sequence: entry.sequence };
-        let target = entry.target;
+        let (target, said) = (entry.target, entry.phase);
         let merged = self.roster.borrow_mut().merge(now, entry);
-        match merged {
-            Merged::Heard => {
-                self.beats.borrow_mut().insert(target, beat);
-            }
-            Merged::Changed => {}
-            Merged::Late => return Ok(merged),
-        }
         let entry = self.roster.borrow().get(target).map(|held| held.entry.clone());
         let Some(entry) = entry else { return Ok(merged) };
-        if merged == Merged::Changed {
-            log::info!(
+        // A repeated end was perhaps promised to nobody when it first came.
+        let ends = match merged {
+            Merged::Late => said != Phase::Serving,
+            Merged::Heard | Merged::Changed => entry.phase != Phase::Serving,
+        };
+        match merged {
+            Merged::Changed => log::info!(
                 "target {target} of service {} at {} is {:?}, incarnation {}, announcement {}",
                 entry.service,
                 entry.address,
                 entry.phase,
                 entry.born,
                 entry.sequence
-            );
-        }
-        if entry.phase == Phase::Serving {
-            if merged == Merged::Changed {
-                self.spread(&Peer::Targets(vec![entry]));
-                self.wake_feeds();
+            ),
+            Merged::Heard => {
+                self.beats.borrow_mut().insert(target, beat);
             }
-            return Ok(merged);
+            Merged::Late => {}
         }
-        self.promise(entry).await.map(|()| merged)
+        if ends {
+            return self.promise(target, &Peer::Targets(vec![entry])).await.map(|()| merged);
+        }
+        if merged == Merged::Changed {
+            self.spread(&Peer::Targets(vec![entry]));
+            self.wake_feeds();
+        }
+        Ok(merged)
     }
 
     /// Notes that a target has ended; fails with `NoQuorum` like [`Self::announce`].
+    ///
+    /// A host that does not know the target, as it started after its last announcement, tells the
+    /// others, which may.
     pub async fn leave(&self, target: TargetId) -> Result<()> {
-        let now = self.clock.now();
-        let left = self.roster.borrow_mut().leave(now, target);
-        let Some(entry) = left else { return Ok(()) };
-        log::info!("target {target} of service {} at {} has ended", entry.service, entry.address);
-        self.promise(entry).await
+        let mut roster = self.roster.borrow_mut();
+        if let Some(Entry { service, address, .. }) = roster.leave(self.clock.now(), target) {
+            log::info!("target {target} of service {service} at {address} has ended");
+        }
+        let known = roster.get(target).map(|held| held.entry.clone());
+        drop(roster);
+        let told = known.map_or(Peer::Left(target), |entry| Peer::Targets(vec![entry]));
+        self.promise(target, &told).await
     }
 
-    /// Makes sure that most control hosts know an entry.
-    async fn promise(&self, entry: Entry) -> Result<()> {
-        let target = entry.target;
-        let tickets = self.spread(&Peer::Targets(vec![entry]));
+    /// Makes sure that most control hosts know what is told of a target.
+    async fn promise(&self, target: TargetId, told: &Peer) -> Result<()> {
+        let tickets = self.spread(told);
         self.wake_feeds();
         let voters = self.engine.borrow().voters();
         let until = std::time::Instant::now() + SPREAD;
@@ -326,6 +333,9 @@
                     roster.merge(now, entry);
                 }
             }),
+            Peer::Left(target) => self.hear(|roster| {
+                roster.leave(now, target);
+            }),
             Peer::Beats(beats) => self.hear(|roster| {
                 for beat in beats {
                     roster.beat(now, beat);
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -90,8 +90,7 @@
         }
         if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
             link.wake = None;
-            let log = |message: &Peer| matches!(message, Peer::Log(_));
-            link.queue.retain(|message| !log(message));
+            link.queue.retain(|message| !message.ages());
         }
         sleep(backoff.pause()).await;
     }
--- a/lagoongauged/src/cluster/message.rs
+++ b/lagoongauged/src/cluster/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use lagoongauge::id::HostId;
+use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::roster::{Beat, Entry};
 use serde::{Deserialize, Serialize};
 
@@ -43,10 +43,19 @@
     Log(Vec<u8>),
     /// Targets that changed.
     Targets(Vec<Entry>),
+    /// A target that said that it ends; its last announcement may be unknown to the sender.
+    Left(TargetId),
     /// Targets that repeated themselves.
     Beats(Vec<Beat>),
 }
 
+impl Peer {
+    /// Tells whether the message means something else, or nothing, once time has passed.
+    pub(super) fn ages(&self) -> bool {
+        matches!(self, Self::Log(_) | Self::Left(_))
+    }
+}
+
 /// What a control host tells an entry host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Feed {
@@ -74,6 +83,22 @@
     pub near: bool,
 }
 
+impl Neighbour {
+    /// Entry hosts that one is told of, to share its load counts with.
+    pub const MOST: usize = 32;
+
+    /// Chooses the neighbours of an entry host: those of its data centre first, and of each kind
+    /// the next ones by address, so that every host is the neighbour of about as many others.
+    pub fn choose(entries: Vec<(HostId, String)>, of: HostId, centre: &str) -> Vec<Self> {
+        let others = entries.into_iter().filter(|(host, _)| *host != of);
+        let mut others: Vec<Self> =
+            others.map(|(host, place)| Self { host, near: place == centre }).collect();
+        others.sort_by_key(|other| (!other.near, other.host.0.wrapping_sub(of.0)));
+        others.truncate(Self::MOST);
+        others
+    }
+}
+
 /// What an entry host answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
--- a/lagoongauged/tests/feed.rs
+++ b/lagoongauged/tests/feed.rs
@@ -1,4 +1,4 @@
-//! Large catalogs on narrow links.
+//! What entry hosts are fed: large catalogs on narrow links, and their neighbours.
 
 use std::time::Duration;
 
@@ -6,7 +6,9 @@
 use async_std::task;
 use futures::AsyncWriteExt;
 use lagoongauge::catalog::Document;
+use lagoongauge::id::HostId;
 use lagoongauged::cluster::Packed;
+use lagoongauged::cluster::message::Neighbour;
 use lagoongauged::frame;
 
 /// Routes of the largest change that the users announced, with those that are there before.
@@ -76,3 +78,30 @@
         assert_eq!(read.is_err(), silent);
     }
 }
+
+/// With more hosts than one is told of, each has to be heard by as many as it hears.
+#[test]
+fn every_entry_host_is_the_neighbour_of_as_many_others() {
+    for centres in [1_u32, 4] {
+        let place = |host: u32| format!("centre-{}", host % centres);
+        let hosts = 0..120_u32;
+        let entries: Vec<(HostId, String)> =
+            hosts.clone().map(|host| (HostId(host), place(host))).collect();
+        let mut heard = [0_usize; 120];
+        for host in hosts {
+            let others = Neighbour::choose(entries.clone(), HostId(host), &place(host));
+            assert_eq!(others.len(), Neighbour::MOST);
+            assert!(others.iter().all(|other| other.host != HostId(host)));
+            assert_eq!(
+                others.iter().filter(|other| other.near).count(),
+                match centres {
+                    1 => Neighbour::MOST,
+                    _ => 29,
+                }
+            );
+            others.iter().for_each(|other| heard[other.host.0 as usize] += 1);
+        }
+        let (least, most) = (heard.iter().min().unwrap(), heard.iter().max().unwrap());
+        assert!(*least >= 24 && *most <= 40, "each is heard by {least} to {most}");
+    }
+}
