--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -270,12 +270,11 @@
     /// A host that does not know the target, as it started after its last announcement, tells the
     /// others, which may.
     pub async fn leave(&self, target: TargetId) -> Result<()> {
-        let mut roster = self.roster.borrow_mut();
-        if let Some(Entry { service, address, .. }) = roster.leave(self.clock.now(), target) {
+        let left = self.roster.borrow_mut().leave(self.clock.now(), target);
+        if let Some(Entry { service, address, .. }) = left {
             log::info!("target {target} of service {service} at {address} has ended");
         }
-        let known = roster.get(target).map(|held| held.entry.clone());
-        drop(roster);
+        let known = self.roster.borrow().get(target).map(|held| held.entry.clone());
         let told = known.map_or(Peer::Left(target), |entry| Peer::Targets(vec![entry]));
         self.promise(target, &told).await
     }
