--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -47,6 +47,8 @@
     pub host: HostId,
     /// Port between hosts, the same everywhere.
     pub port: u16,
+    /// Port at which this host listens; another one where something forwards the common port.
+    pub listen: u16,
     /// Control hosts that it knows from its settings.
     pub seeds: Vec<HostId>,
     /// Interval at which targets announce themselves.
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -70,7 +70,7 @@
     replica.retire = Some(RETIRE);
     replica.leases = false;
     let engine = Engine::new(replica, store, Vec::new(), clock.now())?;
-    let address = address_of(setup.host, setup.port);
+    let address = address_of(setup.host, setup.listen);
     let listener = TcpListener::bind(address).await.map_err(|error| {
         Error::new(Kind::Usage, format!("address {address} can't be listened on: {error}"))
     })?;
--- a/lagoongauged/src/steer/run.rs
+++ b/lagoongauged/src/steer/run.rs
@@ -39,6 +39,8 @@
     pub centre: String,
     /// Port between hosts, the same everywhere.
     pub port: u16,
+    /// Port at which this host listens; another one where something forwards the common port.
+    pub listen: u16,
     /// Control hosts that it knows from its settings.
     pub seeds: Vec<HostId>,
     /// Interval at which targets announce themselves.
@@ -64,7 +66,7 @@
     D: Decode,
     F: AsyncFnOnce(Arc<State>) -> Result<()>,
 {
-    let Options { host, centre, port, seeds, interval, packets, linger } = options;
+    let Options { host, centre, port, listen, seeds, interval, packets, linger } = options;
     let setup = Setup { centre: centre.clone(), key: SHARE_KEY, flows: MAX_FLOWS };
     let clock = Clock::start();
     let decisions = Decisions::start(clock.now()).map_err(|error| failed(&error))?;
@@ -80,7 +82,7 @@
         plane::carry(&shared, &codec, &socket, packets.port());
     };
     thread::Builder::new().name("packets".into()).spawn(plane).map_err(|error| failed(&error))?;
-    let own = address_of(host, port);
+    let own = address_of(host, listen);
     let reports = share::bind(own).map_err(|error| unbound(own, &error))?;
     let taken = reports.try_clone().map_err(|error| failed(&error))?;
     let shared = Arc::clone(&state);
--- /dev/null
+++ b/soak/src/calls.rs
@@ -0,0 +1,69 @@
+//! Calls to the programs.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use http_types::{Method, Request, Result, StatusCode, Url};
+
+use crate::net::CALLS;
+
+/// Time in which a call has to be answered.
+const ANSWER: Duration = Duration::from_millis(1000);
+
+/// How often a caller lets itself be sent to another host.
+const HOPS: usize = 2;
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// The host that gave it.
+    pub host: Ipv4Addr,
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: String,
+    location: Option<SocketAddrV4>,
+}
+
+/// Calls a control host and follows it to another one; nothing if there is no answer.
+pub async fn call(host: Ipv4Addr, method: Method, path: &str, body: &str) -> Option<Reply> {
+    let mut address = SocketAddrV4::new(host, CALLS);
+    for _ in 0..=HOPS {
+        let reply = once(address, method, path, body).await?;
+        if reply.status != StatusCode::TemporaryRedirect {
+            return Some(reply);
+        }
+        address = reply.location?;
+    }
+    None
+}
+
+/// Calls a host once; nothing if there is no answer.
+pub async fn once(address: SocketAddrV4, method: Method, path: &str, body: &str) -> Option<Reply> {
+    match timeout(ANSWER, exchange(address, method, path, body)).await {
+        Ok(Ok(reply)) => Some(reply),
+        Ok(Err(error)) => {
+            log::debug!("{method} {path} at {address} failed: {error}");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+async fn exchange(address: SocketAddrV4, method: Method, path: &str, body: &str) -> Result<Reply> {
+    let stream = TcpStream::connect(address).await?;
+    let mut request = Request::new(method, Url::parse(&format!("http://{address}{path}"))?);
+    request.insert_header("connection", "close");
+    request.insert_header("content-type", "application/json");
+    request.set_body(body);
+    let mut response = async_h1::connect(stream, request).await?;
+    let location = response.header("location").map(|value| value.as_str().to_owned());
+    let location = location.and_then(|to| Url::parse(&to).ok()).and_then(|url| {
+        let ip = url.host_str()?.parse().ok()?;
+        Some(SocketAddrV4::new(ip, url.port()?))
+    });
+    let body = response.body_string().await?;
+    Ok(Reply { host: *address.ip(), status: response.status(), body, location })
+}
--- /dev/null
+++ b/soak/src/wrong.rs
@@ -0,0 +1,111 @@
+//! Wrong variants of the programs, to show that the soak finds what it should.
+
+use std::cell::RefCell;
+use std::fs;
+use std::str::FromStr;
+
+use lagoon_platform::operator::Reader;
+use lagoon_platform::packet::PacketCodec;
+use lagoon_platform::settings::{ControlSettings, Flags, Lines};
+use lagoon_platform::{control, entry};
+use lagoongauge::catalog::{Catalog, Document};
+use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::id::TargetId;
+use lagoongauge::mark::{Codec, Mark, Segment};
+use lagoongauged::daemon::{Reload, Stop};
+use lagoongauged::steer::Decode;
+
+/// What a wrong variant does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wrong {
+    /// Entry hosts place every packet anew, as if it had no mark.
+    Marks,
+    /// Entry hosts keep the first configuration that they see.
+    Catalog,
+    /// Control hosts start with an empty disk.
+    Disk,
+}
+
+impl Wrong {
+    /// The word for the variant on the command line.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Marks => "marks",
+            Self::Catalog => "catalog",
+            Self::Disk => "disk",
+        }
+    }
+}
+
+impl FromStr for Wrong {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        let all = [Self::Marks, Self::Catalog, Self::Disk];
+        let found = all.into_iter().find(|wrong| wrong.word() == text);
+        found.ok_or_else(|| format!("{text:?} is none of marks, catalog and disk"))
+    }
+}
+
+/// Runs a wrong entry host.
+pub fn run_entry(wrong: Wrong, listen: u16) -> Result<()> {
+    let (lines, flags, reload, stop) = prepare(listen)?;
+    match wrong {
+        Wrong::Marks => entry::run_with((Unmarked, Reader), lines, flags, reload, &stop),
+        Wrong::Catalog => {
+            let first = First(RefCell::default());
+            entry::run_with((PacketCodec, first), lines, flags, reload, &stop)
+        }
+        Wrong::Disk => entry::run(lines, flags, reload, &stop),
+    }
+}
+
+/// Runs a wrong control host.
+pub fn run_control(wrong: Wrong, listen: u16) -> Result<()> {
+    let (lines, flags, reload, stop) = prepare(listen)?;
+    if wrong == Wrong::Disk {
+        let folder = ControlSettings::try_from(&lines)?.folder;
+        let emptied = fs::remove_dir_all(&folder).and_then(|()| fs::create_dir_all(&folder));
+        emptied.map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+    }
+    control::run(lines, flags, reload, &stop)
+}
+
+fn prepare(listen: u16) -> Result<(Lines, Flags, Reload, Stop)> {
+    let failed = |error: std::io::Error| Error::new(Kind::Internal, error.to_string());
+    let flags = Flags { metrics: None, listen: Some(listen) };
+    let (reload, stop) = (Reload::on_signal(), Stop::on_signals());
+    Ok((Lines::load()?, flags, reload.map_err(failed)?, stop.map_err(failed)?))
+}
+
+/// Reads packets as if they had no mark.
+#[derive(Debug, Clone, Copy)]
+struct Unmarked;
+
+impl Codec for Unmarked {
+    const HEAD: usize = PacketCodec::HEAD;
+
+    fn read(&self, bytes: &[u8]) -> Option<Segment> {
+        let segment = PacketCodec.read(bytes)?;
+        Some(Segment { mark: None, signal: lagoongauge::mark::Signal::Open, ..segment })
+    }
+
+    fn wrap(&self, bytes: &mut [u8], target: TargetId, mark: Mark) {
+        PacketCodec.wrap(bytes, target, mark);
+    }
+
+    fn reset(&self, segment: &Segment, reply: &mut Vec<u8>) {
+        PacketCodec.reset(segment, reply);
+    }
+}
+
+/// Reads the first document again and again.
+#[derive(Debug)]
+struct First(RefCell<Option<Document>>);
+
+impl Decode for First {
+    fn decode(&self, document: &Document) -> Result<Catalog> {
+        let mut first = self.0.borrow_mut();
+        Reader.decode(first.get_or_insert_with(|| document.clone()))
+    }
+}
