Send no SYN on that waited while the host stood still

Ruled out: marks of two targets that are alike (none); a catalog or roster out of date (the flows were placed at serving targets of the right service). Change: a copy counts as sent for want of an answer only 100 ms after the first one was seen; after a standstill of a second SYNs are dropped, not refused, for 200 ms, with the cause 'stale'. Entry hosts' clock counts the time in which the machine is suspended.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -36,6 +36,15 @@
 /// Time without a confirming control host after which this host counts as cut off.
 const CUT_OFF: Span = Span::millis(1000);
 
+/// Time after which a repeated SYN was sent because nobody answered, not because both waited here.
+const REPEATED: Span = Span::millis(100);
+
+/// Standstill of this host after which the fabric has handed callers' copies to other hosts.
+const STANDSTILL: Span = Span::millis(1000);
+
+/// Time in which a host works off the packets that waited for it.
+const CATCH_UP: Span = Span::millis(200);
+
 /// Most waits that are kept until they are taken.
 const MAX_WAITS: usize = 4096;
 
@@ -69,11 +78,13 @@
     ForeignMark,
     /// The packet belongs to no flow that is known here and carries no mark.
     NoMark,
+    /// The SYN waited while this host stood still, and its caller has gone elsewhere since.
+    Stale,
 }
 
 impl Cause {
     /// All causes, in the order of their numbers.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::NoRoute,
         Self::RouteRemoved,
         Self::NoTarget,
@@ -82,6 +93,7 @@
         Self::UnknownMark,
         Self::ForeignMark,
         Self::NoMark,
+        Self::Stale,
     ];
 
     /// Returns the cause's name in logs and metrics.
@@ -95,6 +107,7 @@
             Self::UnknownMark => "unknown_mark",
             Self::ForeignMark => "foreign_mark",
             Self::NoMark => "no_mark",
+            Self::Stale => "stale",
         }
     }
 }
@@ -137,6 +150,10 @@
     current: bool,
     /// When control hosts last confirmed what this host knows.
     confirmed: Instant,
+    /// When time was last passed; none before the first time.
+    ticked: Option<Instant>,
+    /// Until when first packets may have waited through a standstill.
+    stale_until: Instant,
 }
 
 impl Router {
@@ -164,6 +181,8 @@
             version: 0,
             current: false,
             confirmed: Instant::default(),
+            ticked: None,
+            stale_until: Instant::default(),
         }
     }
 
@@ -254,8 +273,23 @@
         self.sum_reports(now);
     }
 
+    /// Tells whether packets that arrive now may have waited for long, as this host stood still.
+    fn is_stale(&self, now: Instant) -> bool {
+        now < self.stale_until || self.stood_still(now)
+    }
+
+    fn stood_still(&self, now: Instant) -> bool {
+        self.ticked.is_some_and(|ticked| now.since(ticked) >= STANDSTILL)
+    }
+
     /// Lets time pass: forgets flows, reports and targets that no longer matter.
+    ///
+    /// It has to be called several times a second, as a long pause counts as a standstill.
     pub fn tick(&mut self, now: Instant) {
+        if self.stood_still(now) {
+            self.stale_until = now + CATCH_UP;
+        }
+        self.ticked = Some(now);
         let done = |flow: &Flow| match (flow.finished, flow.settled) {
             (true, _) => now.since(flow.seen) >= FORGET_FINISHED,
             (_, false) => now.since(flow.opened) >= FORGET_OPENING,
@@ -290,6 +324,7 @@
             Some(_) => {}
         }
         match segment.signal {
+            Signal::Open if self.is_stale(now) => Verdict::Drop(Cause::Stale),
             Signal::Open => self.open(now, segment),
             _ => self.carry(now, segment),
         }
@@ -297,8 +332,8 @@
 
     /// Decides on a SYN or a copy of one.
     ///
-    /// A copy goes where the first one went, unless that target has shown no life since: two
-    /// targets that both answer would leave the caller with halves of two flows.
+    /// A copy goes where the first one went, unless that target had time to answer and has shown no
+    /// life since: two targets that both answer would leave the caller with halves of two flows.
     fn open(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let mut avoided = None;
         if let Some(flow) = self.flows.get(&segment.ends).copied() {
@@ -307,7 +342,8 @@
             if copy {
                 target.note_repeat();
             }
-            let dead = target.silent || !target.lives_since(flow.opened);
+            let waited = now.since(flow.opened) >= REPEATED;
+            let dead = target.silent || (waited && !target.lives_since(flow.opened));
             if copy && (flow.settled || (target.takes_new() && !dead)) {
                 return self.forward(flow.target, false);
             }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -35,6 +35,34 @@
     assert_ne!(target_of(world.open(1)), target);
 }
 
+/// Both copies waited while the host was held up; that nothing answered between them says nothing.
+#[test]
+fn copies_that_waited_together_go_to_one_target() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    assert_eq!(target_of(world.open(1)), target);
+}
+
+/// The callers of such packets have long gone elsewhere, and a second answer would mislead them.
+#[test]
+fn first_packets_that_waited_through_a_standstill_are_dropped() {
+    for ticks_first in [false, true] {
+        let mut world = World::new(&[1, 2]);
+        let open = target_of(world.open(1));
+        world.pass(200);
+        world.stand_still(3000);
+        if ticks_first {
+            world.tick();
+        }
+        assert_eq!(world.open(2), Verdict::Drop(Cause::Stale));
+        world.mark = Some(Mark::of(open));
+        assert_eq!(target_of(world.data(1, 1, 0)), open, "later packets still go on");
+        world.tick();
+        world.pass(400);
+        target_of(world.open(2));
+    }
+}
+
 #[test]
 fn a_repeated_syn_leaves_a_target_that_drains() {
     let mut world = World::new(&[1, 2]);
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -83,8 +83,21 @@
         self.router.set_target(self.now, &entry(target.0, "desk"), silent);
     }
 
+    /// Time passes, and the host works all the while.
     pub fn pass(&mut self, millis: u64) {
+        let until = self.now + Span(millis);
+        while self.now < until {
+            self.now = (self.now + Span(200)).min(until);
+            self.tick();
+        }
+    }
+
+    /// Time passes, and the host does not run.
+    pub fn stand_still(&mut self, millis: u64) {
         self.now = self.now + Span(millis);
+    }
+
+    pub fn tick(&mut self) {
         self.router.tick(self.now);
     }
 
--- a/lagoongauged/src/ctl/explain.rs
+++ b/lagoongauged/src/ctl/explain.rs
@@ -182,6 +182,7 @@
         Some(Cause::UnknownMark) => "the host does not know the flow's target yet",
         Some(Cause::ForeignMark) => "the packet names a target of another service",
         Some(Cause::NoMark) => "the host knows neither the flow nor its target",
+        Some(Cause::Stale) => "the SYN waited while the host stood still, and was too old to go on",
         None => "written by another version",
     }
 }
--- a/lagoongauged/src/daemon/clock.rs
+++ b/lagoongauged/src/daemon/clock.rs
@@ -1,8 +1,9 @@
 //! The clock that gives the decisions their instants.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use lagoongauge::time::Instant;
+use rustix::time::{ClockId, clock_gettime};
 
 /// Monotonic clock of one process.
 ///
@@ -10,21 +11,31 @@
 /// into zero.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: std::time::Instant,
+    id: ClockId,
+    start: Duration,
 }
 
 /// Reading of a clock that has just been started, in milliseconds.
 const HEAD_START: u64 = 3_600_000;
 
 impl Clock {
-    /// Starts a clock.
+    /// Starts a clock, which stands while the machine is suspended.
     pub fn start() -> Self {
-        Self { start: std::time::Instant::now() }
+        Self::of(ClockId::Monotonic)
+    }
+
+    /// Starts a clock that also counts the time in which the machine is suspended.
+    pub fn start_counting_sleep() -> Self {
+        Self::of(ClockId::Boottime)
+    }
+
+    fn of(id: ClockId) -> Self {
+        Self { id, start: read(id) }
     }
 
     /// Returns the current instant.
     pub fn now(&self) -> Instant {
-        Instant(HEAD_START + self.start.elapsed().as_millis() as u64)
+        Instant(HEAD_START + read(self.id).saturating_sub(self.start).as_millis() as u64)
     }
 
     /// Returns the calendar time in milliseconds since 1970, which numbers a process's sessions.
@@ -32,3 +43,8 @@
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
     }
 }
+
+fn read(id: ClockId) -> Duration {
+    let time = clock_gettime(id);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/lagoongauged/src/steer/run.rs
+++ b/lagoongauged/src/steer/run.rs
@@ -68,7 +68,8 @@
 {
     let Options { host, centre, port, listen, seeds, interval, packets, linger } = options;
     let setup = Setup { centre: centre.clone(), key: SHARE_KEY, flows: MAX_FLOWS };
-    let clock = Clock::start();
+    // Packets that waited while the machine was suspended are old when it wakes.
+    let clock = Clock::start_counting_sleep();
     let decisions = Decisions::start(clock.now()).map_err(|error| failed(&error))?;
     let metrics = Metrics::new()
         .map_err(|error| Error::new(Kind::Internal, format!("metrics can't be made: {error}")))?;
