Let a successor take a dead voter's place before the next disk is lost

Two of four were left, which is no quorum, for ever: no change was accepted and nothing could be read. A dead voter was removed after 9 s of silence; the platform counts a host as replaced 4 s after its successor's start. Ruled out: the wiped host's own way back (its former self is removed after 2.4 s, but that needs the quorum that was missing). Change: where an even number vote, a silent voter is removed after 2.4 s, as one less tolerates as many losses. A host that was only away joins again. Test: a_successor_takes_a_dead_voter_s_place_before_the_next_disk_is_lost, failed before; the other tests of the replica pass (47).

--- a/lagoongauge/src/replica/member.rs
+++ b/lagoongauge/src/replica/member.rs
@@ -10,8 +10,8 @@
 /// Entries that a learner may lack when it becomes a voter.
 const CLOSE_ENTRIES: u64 = 64;
 
-/// Silence, in longest election timeouts, after which a voter whose host has come back with
-/// another disk counts as gone for good.
+/// Silence, in longest election timeouts, after which a voter that is not needed counts as gone for
+/// good: its host has come back with another disk, or an even number vote.
 const GONE_TIMEOUTS: u64 = 2;
 
 impl<M: Machine> Core<M> {
@@ -47,18 +47,25 @@
         let Some(former) = self.configuration().voter(learner.host) else {
             return Some(Change::Promote(learner));
         };
-        let gone = Span(self.setup.timing.election_max.0 * GONE_TIMEOUTS);
-        (self.silence(former) >= gone).then_some(Change::Remove(former))
+        (self.silence(former) >= self.gone()).then_some(Change::Remove(former))
+    }
+
+    fn gone(&self) -> Span {
+        Span(self.setup.timing.election_max.0 * GONE_TIMEOUTS)
     }
 
     /// Returns the removal of a member that was silent for too long, if the others are all there.
     ///
     /// Two voters stay at least, so that no single disk holds all that was accepted. A member that
-    /// was only cut off asks to join again when it is back.
+    /// was only cut off asks to join again when it is back. Where an even number vote, one less
+    /// tolerates as many losses, so a silent one goes early: its successor may be among them, and
+    /// the next loss must not leave too few.
     fn next_retired(&self) -> Option<Change> {
         let limit = self.setup.retire?;
         let own = self.setup.identity;
         let configuration = self.configuration();
+        let even = configuration.voters.len().is_multiple_of(2);
+        let limit = if even { limit.min(self.gone()) } else { limit };
         let gone = |it: &Identity| *it != own && self.silence(*it) >= limit;
         let member = configuration.members().find(gone)?;
         if !configuration.is_voter(member) {
--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -133,3 +133,39 @@
     world.run(ELECTION);
     assert_eq!(voters(&world), 3);
 }
+
+/// Rounds of 50 ms after which a new host no longer counts as lost, so that another may be.
+const CAUGHT_UP: usize = 80;
+
+/// The others must not wait for a voter that is gone while its successor is there: of four voters
+/// three are needed, so the next lost disk would leave too few for good.
+#[test]
+fn a_successor_takes_a_dead_voter_s_place_before_the_next_disk_is_lost() {
+    for next in [0, 1] {
+        let mut world = World::growing(4);
+        world.timing = Timing {
+            heartbeat: Span::millis(200),
+            pace: Span::millis(30),
+            election_min: Span::millis(700),
+            election_max: Span::millis(1200),
+            clock_drift: 10,
+        };
+        world.leases = false;
+        world.retire = Some(Span::seconds(9));
+        world.restart_all();
+        world.lose_disk(3);
+        world.run(ELECTION);
+        assert_eq!(voters(&world), 3);
+        world.crash(2, usize::MAX);
+        world.run(10);
+        world.start(3);
+        world.run(CAUGHT_UP);
+        world.lose_disk(next);
+        world.run(10);
+        world.start(next);
+        world.run(2 * ELECTION);
+        assert!(leader(&world).is_some(), "the others go on after host {next} lost its disk");
+        assert_eq!(voters(&world), 3);
+        world.check();
+    }
+}
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -39,6 +39,12 @@
 /// Time without an arrival, and packets that were sent in it, after which a flow is stuck.
 const STUCK: (Millis, u32) = (3000, 6);
 
+/// Sequence number of a caller's first data.
+const FIRST: u32 = 1001;
+
+/// Sequence number of a target's first data.
+const ANSWERS: u32 = 5001;
+
 /// Bytes of a flow's packet.
 const DATA: usize = 10;
 
@@ -198,8 +204,8 @@
             to: SocketAddrV4::new(FRONT, flow.front.port()),
             flags,
             echo: if first { 0 } else { flow.echo },
-            sequence: if first { 1000 } else { 1001 + flow.arrived },
-            acknowledged: if first { 0 } else { 5001 + flow.arrived },
+            sequence: if first { FIRST - 1 } else { FIRST + flow.arrived },
+            acknowledged: if first { 0 } else { ANSWERS + flow.arrived },
             data: vec![0; if flags == ACK { DATA } else { 0 }],
             summed: true,
         }
@@ -282,7 +288,8 @@
     let State::Open(own) = flow.state else { return };
     if own == target && held {
         flow.echo = packet.echo;
-        flow.arrived = packet.sequence - 1001 + packet.data.len() as u32;
+        // A host that was suspended may send on what is long there.
+        flow.arrived = flow.arrived.max(packet.sequence - FIRST + packet.data.len() as u32);
         (flow.heard, flow.waiting) = (now, 0);
         flow.astray.clear();
         world.counts.borrow_mut().packets += 1;
--- a/soak/src/targets.rs
+++ b/soak/src/targets.rs
@@ -143,12 +143,18 @@
         world.counts.borrow_mut().drains += 1;
         world.judge.borrow_mut().drained(name, world.now());
     }
-    pause(DRAIN + world.draw(500..4000)).await;
-    announce(&world, Method::Delete, &path, "").await;
+    let end = world.now() + DRAIN + world.draw(500..4000);
+    while world.now() < end {
+        pause(INTERVAL.min(end.saturating_sub(world.now()))).await;
+        let Some(body) = body(&world, name, born) else { return };
+        announce(&world, Method::Put, &path, &body).await;
+    }
     if body(&world, name, born).is_none() {
         return;
     }
+    // A target ends with its last call, whether that is answered or not.
     world.targets.borrow_mut().swap_remove(&name);
+    announce(&world, Method::Delete, &path, "").await;
     let service = world.draw(0..SERVICES.len() as u64) as usize;
     pause(REUSE).await;
     start(&world, service, None).await;
