Reset flows to a data centre that callers show to be out of reach

Flows were reset only once control hosts had missed three announcements, 3.6 s after the cut, when most callers had no time left. Ruled out: fewer missed announcements (one lost call would make targets silent); callers' repeats to a single target (it may have crashed alone, or be slow: a false reset breaks a flow of a living target). Change: an entry host judges data centres five times a second. One is out of reach where callers repeat packets (six or more) to two of its targets or more, none of its targets answered anybody for 700 ms, and targets elsewhere did. A repeated request that may run again and has waited for 500 ms is reset then; new flows go elsewhere. The own data centre is never judged, and a standstill of this host wipes the evidence. A target's data centre is now taken over when it changes. Verdicts and causes moved into a file of their own. Tests: four in marks; the first failed before, and a standstill that hid a target's end was found while they were written.

--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -6,6 +6,7 @@
 //! unknown, foreign or contradicts what this host saw before ([`Router`]). See "Routing by marks"
 //! in docs/PLATFORM.md.
 
+mod centre;
 mod flow;
 mod load;
 pub mod place;
@@ -13,6 +14,7 @@
 mod service;
 pub mod share;
 mod target;
+mod verdict;
 
 use std::net::SocketAddrV4;
 
@@ -21,7 +23,8 @@
 use crate::id::TargetId;
 
 pub use self::load::{Count, Report};
-pub use self::router::{Cause, Router, Setup, Verdict};
+pub use self::router::{Router, Setup};
+pub use self::verdict::{Cause, Verdict};
 
 /// Names a target in four bytes of a packet; 0 names none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -6,11 +6,13 @@
 use indexmap::map::Entry as Place;
 use slotmap::SlotMap;
 
+use super::centre::{CentreKey, Centres};
 use super::flow::Flow;
 use super::load::{Count, Report};
 use super::place::{Candidate, LeastCost, Policy};
 use super::service::Front;
 use super::target::{Target, TargetKey};
+use super::verdict::{Cause, Verdict};
 use super::{Ends, Mark, Segment, Signal};
 use crate::catalog::{Catalog, Repeat};
 use crate::flow::{FlowHash, HashKey, Protocol, Tuple};
@@ -36,6 +38,9 @@
 /// Time without a confirming control host after which this host counts as cut off.
 const CUT_OFF: Span = Span::millis(1000);
 
+/// Time that a request has to be answered in before its target's data centre matters.
+const UNANSWERED: Span = Span::millis(500);
+
 /// Time after which a repeated SYN was sent because nobody answered, not because both waited here.
 const REPEATED: Span = Span::millis(100);
 
@@ -59,79 +64,6 @@
     pub flows: usize,
 }
 
-/// Why a packet was not sent on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Cause {
-    /// No route has the front address.
-    NoRoute,
-    /// The route was removed.
-    RouteRemoved,
-    /// No target of the service takes flows.
-    NoTarget,
-    /// The flow's target has ended.
-    TargetGone,
-    /// The flow's target is out of reach, and its requests may be repeated elsewhere.
-    TargetLost,
-    /// The packet's mark names no target that is known here.
-    UnknownMark,
-    /// The packet's mark names a target of a service that the route never led to.
-    ForeignMark,
-    /// The packet belongs to no flow that is known here and carries no mark.
-    NoMark,
-    /// The SYN waited while this host stood still, and its caller has gone elsewhere since.
-    Stale,
-}
-
-impl Cause {
-    /// All causes, in the order of their numbers.
-    pub const ALL: [Self; 9] = [
-        Self::NoRoute,
-        Self::RouteRemoved,
-        Self::NoTarget,
-        Self::TargetGone,
-        Self::TargetLost,
-        Self::UnknownMark,
-        Self::ForeignMark,
-        Self::NoMark,
-        Self::Stale,
-    ];
-
-    /// Returns the cause's name in logs and metrics.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::NoRoute => "no_route",
-            Self::RouteRemoved => "route_removed",
-            Self::NoTarget => "no_target",
-            Self::TargetGone => "target_gone",
-            Self::TargetLost => "target_lost",
-            Self::UnknownMark => "unknown_mark",
-            Self::ForeignMark => "foreign_mark",
-            Self::NoMark => "no_mark",
-            Self::Stale => "stale",
-        }
-    }
-}
-
-/// What to do with a packet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// Send it to a target, with the target's mark.
-    Forward {
-        /// The target.
-        target: TargetId,
-        /// Where it takes packets.
-        address: SocketAddrV4,
-        /// Its mark.
-        mark: Mark,
-        /// Whether a flow begins here.
-        begins: bool,
-    },
-    /// Tell the caller that the flow has ended, or did not begin.
-    Reset(Cause),
-    /// Drop it; the caller sends it again.
-    Drop(Cause),
-}
-
 /// Decides on each packet from a caller; see the module's documentation.
 #[derive(Debug)]
 pub struct Router<P = LeastCost> {
@@ -142,6 +74,9 @@
     names: IndexMap<TargetId, TargetKey>,
     marks: IndexMap<Mark, TargetKey>,
     services: IndexMap<String, Vec<TargetKey>>,
+    centres: Centres,
+    /// The data centre of this host.
+    own: CentreKey,
     flows: IndexMap<Ends, Flow>,
     reports: IndexMap<HostId, (Instant, Report)>,
     candidates: Vec<(TargetKey, Candidate)>,
@@ -166,6 +101,8 @@
 impl<P: Policy> Router<P> {
     /// Builds a router that places flows in another way.
     pub fn with(setup: Setup, policy: P) -> Self {
+        let mut centres = Centres::default();
+        let own = centres.key(&setup.centre);
         Self {
             setup,
             policy,
@@ -174,6 +111,8 @@
             names: IndexMap::new(),
             marks: IndexMap::new(),
             services: IndexMap::new(),
+            centres,
+            own,
             flows: IndexMap::new(),
             reports: IndexMap::new(),
             candidates: Vec::new(),
@@ -262,8 +201,9 @@
             Some(key) => *key,
             None => self.add_target(now, entry),
         };
+        let place = self.place_of(entry);
         let target = &mut self.targets[key];
-        target.renew(entry, now);
+        target.renew(entry, place, now);
         target.silent = silent;
     }
 
@@ -273,22 +213,26 @@
         self.sum_reports(now);
     }
 
-    /// Tells whether packets that arrive now may have waited for long, as this host stood still.
-    fn is_stale(&self, now: Instant) -> bool {
-        now < self.stale_until || self.stood_still(now)
-    }
-
     fn stood_still(&self, now: Instant) -> bool {
         self.ticked.is_some_and(|ticked| now.since(ticked) >= STANDSTILL)
     }
 
+    /// Notes a standstill that has just ended: what waited is stale, and nobody saw targets answer.
+    fn wake(&mut self, now: Instant) {
+        if !self.stood_still(now) {
+            return;
+        }
+        self.ticked = Some(now);
+        self.stale_until = now + CATCH_UP;
+        let running = self.targets.values_mut().filter(|target| target.phase != Phase::Gone);
+        running.for_each(|target| target.show_life(self.stale_until));
+    }
+
     /// Lets time pass: forgets flows, reports and targets that no longer matter.
     ///
     /// It has to be called several times a second, as a long pause counts as a standstill.
     pub fn tick(&mut self, now: Instant) {
-        if self.stood_still(now) {
-            self.stale_until = now + CATCH_UP;
-        }
+        self.wake(now);
         self.ticked = Some(now);
         let done = |flow: &Flow| match (flow.finished, flow.settled) {
             (true, _) => now.since(flow.seen) >= FORGET_FINISHED,
@@ -311,10 +255,12 @@
         }
         self.sum_reports(now);
         self.drop_targets(now);
+        self.centres.judge(now, self.own, self.targets.values());
     }
 
     /// Decides on a packet.
     pub fn decide(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        self.wake(now);
         match self.fronts.get(&segment.ends.front) {
             None if self.current && segment.signal == Signal::Open => {
                 return Verdict::Reset(Cause::NoRoute);
@@ -324,7 +270,7 @@
             Some(_) => {}
         }
         match segment.signal {
-            Signal::Open if self.is_stale(now) => Verdict::Drop(Cause::Stale),
+            Signal::Open if now < self.stale_until => Verdict::Drop(Cause::Stale),
             Signal::Open => self.open(now, segment),
             _ => self.carry(now, segment),
         }
@@ -340,7 +286,7 @@
             let copy = flow.first == segment.sequence;
             let target = &mut self.targets[flow.target];
             if copy {
-                target.note_repeat();
+                target.note_repeat(now);
             }
             let waited = now.since(flow.opened) >= REPEATED;
             let dead = target.silent || (waited && !target.lives_since(flow.opened));
@@ -385,8 +331,9 @@
         }
         let request = segment.signal == Signal::Middle && segment.length > 0;
         let repeats = self.fronts[&segment.ends.front].repeat == Repeat::Idempotent;
-        if request && repeats && target.is_lost(now, self.is_cut_off(now)) {
-            self.targets[key].note_repeat();
+        let lost = target.is_lost(now, self.is_cut_off(now)) || self.is_beyond(now, key, known);
+        if request && repeats && lost {
+            self.targets[key].note_repeat(now);
             self.forget(segment.ends);
             return Verdict::Reset(Cause::TargetLost);
         }
@@ -397,6 +344,14 @@
         self.forward(key, false)
     }
 
+    /// Tells whether a flow waits for a target in a data centre that is out of reach.
+    fn is_beyond(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
+        let target = &self.targets[key];
+        let waits = flow.and_then(|flow| flow.waits);
+        let waits = waits.is_some_and(|since| now.since(since) >= UNANSWERED);
+        waits && self.centres.is_lost(target.centre) && target.unheard(now, UNANSWERED)
+    }
+
     /// Notes what a packet tells of its flow and of the flow's target.
     fn note(&mut self, now: Instant, key: TargetKey, segment: &Segment) {
         if segment.signal == Signal::Reset {
@@ -417,7 +372,7 @@
         }
         let fresh = flow.extends(segment.sequence, segment.length);
         if segment.length > 0 && !fresh && !answered {
-            target.note_repeat();
+            target.note_repeat(now);
         }
         let ends = flow.finished || (answered && !fresh);
         if ends && let Some(since) = flow.waits.take() {
@@ -451,7 +406,7 @@
             let target = &self.targets[*key];
             if target.takes_new() {
                 let mut candidate = target.candidate(now);
-                candidate.doubtful |= avoided == Some(*key);
+                candidate.doubtful |= avoided == Some(*key) || self.centres.is_lost(target.centre);
                 self.candidates.push((*key, candidate));
             }
         }
@@ -495,8 +450,14 @@
         }
     }
 
+    /// Returns a target's data centre, and whether it is the own one.
+    fn place_of(&mut self, entry: &Entry) -> (CentreKey, bool) {
+        let centre = self.centres.key(&entry.centre);
+        (centre, centre == self.own)
+    }
+
     fn add_target(&mut self, now: Instant, entry: &Entry) -> TargetKey {
-        let target = Target::new(entry, &self.setup.centre, now);
+        let target = Target::new(entry, self.place_of(entry), now);
         let mark = target.mark;
         let key = self.targets.insert(target);
         self.names.insert(entry.target, key);
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -4,6 +4,7 @@
 
 use slotmap::new_key_type;
 
+use super::centre::CentreKey;
 use super::place::Candidate;
 use super::{Count, Mark};
 use crate::id::TargetId;
@@ -42,6 +43,8 @@
     pub(super) address: SocketAddrV4,
     pub(super) service: String,
     pub(super) near: bool,
+    /// Its data centre.
+    pub(super) centre: CentreKey,
     pub(super) slots: u16,
     pub(super) phase: Phase,
     pub(super) silent: bool,
@@ -57,18 +60,21 @@
     alive: Instant,
     /// Packets that callers repeated since then.
     repeats: u16,
+    /// When the last of them came.
+    repeated: Instant,
     /// When it was last tried while in doubt.
     tried: Instant,
 }
 
 impl Target {
-    pub(super) fn new(entry: &Entry, centre: &str, now: Instant) -> Self {
+    pub(super) fn new(entry: &Entry, (centre, near): (CentreKey, bool), now: Instant) -> Self {
         Self {
             id: entry.target,
             mark: Mark::of(entry.target),
             address: entry.address,
             service: entry.service.clone(),
-            near: entry.centre == centre,
+            near,
+            centre,
             slots: entry.slots,
             phase: entry.phase,
             silent: false,
@@ -78,15 +84,17 @@
             others: Count::default(),
             alive: now,
             repeats: 0,
+            repeated: now,
             tried: now,
         }
     }
 
     /// Takes over what the target announced of itself.
-    pub(super) fn renew(&mut self, entry: &Entry, now: Instant) {
+    pub(super) fn renew(&mut self, entry: &Entry, (centre, near): (CentreKey, bool), now: Instant) {
         if entry.phase == Phase::Gone && self.phase != Phase::Gone {
             self.ended = now;
         }
+        (self.centre, self.near) = (centre, near);
         self.address = entry.address;
         self.service.clone_from(&entry.service);
         self.slots = entry.slots;
@@ -122,9 +130,22 @@
         self.repeats = 0;
     }
 
-    /// Notes that a caller repeated a packet to it.
-    pub(super) fn note_repeat(&mut self) {
-        self.repeats = self.repeats.saturating_add(1);
+    /// Returns when something of it was last seen to have arrived at a caller.
+    pub(super) fn alive(&self) -> Instant {
+        self.alive
+    }
+
+    /// Returns the packets that callers repeated since then, if the last of them came lately.
+    pub(super) fn repeats_since(&self, now: Instant, limit: Span) -> u16 {
+        if now.since(self.repeated) < limit { self.repeats } else { 0 }
+    }
+
+    /// Notes that a caller repeated a packet to it; one that waited for this host says nothing.
+    pub(super) fn note_repeat(&mut self, now: Instant) {
+        if self.alive <= now {
+            self.repeats = self.repeats.saturating_add(1);
+            self.repeated = now;
+        }
     }
 
     /// Tells whether it may be dead: callers repeat what they send it, and none hears from it.
@@ -139,6 +160,11 @@
         unheard && (self.silent || (cut_off && !self.near))
     }
 
+    /// Tells whether callers repeat packets to it, and none has heard from it for this time.
+    pub(super) fn unheard(&self, now: Instant, limit: Span) -> bool {
+        self.repeats > 0 && self.quiet(now) >= limit
+    }
+
     /// Returns it as a candidate; a doubted one is tried now and then.
     pub(super) fn candidate(&self, now: Instant) -> Candidate {
         let mut load = self.own;
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -43,6 +43,20 @@
     assert_eq!(target_of(world.open(1)), target);
 }
 
+/// A standstill hides the answers of targets, but not that one has ended.
+#[test]
+fn a_flow_is_reset_after_a_standstill_where_its_target_had_ended_before() {
+    let mut world = World::new(&[1, 2]);
+    let target = target_of(world.open(1));
+    world.mark = Some(Mark::of(target));
+    world.data(1, 1, 0);
+    world.set_phase(target, Phase::Gone);
+    world.stand_still(3000);
+    assert_eq!(world.data(1, 1, 0), Verdict::Reset(Cause::TargetGone));
+    world.pass(1000);
+    assert_eq!(world.data(1, 1, 0), Verdict::Reset(Cause::TargetGone));
+}
+
 /// The callers of such packets have long gone elsewhere, and a second answer would mislead them.
 #[test]
 fn first_packets_that_waited_through_a_standstill_are_dropped() {
@@ -199,6 +213,100 @@
     }
 }
 
+/// Callers of two targets in another data centre send a request, and repeat it after 200 and 400 ms
+/// more; returns what becomes of the repeats after a second. `others` happens all the while.
+fn cut(world: &mut World, targets: [u64; 2], mut others: impl FnMut(&mut World)) -> [Verdict; 2] {
+    let callers = [10, 11, 20, 21];
+    let target = |caller: u16| lagoongauge::id::TargetId(targets[usize::from(caller / 20)]);
+    let send = |world: &mut World, caller: u16| {
+        world.mark = Some(Mark::of(target(caller)));
+        world.data(caller, 1, 0)
+    };
+    let mut wait = |world: &mut World, time: u64| {
+        for _ in 0..time / 100 {
+            world.pass(100);
+            others(world);
+        }
+    };
+    for pause in [0, 200, 400] {
+        wait(world, pause);
+        for caller in callers {
+            send(world, caller);
+        }
+    }
+    wait(world, 400);
+    [send(world, callers[0]), send(world, callers[2])]
+}
+
+/// Control hosts take seconds to miss a data centre's targets, and callers have less time.
+#[test]
+fn flows_to_a_data_centre_that_is_cut_off_are_reset_after_a_second() {
+    let near = lagoongauge::id::TargetId(1);
+    let mut world = World::new(&[1, 2, 3]);
+    world.set_centre(&[2, 3], "b");
+    let verdicts = cut(&mut world, [2, 3], |world| world.show_life(near));
+    assert_eq!(verdicts, [Verdict::Reset(Cause::TargetLost); 2]);
+    for caller in 30..50 {
+        assert_eq!(target_of(world.open(caller)), near, "and new flows begin elsewhere");
+    }
+}
+
+#[test]
+fn no_flow_is_reset_where_the_data_centre_may_be_in_reach() {
+    let [near, far, quiet] = [1, 3, 4].map(lagoongauge::id::TargetId);
+    let world = || {
+        let mut world = World::new(&[1, 2, 3, 4]);
+        world.set_centre(&[2, 3, 4], "b");
+        world
+    };
+    let forwarded = |verdicts: [Verdict; 2]| verdicts.map(target_of);
+    // One target of it answers somebody.
+    forwarded(cut(&mut world(), [2, 3], |world| {
+        world.show_life(near);
+        world.show_life(quiet);
+    }));
+    // Nothing answers at all: this host may be what is cut off.
+    forwarded(cut(&mut world(), [2, 3], |_| {}));
+    // A single target says nothing of its data centre.
+    let mut single = World::new(&[1, 2, 3]);
+    single.set_centre(&[2], "b");
+    single.set_centre(&[3], "c");
+    forwarded(cut(&mut single, [2, 3], |world| world.show_life(near)));
+    // Targets of the own data centre have crashed, which their neighbours' answers show.
+    forwarded(cut(&mut World::new(&[1, 2, 3]), [2, 3], |world| world.show_life(near)));
+    // The requests may run once only.
+    let mut once = World::once(&[1, 2, 3]);
+    once.set_centre(&[2, 3], "b");
+    forwarded(cut(&mut once, [2, 3], |world| world.show_life(near)));
+    // A request that has only just been sent gets its time.
+    let mut fresh = world();
+    cut(&mut fresh, [2, 3], |world| world.show_life(near));
+    fresh.mark = Some(Mark::of(far));
+    assert_eq!(target_of(fresh.data(70, 1, 0)), far);
+}
+
+/// What waited while the host stood still says nothing of targets: nobody saw their answers.
+#[test]
+fn a_standstill_is_no_sign_of_a_data_centre_that_is_cut_off() {
+    let mut world = World::new(&[1, 2, 3]);
+    world.set_centre(&[2, 3], "b");
+    for caller in [10, 20] {
+        world.mark = Some(Mark::of(lagoongauge::id::TargetId(u64::from(caller / 10) + 1)));
+        world.data(caller, 1, 0);
+    }
+    world.stand_still(3000);
+    for _ in 0..5 {
+        for caller in [10, 20] {
+            world.mark = Some(Mark::of(lagoongauge::id::TargetId(u64::from(caller / 10) + 1)));
+            target_of(world.data(caller, 1, 0));
+        }
+    }
+    world.show_life(lagoongauge::id::TargetId(1));
+    world.pass(200);
+    world.mark = Some(Mark::of(lagoongauge::id::TargetId(2)));
+    target_of(world.data(10, 1, 0));
+}
+
 #[test]
 fn a_request_that_may_run_once_is_left_with_its_target() {
     let target = lagoongauge::id::TargetId(1);
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -51,6 +51,14 @@
         self.router.set_target(self.now, &entry, false);
     }
 
+    /// Moves targets to another data centre; this host's own is "a".
+    pub fn set_centre(&mut self, targets: &[u64], centre: &str) {
+        for target in targets {
+            let entry = Entry { centre: centre.into(), ..entry(*target, "desk") };
+            self.router.set_target(self.now, &entry, false);
+        }
+    }
+
     /// The control hosts confirm nothing any more.
     pub fn cut_off(&mut self) {
         self.router.set_current(self.now, false);
