Say once how a control host waits, how the soak holds a process, what is silent

Left from before: Host::read and Host::promise had the same loop, the silence of all targets was written out twice, and a receive error was logged without bound (a pause of 20 ms bounds it now).

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -209,22 +209,16 @@
     /// Fails with `NotLeader`, or with `NotCurrent` where no quorum answers in time.
     pub async fn read(&self) -> Result<Arc<Document>> {
         let arrived = self.clock.now();
-        let until = std::time::Instant::now() + CONFIRM;
         sleep(Duration::from_millis(1)).await;
         self.engine.borrow_mut().confirm(self.clock.now());
         self.flush();
-        loop {
-            let read = self.engine.borrow().read_after(arrived).map(Shelf::document);
-            match read {
-                Err(error) if error.kind == Kind::NotCurrent => {
-                    if std::time::Instant::now() >= until {
-                        return Err(error);
-                    }
-                    sleep(LOOK).await;
-                }
-                other => return other,
+        wait_until(CONFIRM, || {
+            match self.engine.borrow().read_after(arrived).map(Shelf::document) {
+                Err(error) if error.kind == Kind::NotCurrent => Err(error),
+                settled => Ok(settled),
             }
-        }
+        })
+        .await?
     }
 
     /// Takes a target's announcement and returns what it changed.
@@ -286,18 +280,15 @@
         let tickets = self.spread(told);
         self.wake_feeds();
         let voters = self.engine.borrow().voters();
-        let until = std::time::Instant::now() + SPREAD;
-        loop {
+        wait_until(SPREAD, || {
             let known = 1 + self.count_taken(&tickets);
             if known > voters / 2 {
                 return Ok(());
             }
-            if std::time::Instant::now() >= until {
-                let detail = format!("only {known} control hosts know the state of {target}");
-                return Err(Error::new(Kind::NoQuorum, detail));
-            }
-            sleep(LOOK).await;
-        }
+            let detail = format!("only {known} control hosts know the state of {target}");
+            Err(Error::new(Kind::NoQuorum, detail))
+        })
+        .await
     }
 
     fn count_taken(&self, tickets: &[(HostId, u64)]) -> usize {
@@ -436,6 +427,18 @@
     }
 }
 
+/// Looks again and again until there is a result; fails with the last error once time is over.
+async fn wait_until<T>(limit: Duration, mut look: impl FnMut() -> Result<T>) -> Result<T> {
+    let until = std::time::Instant::now() + limit;
+    loop {
+        let looked = look();
+        if looked.is_ok() || std::time::Instant::now() >= until {
+            return looked;
+        }
+        sleep(LOOK).await;
+    }
+}
+
 /// Sends collected beats to the other control hosts now and then, and the lists of hosts.
 pub(super) async fn gossip<S: Store + 'static>(host: Shared<S>) {
     let mut round = 0u64;
--- a/lagoongauged/src/steer/plane.rs
+++ b/lagoongauged/src/steer/plane.rs
@@ -2,6 +2,8 @@
 
 use std::io::ErrorKind;
 use std::net::{SocketAddrV4, UdpSocket};
+use std::thread;
+use std::time::Duration;
 
 use lagoongauge::mark::{Codec, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
@@ -11,6 +13,9 @@
 /// Longest datagram in bytes.
 const MAX_DATAGRAM: usize = 2048;
 
+/// Pause after a failed receive, which also bounds the lines that tell of it.
+const PAUSE: Duration = Duration::from_millis(20);
+
 /// Carries packets until the process ends; `callers` is the port that callers take packets at.
 ///
 /// No lock is held across a call, and nothing is allocated for a packet.
@@ -23,6 +28,7 @@
             Err(error) if error.kind() == ErrorKind::Interrupted => continue,
             Err(error) => {
                 log::warn!("no packet can be received: {error}");
+                thread::sleep(PAUSE);
                 continue;
             }
         };
--- a/lagoongauged/src/steer/state.rs
+++ b/lagoongauged/src/steer/state.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use indexmap::IndexSet;
 use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
@@ -43,6 +44,14 @@
     whole: bool,
 }
 
+impl Known {
+    /// Returns the targets that count as silent.
+    fn silent(&self) -> IndexSet<TargetId> {
+        let targets = self.roster.iter().map(|held| held.entry.target);
+        targets.filter(|target| self.opinions.is_silent(*target)).collect()
+    }
+}
+
 /// An entry host's state.
 #[derive(Debug)]
 pub struct State {
@@ -204,15 +213,10 @@
     pub(super) fn set_connected(&self, feed: usize, connected: bool) {
         let now = self.clock.now();
         let mut known = self.known();
-        let silent = |known: &Known| -> Vec<(TargetId, bool)> {
-            let targets = known.roster.iter().map(|held| held.entry.target);
-            targets.map(|target| (target, known.opinions.is_silent(target))).collect()
-        };
-        let before = silent(&known);
+        let before = known.silent();
         known.opinions.set_connected(feed, connected);
-        let after = silent(&known);
-        let changed = before.iter().zip(&after).filter(|(before, after)| before != after);
-        let changed: Vec<TargetId> = changed.map(|((target, _), _)| *target).collect();
+        let changed: Vec<TargetId> =
+            before.symmetric_difference(&known.silent()).copied().collect();
         self.renew(now, &known, &changed);
         let confirmed = known.opinions.is_current();
         drop(known);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -129,26 +129,35 @@
 }
 
 impl World {
+    /// Does something with a process.
+    fn at<T>(&self, place: Place, act: impl FnOnce(&mut Process) -> T) -> T {
+        match place {
+            Place::Entry(at) => act(&mut self.entries.borrow_mut()[at]),
+            Place::Control(at) => act(&mut self.controls.borrow_mut()[at]),
+        }
+    }
+
     /// Does something with a process, unless another fault holds it.
     fn with<T>(&self, place: Place, act: impl FnOnce(&mut Process) -> T) -> Option<T> {
-        let (hosts, at) = match place {
-            Place::Entry(at) => (&self.entries, at),
-            Place::Control(at) => (&self.controls, at),
-        };
-        let mut hosts = hosts.borrow_mut();
-        hosts.get_mut(at).filter(|host| !host.held).map(act)
+        self.at(place, |host| (!host.held).then(|| act(host)))
+    }
+
+    /// Sends a process a signal and holds it, unless another fault does; tells whether it did.
+    fn hold(&self, place: Place, signal: Signal) -> bool {
+        let held = self.with(place, |host| {
+            host.held = true;
+            host.signal(signal);
+        });
+        held.is_some()
     }
 
     /// Starts a process that was held.
     fn restart(&self, place: Place) -> Result<()> {
         let seeds = self.seeds();
-        let (hosts, at) = match place {
-            Place::Entry(at) => (&self.entries, at),
-            Place::Control(at) => (&self.controls, at),
-        };
-        let host = &mut hosts.borrow_mut()[at];
-        self.judge.borrow_mut().started(host.address);
-        host.start(&seeds, false)
+        self.at(place, |host| {
+            self.judge.borrow_mut().started(host.address);
+            host.start(&seeds, false)
+        })
     }
 }
 
@@ -172,13 +181,7 @@
             world.restart(place)
         }
         Blow::Stop(down) => {
-            if world
-                .with(place, |host| {
-                    host.held = true;
-                    host.signal(Signal::TERM);
-                })
-                .is_none()
-            {
+            if !world.hold(place, Signal::TERM) {
                 return Ok(());
             }
             await_end(world, place).await;
@@ -186,23 +189,14 @@
             world.restart(place)
         }
         Blow::Pause(time) => {
-            if world
-                .with(place, |host| {
-                    host.held = true;
-                    host.signal(Signal::STOP);
-                })
-                .is_none()
-            {
+            if !world.hold(place, Signal::STOP) {
                 return Ok(());
             }
             pause(time).await;
-            let (hosts, at) = match place {
-                Place::Entry(at) => (&world.entries, at),
-                Place::Control(at) => (&world.controls, at),
-            };
-            let host = &mut hosts.borrow_mut()[at];
-            host.signal(Signal::CONT);
-            host.held = false;
+            world.at(place, |host| {
+                host.signal(Signal::CONT);
+                host.held = false;
+            });
             Ok(())
         }
         Blow::Reload => reload(world, place),
@@ -212,24 +206,19 @@
 /// Waits until a process that was asked to end has done so; kills it if it does not.
 async fn await_end(world: &World, place: Place) {
     let asked = world.now();
-    let (hosts, at) = match place {
-        Place::Entry(at) => (&world.entries, at),
-        Place::Control(at) => (&world.controls, at),
-    };
+    let host = world.at(place, |host| host.address);
     while world.now() < asked + GRACE {
-        let status = hosts.borrow_mut()[at].ended();
-        if let Some(status) = status {
-            if !status.success() {
-                let host = hosts.borrow()[at].address;
-                world.find(Promise::Ended, format!("{host} was asked to end and failed: {status}"));
-            }
-            return;
+        let Some(status) = world.at(place, Process::ended) else {
+            pause(LOOK).await;
+            continue;
+        };
+        if !status.success() {
+            world.find(Promise::Ended, format!("{host} was asked to end and failed: {status}"));
         }
-        pause(LOOK).await;
+        return;
     }
-    let host = &mut hosts.borrow_mut()[at];
-    host.kill();
-    world.find(Promise::Ended, format!("{} does not end when it is asked to", host.address));
+    world.at(place, Process::kill);
+    world.find(Promise::Ended, format!("{host} does not end when it is asked to"));
 }
 
 async fn lose(
@@ -241,11 +230,12 @@
 ) -> Result<()> {
     let place = Place::Control(at);
     let leaves = loss == Loss::Leave;
-    let held = world.with(place, |host| {
-        host.held = true;
-        if leaves { host.signal(Signal::TERM) } else { host.kill() }
-    });
-    if held.is_none() {
+    let held = if leaves {
+        world.hold(place, Signal::TERM)
+    } else {
+        world.with(place, Process::kill).is_some()
+    };
+    if !held {
         return Ok(());
     }
     if leaves {
