Check control hosts' timeouts against the deployment's bounds

Cause: timeouts were constants that fit the bounds of the four known sites (drains in 3 or 4 s, successors in 4 s); on a deployment with others nobody would have been told, and a dead voter was taken out after 2.4 s whatever time was left for it. Change: control hosts read the bounds; what may take longer with one control host lost is named in a warning at the start, and the time for a dead voter follows the bound for successors (unchanged at 4 s).

--- a/lagoongauge/src/replica/member.rs
+++ b/lagoongauge/src/replica/member.rs
@@ -10,10 +10,6 @@
 /// Entries that a learner may lack when it becomes a voter.
 const CLOSE_ENTRIES: u64 = 64;
 
-/// Silence, in longest election timeouts, after which a voter that is not needed counts as gone for
-/// good: its host has come back with another disk, or an even number vote.
-const GONE_TIMEOUTS: u64 = 2;
-
 impl<M: Machine> Core<M> {
     /// Passes a host's request to join to the driver, which knows whom the operators allow.
     pub(super) fn on_join(&mut self, from: Identity) {
@@ -47,11 +43,7 @@
         let Some(former) = self.configuration().voter(learner.host) else {
             return Some(Change::Promote(learner));
         };
-        (self.silence(former) >= self.gone()).then_some(Change::Remove(former))
-    }
-
-    fn gone(&self) -> Span {
-        Span(self.setup.timing.election_max.0 * GONE_TIMEOUTS)
+        (self.silence(former) >= self.setup.gone).then_some(Change::Remove(former))
     }
 
     /// Returns the removal of a member that was silent for too long, if the others are all there.
@@ -65,7 +57,7 @@
         let own = self.setup.identity;
         let configuration = self.configuration();
         let even = configuration.voters.len().is_multiple_of(2);
-        let limit = if even { limit.min(self.gone()) } else { limit };
+        let limit = if even { limit.min(self.setup.gone) } else { limit };
         let gone = |it: &Identity| *it != own && self.silence(*it) >= limit;
         let member = configuration.members().find(gone)?;
         if !configuration.is_voter(member) {
--- a/lagoongauge/src/replica/setup.rs
+++ b/lagoongauge/src/replica/setup.rs
@@ -33,6 +33,13 @@
     }
 }
 
+impl Timing {
+    /// Returns the usual silence after which a voter that is not needed counts as gone.
+    pub const fn gone(self) -> Span {
+        Span(2 * self.election_max.0)
+    }
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
@@ -94,6 +101,9 @@
     /// Silence after which a leader removes a member on its own; never if none is given, as then
     /// operators say which hosts are gone for good.
     pub retire: Option<Span>,
+    /// Silence after which a voter that is not needed counts as gone for good: its host has come
+    /// back with another disk, or an even number vote. Two longest election timeouts are usual.
+    pub gone: Span,
     /// Whether reads rely on the lease. If not, a host that has just started may help a candidate at
     /// once, as no former leader's lease has to end before; so a group that was killed as a whole
     /// has a leader sooner.
@@ -103,11 +113,13 @@
 impl Setup {
     /// Builds a setup with the usual timeouts and bounds.
     pub fn new(identity: Identity, random: u64) -> Self {
+        let timing = Timing::default();
         Self {
             identity,
             seeds: Vec::new(),
             random,
-            timing: Timing::default(),
+            gone: timing.gone(),
+            timing,
             limits: Limits::default(),
             retire: None,
             leases: true,
--- a/lagoongauge/tests/replica/world.rs
+++ b/lagoongauge/tests/replica/world.rs
@@ -194,6 +194,7 @@
         let mut setup = Setup::new(host.identity, at as u64 * 1000 + host.starts);
         setup.limits = self.limits;
         setup.timing = self.timing;
+        setup.gone = self.timing.gone();
         setup.leases = self.leases;
         setup.retire = self.retire;
         setup.seeds = self.hosts.iter().map(|host| host.identity.host).collect();
--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -19,11 +19,14 @@
 /// Longest time between two messages to an entry host.
 const STATUS: Duration = Duration::from_millis(400);
 
+/// Time after which an entry host takes a quiet feed for lost and turns to another control host.
+pub(crate) const QUIET: Duration = Duration::from_millis(1300);
+
 /// Time in which changes are collected.
-const COLLECT: Duration = Duration::from_millis(15);
+pub(super) const COLLECT: Duration = Duration::from_millis(15);
 
 /// Time for which the second feed leaves a later catalog to the first one.
-const SECOND: Duration = Duration::from_millis(600);
+pub(super) const SECOND: Duration = Duration::from_millis(600);
 
 /// Time in which an entry host has to take a message, and to answer.
 const ANSWER: Duration = Duration::from_millis(2000);
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -15,6 +15,7 @@
 use lagoongauge::roster::{Beat, Entry, Merged, Phase, Roster};
 use lagoongauge::time::{Instant, Span};
 
+use super::bounds::Bounds;
 use super::link::Link;
 use super::message::Peer;
 use super::metrics::Metrics;
@@ -26,7 +27,7 @@
 const SPREAD: Duration = Duration::from_millis(700);
 
 /// Time in which a read has to be confirmed by a quorum.
-const CONFIRM: Duration = Duration::from_millis(800);
+pub(super) const CONFIRM: Duration = Duration::from_millis(800);
 
 /// Pause between two looks at what is waited for.
 const LOOK: Duration = Duration::from_millis(4);
@@ -53,6 +54,8 @@
     pub seeds: Vec<HostId>,
     /// Interval at which targets announce themselves.
     pub interval: Span,
+    /// How long things may take.
+    pub bounds: Bounds,
 }
 
 /// An entry host that some control host feeds.
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -20,7 +20,7 @@
 const DIAL: Duration = Duration::from_millis(600);
 
 /// Time in which a message has to be counted by its receiver.
-const ANSWER: Duration = Duration::from_millis(1200);
+pub(super) const ANSWER: Duration = Duration::from_millis(1200);
 
 /// Time after which a quiet connection counts as lost; lists of hosts are sent more often.
 pub(super) const QUIET: Duration = Duration::from_millis(4000);
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -4,6 +4,7 @@
 //! both to the entry hosts that subscribe. Nobody edits a list of hosts: a host joins by asking,
 //! and one that was silent for long is removed. See "Control hosts" in docs/PLATFORM.md.
 
+mod bounds;
 mod feed;
 mod host;
 mod keep;
@@ -13,6 +14,8 @@
 mod packed;
 mod run;
 
+pub use self::bounds::{Bounds, Shortfall};
+pub(crate) use self::feed::QUIET;
 pub use self::host::{Host, Setup, Shared};
 pub use self::keep::Keeper;
 pub use self::packed::Packed;
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -29,7 +29,7 @@
 const RETIRE: Span = Span::seconds(9);
 
 /// Timeouts of the agreement: a leader is replaced well within a second and a half.
-const TIMING: Timing = Timing {
+pub(super) const TIMING: Timing = Timing {
     heartbeat: Span::millis(200),
     pace: Span::millis(30),
     election_min: Span::millis(700),
@@ -66,6 +66,10 @@
     let clock = Clock::start();
     let mut replica = ReplicaSetup::new(identity, rand::random());
     replica.timing = TIMING;
+    replica.gone = setup.bounds.gone();
+    for shortfall in setup.bounds.shortfalls() {
+        log::warn!("{shortfall}");
+    }
     replica.limits = LIMITS;
     replica.retire = Some(RETIRE);
     replica.leases = false;
--- a/lagoongauged/src/steer/feed.rs
+++ b/lagoongauged/src/steer/feed.rs
@@ -12,6 +12,7 @@
 use lagoongauge::id::HostId;
 
 use super::state::{Decode, FEEDS, Shared};
+use crate::cluster::QUIET;
 use crate::cluster::message::{Answer, Feed, Hello, address_of};
 use crate::daemon::Backoff;
 use crate::frame;
@@ -19,9 +20,6 @@
 /// Time in which a control host has to accept a connection.
 const DIAL: Duration = Duration::from_millis(500);
 
-/// Time after which a quiet feed counts as lost; its status comes every 400 ms.
-const QUIET: Duration = Duration::from_millis(1300);
-
 /// Time for which a control host that is cut off from its quorum is borne with.
 const ASTRAY: Duration = Duration::from_millis(2500);
 
