Measure routing by marks beside routing by homes

Change: lagoon-measure path also decides the same flows by marks: flows that the host remembers, flows that it never saw, and the bytes allocated meanwhile.

--- a/lagoongauged/src/measure/path/decide.rs
+++ b/lagoongauged/src/measure/path/decide.rs
@@ -11,6 +11,7 @@
 use super::Options;
 use super::flows::{Flows, KEY, TARGETS, directory, service, target};
 use super::known::Known;
+use super::marks::Marked;
 use crate::measure::meter::{Counting, memory, processor};
 
 /// Figures of one number of flows; times in nanoseconds, without making the packet.
@@ -29,6 +30,10 @@
     rewrite_ns: f64,
     record_bytes_per_flow: f64,
     bytes_per_flow: f64,
+    mark_ns: f64,
+    mark_unseen_ns: f64,
+    mark_bytes_per_flow: f64,
+    mark_allocated_bytes: usize,
 }
 
 /// Measures decision and baseline in turns, so that both meet the same disturbances.
@@ -39,7 +44,10 @@
     let directory = directory();
     let now = known.now();
     let hashes: Vec<_> = flows.opens().collect();
-    let mut times: [Vec<f64>; 6] = Default::default();
+    let mut times: [Vec<f64>; 8] = Default::default();
+    let (mut marked, mark_bytes) = memory(allocator, || Marked::new(&flows, true));
+    let mut unseen = Marked::new(&flows, false);
+    let mut allocated = 0;
     let mut reply = Vec::new();
     for _ in 0..runs {
         let make = time(&mut flows, packets, |flows, _| {
@@ -63,13 +71,19 @@
             let verdict = known.router.route(now, &facts);
             assert!(matches!(verdict, Verdict::Forward(_)));
         });
+        let before = allocator.total_allocated();
+        let mark = mark_time(&mut marked, count, packets);
+        let mark_unseen = mark_time(&mut unseen, count, packets);
+        allocated += allocator.total_allocated() - before;
         let found = [baseline - make, decision - make, parse - make, hash - make, route - make];
         for (list, value) in times.iter_mut().zip(found) {
             list.push(value);
         }
-        times[5].push(baseline - hash);
+        for (list, value) in times[5..].iter_mut().zip([baseline - hash, mark, mark_unseen]) {
+            list.push(value);
+        }
     }
-    let [baseline, decision, parse, hash, route, rewrite] = times.map(median);
+    let [baseline, decision, parse, hash, route, rewrite, mark, mark_unseen] = times.map(median);
     Figures {
         measure: "decision",
         flows: count,
@@ -84,6 +98,10 @@
         rewrite_ns: rewrite,
         record_bytes_per_flow: known.record_bytes() as f64 / count as f64,
         bytes_per_flow: bytes / count as f64,
+        mark_ns: mark,
+        mark_unseen_ns: mark_unseen,
+        mark_bytes_per_flow: mark_bytes / count as f64,
+        mark_allocated_bytes: allocated,
     }
 }
 
@@ -112,6 +130,16 @@
     seconds * 1e9 / packets as f64
 }
 
+/// Returns the nanoseconds that a decision by marks takes, in rounds over all flows.
+fn mark_time(marked: &mut Marked, count: usize, packets: usize) -> f64 {
+    let ((), seconds) = processor(|| {
+        for packet in 0..packets {
+            marked.decide(packet % count, 1 + (packet / count) as u32);
+        }
+    });
+    seconds * 1e9 / packets as f64
+}
+
 fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values[values.len() / 2]
--- a/lagoongauged/src/measure/path/flows.rs
+++ b/lagoongauged/src/measure/path/flows.rs
@@ -1,6 +1,6 @@
 //! Flows of one service, their packets, and the addresses that they need.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use etherparse::PacketBuilder;
 use lagoongauge::flow::{FlowHash, HashKey, Protocol, Signal, Tuple};
@@ -67,9 +67,9 @@
 }
 
 impl Caller {
-    fn address(self) -> SocketAddr {
+    fn address(self) -> SocketAddrV4 {
         let [a, b, c, d, high, low] = self.0;
-        SocketAddr::from((Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([high, low])))
+        SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([high, low]))
     }
 }
 
@@ -101,11 +101,19 @@
         self.callers.len()
     }
 
+    /// Returns the callers' ends.
+    pub fn callers(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.callers.iter().map(|caller| caller.address())
+    }
+
     /// Returns what the routing is told of the SYN of each flow.
     pub fn opens(&self) -> impl Iterator<Item = Facts> + '_ {
         self.callers.iter().map(|caller| {
-            let tuple =
-                Tuple { protocol: Protocol::Tcp, caller: caller.address(), service: service() };
+            let tuple = Tuple {
+                protocol: Protocol::Tcp,
+                caller: caller.address().into(),
+                service: service(),
+            };
             Facts {
                 service: SERVICE,
                 flow: FlowHash::new(&KEY, &tuple),
--- a/lagoongauged/src/measure/path/mod.rs
+++ b/lagoongauged/src/measure/path/mod.rs
@@ -4,6 +4,7 @@
 mod flows;
 mod known;
 mod loopback;
+mod marks;
 
 use bpaf::Bpaf;
 
