Connect a host that comes up while it is called at once

The first control host had called the others before they were up; the kernel repeats a lost SYN after a second, so that call ended in its timeout of 600 ms, and only then was there a quorum. Entry hosts' calls to control hosts without power took 500 ms likewise. Ruled out: recovery of the store (13 ms), the election (under 100 ms once connected). Change: while a call is not answered, another attempt is made beside it every 120 ms until the same limit; the first that ends decides. Test: a_host_that_comes_up_while_it_is_called_is_connected_at_once; it timed out before.

--- a/lagoongauged/src/frame.rs
+++ b/lagoongauged/src/frame.rs
@@ -4,11 +4,13 @@
 //! calls and promises would only add bytes; see "Between our processes" in docs/PLATFORM.md.
 
 use std::io::{Error, ErrorKind, Result};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use futures::stream::FuturesUnordered;
+use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use socket2::SockRef;
@@ -19,13 +21,31 @@
 /// Time for which sent bytes may stay without an acknowledgement of the peer's kernel.
 const UNACKED: Duration = Duration::from_millis(1500);
 
+/// Pause before another attempt is made beside those that nobody has answered yet; a lost SYN is
+/// sent again by the kernel only after a second.
+const ATTEMPT: Duration = Duration::from_millis(120);
+
 /// Opens a connection to a host; fails with `TimedOut` where nobody answers in time.
-pub async fn dial(address: std::net::SocketAddrV4, limit: Duration) -> Result<TcpStream> {
-    let stream = timeout(limit, TcpStream::connect(address)).await.map_err(|_| late())??;
+///
+/// A host that has no power answers nothing, so further attempts are made until one succeeds: the
+/// host may come up at any moment.
+pub async fn dial(address: SocketAddrV4, limit: Duration) -> Result<TcpStream> {
+    let stream = timeout(limit, connect(address)).await.map_err(|_| late())??;
     prepare(&stream)?;
     Ok(stream)
 }
 
+/// Makes attempts beside each other; the first that ends, decides.
+async fn connect(address: SocketAddrV4) -> Result<TcpStream> {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(TcpStream::connect(address));
+        if let Ok(Some(ended)) = timeout(ATTEMPT, attempts.next()).await {
+            return ended;
+        }
+    }
+}
+
 /// Sets the options of a connection that was opened or accepted.
 pub fn prepare(stream: &TcpStream) -> Result<()> {
     stream.set_nodelay(true)?;
--- a/lagoongauged/tests/feed.rs
+++ b/lagoongauged/tests/feed.rs
@@ -1,5 +1,7 @@
-//! What entry hosts are fed: large catalogs on narrow links, and their neighbours.
+//! How hosts reach each other, and what entry hosts are fed: large catalogs on narrow links, and
+//! their neighbours.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
@@ -10,6 +12,7 @@
 use lagoongauged::cluster::Packed;
 use lagoongauged::cluster::message::Neighbour;
 use lagoongauged::frame;
+use socket2::{Domain, Socket, Type};
 
 /// Routes of the largest change that the users announced, with those that are there before.
 const ROUTES: u32 = 1700;
@@ -105,3 +108,34 @@
         assert!(*least >= 24 && *most <= 40, "each is heard by {least} to {most}");
     }
 }
+
+/// A host that is not there when it is first called is connected soon after it is: the kernel sends
+/// a lost SYN again only after a second.
+#[test]
+fn a_host_that_comes_up_while_it_is_called_is_connected_at_once() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = std::net::TcpListener::from(socket);
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    // With its queue full the listener drops SYNs, as a host without power does.
+    let queued: Vec<_> = (0..3)
+        .map(|_| std::net::TcpStream::connect_timeout(&address.into(), Duration::from_millis(30)))
+        .collect();
+    assert!(queued.last().unwrap().is_err(), "the queue is full");
+    let accepting = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(250));
+        (0..3).filter(|_| listener.accept().is_ok()).count()
+    });
+    let start = std::time::Instant::now();
+    let dialed = task::block_on(frame::dial(address, Duration::from_millis(600)));
+    let took = start.elapsed();
+    assert!(dialed.is_ok() && took < Duration::from_millis(500), "{dialed:?} after {took:?}");
+    drop(dialed);
+    drop(queued);
+    // The listener's thread ends with its last connection.
+    for _ in 0..3 {
+        let _ = std::net::TcpStream::connect_timeout(&address.into(), Duration::from_millis(50));
+    }
+    assert_eq!(accepting.join().unwrap(), 3);
+}
