Leave a silent learner its time beside an even number of voters

Test: a_silent_learner_keeps_its_time_beside_an_even_number_of_voters, failed before. The two blocks of Timing are one.

--- a/lagoongauge/src/replica/member.rs
+++ b/lagoongauge/src/replica/member.rs
@@ -50,16 +50,19 @@
     ///
     /// Two voters stay at least, so that no single disk holds all that was accepted. A member that
     /// was only cut off asks to join again when it is back. Where an even number vote, one less
-    /// tolerates as many losses, so a silent one goes early: its successor may be among them, and
+    /// tolerates as many losses, so a silent voter goes early: its successor may be among them, and
     /// the next loss must not leave too few.
     fn next_retired(&self) -> Option<Change> {
         let limit = self.setup.retire?;
         let own = self.setup.identity;
         let configuration = self.configuration();
         let even = configuration.voters.len().is_multiple_of(2);
-        let limit = if even { limit.min(self.setup.gone) } else { limit };
-        let gone = |it: &Identity| *it != own && self.silence(*it) >= limit;
-        let member = configuration.members().find(gone)?;
+        let silent = |it: &Identity| {
+            let early = even && configuration.is_voter(*it);
+            let limit = if early { limit.min(self.setup.gone) } else { limit };
+            *it != own && self.silence(*it) >= limit
+        };
+        let member = configuration.members().find(silent)?;
         if !configuration.is_voter(member) {
             return Some(Change::Remove(member));
         }
--- a/lagoongauge/src/replica/setup.rs
+++ b/lagoongauge/src/replica/setup.rs
@@ -31,9 +31,7 @@
         let fast = 1000 + self.clock_drift;
         Span(self.election_min.0 * slow / fast)
     }
-}
 
-impl Timing {
     /// Returns the usual silence after which a voter that is not needed counts as gone.
     pub const fn gone(self) -> Span {
         Span(2 * self.election_max.0)
--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -2,10 +2,10 @@
 //! that are gone for good.
 
 use lagoongauge::error::Kind;
-use lagoongauge::replica::{Limits, Timing};
+use lagoongauge::replica::{Change, Limits, Timing};
 use lagoongauge::time::{Instant, Span};
 
-use crate::world::World;
+use crate::world::{World, identity};
 
 /// Rounds of 50 ms in which a new leader is found for certain.
 const ELECTION: usize = 200;
@@ -123,6 +123,29 @@
     assert!(world.current().is_none() && leader(&world).is_none(), "one of two is no quorum");
 }
 
+/// A learner counts for no quorum, so nothing presses; its disk may only be slow.
+#[test]
+fn a_silent_learner_keeps_its_time_beside_an_even_number_of_voters() {
+    let mut world = unattended(5);
+    world.run(ELECTION);
+    let at = leader(&world).unwrap();
+    let away = (0..5).find(|it| *it != at).unwrap();
+    world.crash(away, usize::MAX);
+    let host = away as u32 + 1;
+    world.change(at, Change::Remove(identity(host, 1))).unwrap();
+    world.run(10);
+    let learner = identity(host, 2);
+    world.change(at, Change::Add(learner)).unwrap();
+    world.run(140);
+    let learners = |world: &World| {
+        let core = world.hosts[leader(world).unwrap()].core.as_ref().unwrap();
+        core.configuration().learners.clone()
+    };
+    assert_eq!(learners(&world), [learner], "seven seconds are not long");
+    world.run(ELECTION);
+    assert_eq!(learners(&world), [], "seventeen are");
+}
+
 #[test]
 fn a_short_absence_removes_nobody() {
     let mut world = unattended(3);
