--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 
 use crate::judge::{GRACE, Millis, Promise};
-use crate::plan::{Blow, Fault, Harm, Link, Loss, Step};
+use crate::plan::{DiskFault, Fault, Link, LinkFault, ProcessFault, Step};
 use crate::process::{Process, Program, Role};
 use crate::proxy::{Path, forward};
 use crate::targets;
@@ -58,7 +58,7 @@
             running.set(running.get() + 1);
             let fault = step.fault;
             spawn_local(async move {
-                if let Err(error) = strike(&world, &program, &next, fault).await {
+                if let Err(error) = play_fault(&world, &program, &next, fault).await {
                     log::error!("{fault:?} could not be played: {error}");
                 }
                 running.set(running.get() - 1);
@@ -70,45 +70,51 @@
     }
 }
 
-async fn strike(world: &Shared, program: &Program, next: &Cell<u8>, fault: Fault) -> Result<()> {
+async fn play_fault(
+    world: &Shared,
+    program: &Program,
+    next: &Cell<u8>,
+    fault: Fault,
+) -> Result<()> {
     match fault {
-        Fault::Entry(at, blow) => {
+        Fault::Entry(at, kind) => {
             let host = world.entries.borrow()[at].address;
-            if blow == Blow::Reload {
+            if kind == ProcessFault::Reload {
                 return reload(world, Place::Entry(at));
             }
             world.judge.borrow_mut().begin(host);
-            let played = hit(world, Place::Entry(at), blow).await;
+            let played = disturb(world, Place::Entry(at), kind).await;
             world.judge.borrow_mut().end(host, world.now());
             played
         }
-        Fault::Control(at, Blow::Reload) => reload(world, Place::Control(at)),
-        Fault::Control(at, blow) => {
+        Fault::Control(at, ProcessFault::Reload) => reload(world, Place::Control(at)),
+        Fault::Control(at, kind) => {
             world.judge.borrow_mut().begin_core();
-            let played = hit(world, Place::Control(at), blow).await;
+            let played = disturb(world, Place::Control(at), kind).await;
             world.judge.borrow_mut().end_core(world.now(), false);
             played
         }
         Fault::AllControls(down) => {
             world.judge.borrow_mut().begin_core();
             let count = world.controls.borrow().len();
-            let blows = (0..count).map(|at| hit(world, Place::Control(at), Blow::Kill(down)));
+            let blows =
+                (0..count).map(|at| disturb(world, Place::Control(at), ProcessFault::Kill(down)));
             let played = futures::future::join_all(blows).await;
             world.judge.borrow_mut().end_core(world.now(), true);
             played.into_iter().collect()
         }
-        Fault::Disk(at, loss) => {
+        Fault::Disk(at, kind) => {
             // Another disk may be lost once the one before has caught up.
             if !world.judge.borrow().is_core_calm(world.now()) {
                 return Ok(());
             }
             world.judge.borrow_mut().begin_core();
-            let played = lose(world, program, next, at, loss).await;
+            let played = lose(world, program, next, at, kind).await;
             world.judge.borrow_mut().end_core(world.now(), false);
             played
         }
-        Fault::Link(link, harm) => {
-            impair(world, link, harm).await;
+        Fault::Link(link, kind) => {
+            impair(world, link, kind).await;
             Ok(())
         }
         Fault::Datagrams(time) => {
@@ -171,16 +177,16 @@
     written.unwrap_or(Ok(()))
 }
 
-async fn hit(world: &World, place: Place, blow: Blow) -> Result<()> {
-    match blow {
-        Blow::Kill(down) => {
+async fn disturb(world: &World, place: Place, kind: ProcessFault) -> Result<()> {
+    match kind {
+        ProcessFault::Kill(down) => {
             if world.with(place, Process::kill).is_none() {
                 return Ok(());
             }
             pause(down).await;
             world.restart(place)
         }
-        Blow::Stop(down) => {
+        ProcessFault::Stop(down) => {
             if !world.hold(place, Signal::TERM) {
                 return Ok(());
             }
@@ -188,7 +194,7 @@
             pause(down).await;
             world.restart(place)
         }
-        Blow::Pause(time) => {
+        ProcessFault::Pause(time) => {
             if !world.hold(place, Signal::STOP) {
                 return Ok(());
             }
@@ -199,7 +205,7 @@
             });
             Ok(())
         }
-        Blow::Reload => reload(world, place),
+        ProcessFault::Reload => reload(world, place),
     }
 }
 
@@ -226,10 +232,10 @@
     program: &Program,
     next: &Cell<u8>,
     at: usize,
-    loss: Loss,
+    kind: DiskFault,
 ) -> Result<()> {
     let place = Place::Control(at);
-    let leaves = loss == Loss::Leave;
+    let leaves = kind == DiskFault::Leave;
     let held = if leaves {
         world.hold(place, Signal::TERM)
     } else {
@@ -242,7 +248,7 @@
         await_end(world, place).await;
     }
     pause(REPLACED).await;
-    if loss == Loss::Wipe {
+    if kind == DiskFault::Wipe {
         world.controls.borrow()[at].wipe()?;
         return world.restart(place);
     }
@@ -253,7 +259,7 @@
     world.restart(place)
 }
 
-async fn impair(world: &World, link: Link, harm: Harm) {
+async fn impair(world: &World, link: Link, kind: LinkFault) {
     let from = if link.entry { &world.entries } else { &world.controls };
     let from = from.borrow()[link.from].address;
     let to = world.controls.borrow()[link.to].address;
@@ -267,29 +273,29 @@
         world.paths.change(to, from, change);
     };
     let number = world.paths.next();
-    match harm {
-        Harm::Cut(time) => {
+    match kind {
+        LinkFault::Cut(time) => {
             both(&|path| path.cuts += 1);
             pause(time).await;
             both(&|path| path.cuts -= 1);
         }
-        Harm::CutThere(time) => {
+        LinkFault::CutThere(time) => {
             world.paths.change(from, to, |path| path.cuts += 1);
             pause(time).await;
             world.paths.change(from, to, |path| path.cuts -= 1);
         }
-        Harm::CutBack(time) => {
+        LinkFault::CutBack(time) => {
             world.paths.change(to, from, |path| path.cuts += 1);
             pause(time).await;
             world.paths.change(to, from, |path| path.cuts -= 1);
         }
-        Harm::Delay(time, by) => {
+        LinkFault::Delay(time, by) => {
             both(&|path| path.delay = by);
             pause(time).await;
             both(&|path| path.delay = 0);
         }
-        Harm::Reset => both(&|path| path.resets = number),
-        Harm::Silence => both(&|path| path.silences = number),
+        LinkFault::Reset => both(&|path| path.resets = number),
+        LinkFault::Silence => both(&|path| path.silences = number),
     }
     let now = world.now();
     if link.entry {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -31,7 +31,7 @@
 
 /// What is done to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Blow {
+pub enum ProcessFault {
     /// Killed, and started again after this time.
     Kill(Millis),
     /// Asked to end, and started again this time after it did.
@@ -44,7 +44,7 @@
 
 /// What is done to a control host's disk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Loss {
+pub enum DiskFault {
     /// Killed and started again without its disk.
     Wipe,
     /// Asked to end; another host takes its place at another address.
@@ -55,7 +55,7 @@
 
 /// What is done to a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Harm {
+pub enum LinkFault {
     /// Nothing passes either way for this time.
     Cut(Millis),
     /// Nothing passes towards the control host for this time.
@@ -74,15 +74,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     /// Something is done to the process of an entry host.
-    Entry(usize, Blow),
+    Entry(usize, ProcessFault),
     /// Something is done to the process of a control host.
-    Control(usize, Blow),
+    Control(usize, ProcessFault),
     /// A control host loses its disk.
-    Disk(usize, Loss),
+    Disk(usize, DiskFault),
     /// All control hosts are killed at once and started again after this time.
     AllControls(Millis),
     /// A link is harmed.
-    Link(Link, Harm),
+    Link(Link, LinkFault),
     /// For this time a part of the datagrams between entry hosts is lost.
     Datagrams(Millis),
     /// A target ends without a word.
@@ -145,12 +145,12 @@
             (self.random.random_range(0..self.entries), self.random.random_range(0..self.controls));
         match (aim, self.random.random_range(0..8)) {
             (_, 0) => Fault::Target,
-            (Aim::Entries, _) => Fault::Entry(entry, self.blow()),
+            (Aim::Entries, _) => Fault::Entry(entry, self.process_fault()),
             (Aim::Controls, 1) => Fault::AllControls(self.time(200, 1000)),
-            (Aim::Controls, 2 | 3) => Fault::Disk(control, self.loss()),
-            (Aim::Controls, _) => Fault::Control(control, self.blow()),
+            (Aim::Controls, 2 | 3) => Fault::Disk(control, self.disk_fault()),
+            (Aim::Controls, _) => Fault::Control(control, self.process_fault()),
             (_, 1) => Fault::Datagrams(self.time(1000, 6000)),
-            (_, kind) => Fault::Link(self.link(kind < 5, entry, control), self.harm()),
+            (_, kind) => Fault::Link(self.link(kind < 5, entry, control), self.link_fault()),
         }
     }
 
@@ -158,28 +158,30 @@
         self.random.random_range(least..most)
     }
 
-    fn blow(&mut self) -> Blow {
+    fn process_fault(&mut self) -> ProcessFault {
         match self.random.random_range(0..4) {
-            0 => Blow::Kill(self.time(100, 2500)),
-            1 => Blow::Stop(self.time(50, 1500)),
-            2 => Blow::Pause(self.time(200, 6000)),
-            _ => Blow::Reload,
+            0 => ProcessFault::Kill(self.time(100, 2500)),
+            1 => ProcessFault::Stop(self.time(50, 1500)),
+            2 => ProcessFault::Pause(self.time(200, 6000)),
+            _ => ProcessFault::Reload,
         }
     }
 
-    fn loss(&mut self) -> Loss {
-        *[Loss::Wipe, Loss::Leave, Loss::Die].choose(&mut self.random).expect("there are losses")
+    fn disk_fault(&mut self) -> DiskFault {
+        *[DiskFault::Wipe, DiskFault::Leave, DiskFault::Die]
+            .choose(&mut self.random)
+            .expect("there are losses")
     }
 
-    fn harm(&mut self) -> Harm {
+    fn link_fault(&mut self) -> LinkFault {
         let time = self.time(400, 6000);
         match self.random.random_range(0..6) {
-            0 => Harm::Cut(time),
-            1 => Harm::CutThere(time),
-            2 => Harm::CutBack(time),
-            3 => Harm::Delay(time, self.time(20, 400)),
-            4 => Harm::Reset,
-            _ => Harm::Silence,
+            0 => LinkFault::Cut(time),
+            1 => LinkFault::CutThere(time),
+            2 => LinkFault::CutBack(time),
+            3 => LinkFault::Delay(time, self.time(20, 400)),
+            4 => LinkFault::Reset,
+            _ => LinkFault::Silence,
         }
     }
 
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -10,10 +10,10 @@
 
 fn name(step: &Step) -> String {
     let text = match step.fault {
-        Fault::Entry(_, blow) => format!("entry {blow:?}"),
-        Fault::Control(_, blow) => format!("control {blow:?}"),
-        Fault::Disk(_, loss) => format!("disk {loss:?}"),
-        Fault::Link(link, harm) => format!("link of entry {} {harm:?}", link.entry),
+        Fault::Entry(_, kind) => format!("entry {kind:?}"),
+        Fault::Control(_, kind) => format!("control {kind:?}"),
+        Fault::Disk(_, kind) => format!("disk {kind:?}"),
+        Fault::Link(link, kind) => format!("link of entry {} {kind:?}", link.entry),
         Fault::AllControls(_) => "all".into(),
         Fault::Datagrams(_) => "datagrams".into(),
         Fault::Target => "target".into(),
@@ -33,11 +33,11 @@
         (0..50).flat_map(|seed| draw(seed, SPAN, 5, 3)).map(|step| name(&step)).collect();
     let blows = ["Kill", "Stop", "Pause", "Reload"];
     let harms = ["Cut", "CutThere", "CutBack", "Delay", "Reset", "Silence"];
-    let entries = blows.map(|blow| format!("entry {blow}"));
-    let controls = blows.map(|blow| format!("control {blow}"));
-    let disks = ["Wipe", "Leave", "Die"].map(|loss| format!("disk {loss}"));
-    let near = harms.map(|harm| format!("link of entry true {harm}"));
-    let far = harms.map(|harm| format!("link of entry false {harm}"));
+    let entries = blows.map(|kind| format!("entry {kind}"));
+    let controls = blows.map(|kind| format!("control {kind}"));
+    let disks = ["Wipe", "Leave", "Die"].map(|kind| format!("disk {kind}"));
+    let near = harms.map(|kind| format!("link of entry true {kind}"));
+    let far = harms.map(|kind| format!("link of entry false {kind}"));
     let others = ["all", "datagrams", "target"].map(String::from);
     let all = entries.into_iter().chain(controls).chain(disks).chain(near).chain(far).chain(others);
     assert_eq!(names, all.collect());
