--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -97,9 +97,9 @@
         Fault::AllControls(down) => {
             world.judge.borrow_mut().begin_core();
             let count = world.controls.borrow().len();
-            let blows =
+            let kills =
                 (0..count).map(|at| disturb(world, Place::Control(at), ProcessFault::Kill(down)));
-            let played = futures::future::join_all(blows).await;
+            let played = futures::future::join_all(kills).await;
             world.judge.borrow_mut().end_core(world.now(), true);
             played.into_iter().collect()
         }
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -31,13 +31,13 @@
 fn fifty_seeds_draw_every_kind_of_fault() {
     let names: BTreeSet<String> =
         (0..50).flat_map(|seed| draw(seed, SPAN, 5, 3)).map(|step| name(&step)).collect();
-    let blows = ["Kill", "Stop", "Pause", "Reload"];
-    let harms = ["Cut", "CutThere", "CutBack", "Delay", "Reset", "Silence"];
-    let entries = blows.map(|kind| format!("entry {kind}"));
-    let controls = blows.map(|kind| format!("control {kind}"));
+    let kinds = ["Kill", "Stop", "Pause", "Reload"];
+    let links = ["Cut", "CutThere", "CutBack", "Delay", "Reset", "Silence"];
+    let entries = kinds.map(|kind| format!("entry {kind}"));
+    let controls = kinds.map(|kind| format!("control {kind}"));
     let disks = ["Wipe", "Leave", "Die"].map(|kind| format!("disk {kind}"));
-    let near = harms.map(|kind| format!("link of entry true {kind}"));
-    let far = harms.map(|kind| format!("link of entry false {kind}"));
+    let near = links.map(|kind| format!("link of entry true {kind}"));
+    let far = links.map(|kind| format!("link of entry false {kind}"));
     let others = ["all", "datagrams", "target"].map(String::from);
     let all = entries.into_iter().chain(controls).chain(disks).chain(near).chain(far).chain(others);
     assert_eq!(names, all.collect());
