Look a flow up once less, and judge its target's reach only for requests

Read in the diff: for every later packet the router looked the front address up twice and the flow three times, looked the mark up where the flow had settled already, and judged whether target and data centre are out of reach also where the answer was not used. Finding the target is a function of its own now.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -261,18 +261,18 @@
     /// Decides on a packet.
     pub fn decide(&mut self, now: Instant, segment: &Segment) -> Verdict {
         self.wake(now);
-        match self.fronts.get(&segment.ends.front) {
+        let repeat = match self.fronts.get(&segment.ends.front) {
             None if self.current && segment.signal == Signal::Open => {
                 return Verdict::Reset(Cause::NoRoute);
             }
             None => return Verdict::Drop(Cause::NoRoute),
             Some(front) if front.is_removed() => return Verdict::Reset(Cause::RouteRemoved),
-            Some(_) => {}
-        }
+            Some(front) => front.repeat,
+        };
         match segment.signal {
             Signal::Open if now < self.stale_until => Verdict::Drop(Cause::Stale),
             Signal::Open => self.open(now, segment),
-            _ => self.carry(now, segment),
+            _ => self.carry(now, segment, repeat),
         }
     }
 
@@ -308,42 +308,57 @@
     }
 
     /// Decides on any later packet.
-    fn carry(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        let named = segment.mark.and_then(|mark| self.marks.get(&mark)).copied();
+    fn carry(&mut self, now: Instant, segment: &Segment, repeat: Repeat) -> Verdict {
         let known = self.flows.get(&segment.ends).copied();
-        let key = match (known, named) {
-            (Some(flow), _) if flow.settled => flow.target,
-            (_, Some(key)) => {
-                let front = &self.fronts[&segment.ends.front];
-                if !front.allows(&self.targets[key].service) {
-                    return Verdict::Drop(Cause::ForeignMark);
-                }
-                key
-            }
-            (Some(flow), None) => flow.target,
-            (None, None) if segment.mark.is_some() => return Verdict::Drop(Cause::UnknownMark),
-            (None, None) => return Verdict::Drop(Cause::NoMark),
+        let key = match known {
+            Some(flow) if flow.settled => flow.target,
+            _ => match self.find(segment, known) {
+                Ok(key) => key,
+                Err(cause) => return Verdict::Drop(cause),
+            },
         };
-        let target = &self.targets[key];
-        if target.has_ended(now) {
+        if self.targets[key].has_ended(now) {
             self.forget(segment.ends);
             return Verdict::Reset(Cause::TargetGone);
         }
         let request = segment.signal == Signal::Middle && segment.length > 0;
-        let repeats = self.fronts[&segment.ends.front].repeat == Repeat::Idempotent;
-        let lost = target.is_lost(now, self.is_cut_off(now)) || self.is_beyond(now, key, known);
-        if request && repeats && lost {
+        if request && repeat == Repeat::Idempotent && self.is_out_of_reach(now, key, known) {
             self.targets[key].note_repeat(now);
             self.forget(segment.ends);
             return Verdict::Reset(Cause::TargetLost);
         }
-        if known.is_some_and(|flow| flow.target != key) {
+        if segment.signal == Signal::Reset {
             self.forget(segment.ends);
+        } else {
+            if known.is_none_or(|flow| flow.target != key) {
+                self.forget(segment.ends);
+                self.remember(segment.ends, Flow::new(key, segment.sequence, now));
+            }
+            self.note(now, key, segment);
         }
-        self.note(now, key, segment);
         self.forward(key, false)
     }
 
+    /// Finds the target of a flow that has not settled here: the mark goes before the first choice.
+    fn find(&self, segment: &Segment, known: Option<Flow>) -> Result<TargetKey, Cause> {
+        let named = segment.mark.and_then(|mark| self.marks.get(&mark)).copied();
+        match (named, known) {
+            (Some(key), _) => {
+                let front = &self.fronts[&segment.ends.front];
+                let allowed = front.allows(&self.targets[key].service);
+                if allowed { Ok(key) } else { Err(Cause::ForeignMark) }
+            }
+            (None, Some(flow)) => Ok(flow.target),
+            (None, None) if segment.mark.is_some() => Err(Cause::UnknownMark),
+            (None, None) => Err(Cause::NoMark),
+        }
+    }
+
+    /// Tells whether a flow's target, or its whole data centre, is out of reach.
+    fn is_out_of_reach(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
+        self.targets[key].is_lost(now, self.is_cut_off(now)) || self.is_beyond(now, key, flow)
+    }
+
     /// Tells whether a flow waits for a target in a data centre that is out of reach.
     fn is_beyond(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
         let target = &self.targets[key];
@@ -354,13 +369,6 @@
 
     /// Notes what a packet tells of its flow and of the flow's target.
     fn note(&mut self, now: Instant, key: TargetKey, segment: &Segment) {
-        if segment.signal == Signal::Reset {
-            self.forget(segment.ends);
-            return;
-        }
-        if !self.flows.contains_key(&segment.ends) {
-            self.remember(segment.ends, Flow::new(key, segment.sequence, now));
-        }
         let Some(flow) = self.flows.get_mut(&segment.ends) else { return };
         let target = &mut self.targets[key];
         flow.seen = now;
