Start threads with the log's context in one place, and end disturbances by guard

Read in the diff: four places captured the log's context and entered it in a thread of their own; daemon::spawn does so now. share::bind only called UdpSocket::bind. The soak paired each begin of a disturbance with an end by hand in five places; a guard ends it now. Its comparison of two documents built maps for nothing, and making its folder opened it for nothing. No behaviour changes.

--- a/lagoongauged/src/cluster/keep.rs
+++ b/lagoongauged/src/cluster/keep.rs
@@ -8,7 +8,6 @@
 use std::io::{Error, ErrorKind, Result, Write};
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
 use std::time::Duration;
 
 use async_std::task::sleep;
@@ -16,7 +15,7 @@
 use lagoongauge::roster::Entry;
 
 use super::host::Shared;
-use crate::daemon::LogContext;
+use crate::daemon::spawn;
 
 /// Name of the file within the folder beside the log.
 const NAME: &str = "roster";
@@ -89,12 +88,7 @@
     /// Starts the writing thread.
     pub(super) fn start(self) -> Result<SyncSender<Vec<Entry>>> {
         let (sender, receiver) = sync_channel(1);
-        let context = LogContext::capture();
-        let write = move || {
-            context.enter();
-            self.write_all(&receiver);
-        };
-        thread::Builder::new().name("roster".into()).spawn(write)?;
+        spawn("roster", move || self.write_all(&receiver))?;
         Ok(sender)
     }
 }
--- a/lagoongauged/src/daemon/mod.rs
+++ b/lagoongauged/src/daemon/mod.rs
@@ -7,9 +7,11 @@
 mod log;
 pub mod series;
 mod signal;
+mod thread;
 
 pub use self::backoff::Backoff;
 pub use self::clock::Clock;
 pub use self::exit::{exit, fail};
-pub use self::log::{LogContext, LogLevel, LogOutput, LogSetup, init_log};
+pub use self::log::{LogLevel, LogOutput, LogSetup, init_log};
 pub use self::signal::{Reload, Stop};
+pub use self::thread::spawn;
--- a/lagoongauged/src/steer/decisions.rs
+++ b/lagoongauged/src/steer/decisions.rs
@@ -3,13 +3,12 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
 
 use lagoongauge::id::TargetId;
 use lagoongauge::mark::{Cause, Ends, Mark, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
-use crate::daemon::LogContext;
+use crate::daemon::spawn;
 
 /// Lines that may wait for the thread that writes them.
 const WAITING: usize = 512;
@@ -62,12 +61,7 @@
     /// Starts the writing thread.
     pub fn start(now: Instant) -> std::io::Result<Self> {
         let (sender, receiver) = sync_channel(WAITING);
-        let context = LogContext::capture();
-        let write = move || {
-            context.enter();
-            write_all(&receiver);
-        };
-        thread::Builder::new().name("decisions".into()).spawn(write)?;
+        spawn("decisions", move || write_all(&receiver))?;
         let budget = Budget { left: BURST, refilled: now, omitted: 0 };
         Ok(Self { sender, budgets: Mutex::new([budget; KINDS]) })
     }
--- a/lagoongauged/src/steer/run.rs
+++ b/lagoongauged/src/steer/run.rs
@@ -3,7 +3,6 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use async_std::task::{sleep, spawn_local};
@@ -19,7 +18,7 @@
 use super::state::{Decode, FEEDS, State};
 use super::{plane, share};
 use crate::cluster::message::address_of;
-use crate::daemon::{Clock, LogContext, Stop};
+use crate::daemon::{Clock, Stop, spawn};
 
 /// Pause between two looks at what has to be forgotten.
 const TICK: Duration = Duration::from_millis(200);
@@ -77,22 +76,13 @@
     let state = Arc::new(State::new(clock, router, decisions, metrics, interval, seeds));
     let socket = UdpSocket::bind(packets).map_err(|error| unbound(packets, &error))?;
     let shared = Arc::clone(&state);
-    let context = LogContext::capture();
-    let plane = move || {
-        context.enter();
-        plane::carry(&shared, &codec, &socket, packets.port());
-    };
-    thread::Builder::new().name("packets".into()).spawn(plane).map_err(|error| failed(&error))?;
+    let carry = move || plane::carry(&shared, &codec, &socket, packets.port());
+    spawn("packets", carry).map_err(|error| failed(&error))?;
     let own = address_of(host, listen);
-    let reports = share::bind(own).map_err(|error| unbound(own, &error))?;
+    let reports = UdpSocket::bind(own).map_err(|error| unbound(own, &error))?;
     let taken = reports.try_clone().map_err(|error| failed(&error))?;
     let shared = Arc::clone(&state);
-    let context = LogContext::capture();
-    let receive = move || {
-        context.enter();
-        share::receive(&shared, &taken);
-    };
-    thread::Builder::new().name("load".into()).spawn(receive).map_err(|error| failed(&error))?;
+    spawn("load", move || share::receive(&shared, &taken)).map_err(|error| failed(&error))?;
     spawn_local(share::send(Arc::clone(&state), reports, port));
     serve(Arc::clone(&state)).await?;
     let (decoder, used) = (Rc::new(decoder), Used::default());
--- a/lagoongauged/src/steer/share.rs
+++ b/lagoongauged/src/steer/share.rs
@@ -1,6 +1,6 @@
 //! Load counts that entry hosts send each other.
 
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
 use async_std::task::sleep;
@@ -71,8 +71,3 @@
         }
     }
 }
-
-/// Binds the socket for load counts.
-pub(super) fn bind(address: SocketAddrV4) -> std::io::Result<UdpSocket> {
-    UdpSocket::bind(address)
-}
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -77,41 +77,31 @@
     fault: Fault,
 ) -> Result<()> {
     match fault {
+        Fault::Entry(at, ProcessFault::Reload) => reload(world, Place::Entry(at)),
+        Fault::Control(at, ProcessFault::Reload) => reload(world, Place::Control(at)),
         Fault::Entry(at, kind) => {
             let host = world.entries.borrow()[at].address;
-            if kind == ProcessFault::Reload {
-                return reload(world, Place::Entry(at));
-            }
-            world.judge.borrow_mut().begin(host);
-            let played = disturb(world, Place::Entry(at), kind).await;
-            world.judge.borrow_mut().end(host, world.now());
-            played
+            let _disturbed = world.disturb(Part::Entry(host));
+            hit(world, Place::Entry(at), kind).await
         }
-        Fault::Control(at, ProcessFault::Reload) => reload(world, Place::Control(at)),
         Fault::Control(at, kind) => {
-            world.judge.borrow_mut().begin_core();
-            let played = disturb(world, Place::Control(at), kind).await;
-            world.judge.borrow_mut().end_core(world.now(), false);
-            played
+            let _disturbed = world.disturb(Part::Core);
+            hit(world, Place::Control(at), kind).await
         }
         Fault::AllControls(down) => {
-            world.judge.borrow_mut().begin_core();
+            let _disturbed = world.disturb(Part::MostOfCore);
             let count = world.controls.borrow().len();
             let kills =
-                (0..count).map(|at| disturb(world, Place::Control(at), ProcessFault::Kill(down)));
-            let played = futures::future::join_all(kills).await;
-            world.judge.borrow_mut().end_core(world.now(), true);
-            played.into_iter().collect()
+                (0..count).map(|at| hit(world, Place::Control(at), ProcessFault::Kill(down)));
+            futures::future::join_all(kills).await.into_iter().collect()
         }
         Fault::Disk(at, kind) => {
             // Another disk may be lost once the one before has caught up.
             if !world.judge.borrow().is_core_calm(world.now()) {
                 return Ok(());
             }
-            world.judge.borrow_mut().begin_core();
-            let played = lose(world, program, next, at, kind).await;
-            world.judge.borrow_mut().end_core(world.now(), false);
-            played
+            let _disturbed = world.disturb(Part::Core);
+            lose(world, program, next, at, kind).await
         }
         Fault::Link(link, kind) => {
             impair(world, link, kind).await;
@@ -120,11 +110,11 @@
         Fault::Datagrams(time) => {
             let hosts: Vec<Ipv4Addr> =
                 world.entries.borrow().iter().map(|host| host.address).collect();
-            hosts.iter().for_each(|host| world.judge.borrow_mut().begin(*host));
+            let disturbed = hosts.into_iter().map(|host| world.disturb(Part::Entry(host)));
+            let _disturbed: Vec<_> = disturbed.collect();
             world.paths.lossy.set(world.paths.lossy.get() + 1);
             pause(time).await;
             world.paths.lossy.set(world.paths.lossy.get() - 1);
-            hosts.iter().for_each(|host| world.judge.borrow_mut().end(*host, world.now()));
             Ok(())
         }
         Fault::Target => {
@@ -134,7 +124,44 @@
     }
 }
 
+/// What a fault disturbs, so that bounds don't hold for it.
+#[derive(Debug, Clone, Copy)]
+enum Part {
+    /// One entry host.
+    Entry(Ipv4Addr),
+    /// The control hosts.
+    Core,
+    /// The control hosts, most of them at once.
+    MostOfCore,
+}
+
+/// Tells the judge that a part is disturbed for as long as it lives.
+struct Disturbance<'a> {
+    world: &'a World,
+    part: Part,
+}
+
+impl Drop for Disturbance<'_> {
+    fn drop(&mut self) {
+        let (now, mut judge) = (self.world.now(), self.world.judge.borrow_mut());
+        match self.part {
+            Part::Entry(host) => judge.end(host, now),
+            Part::Core => judge.end_core(now, false),
+            Part::MostOfCore => judge.end_core(now, true),
+        }
+    }
+}
+
 impl World {
+    /// Tells the judge that a fault disturbs a part, until the guard is dropped.
+    fn disturb(&self, part: Part) -> Disturbance<'_> {
+        match part {
+            Part::Entry(host) => self.judge.borrow_mut().begin(host),
+            Part::Core | Part::MostOfCore => self.judge.borrow_mut().begin_core(),
+        }
+        Disturbance { world: self, part }
+    }
+
     /// Does something with a process.
     fn at<T>(&self, place: Place, act: impl FnOnce(&mut Process) -> T) -> T {
         match place {
@@ -177,7 +204,7 @@
     written.unwrap_or(Ok(()))
 }
 
-async fn disturb(world: &World, place: Place, kind: ProcessFault) -> Result<()> {
+async fn hit(world: &World, place: Place, kind: ProcessFault) -> Result<()> {
     match kind {
         ProcessFault::Kill(down) => {
             if world.with(place, Process::kill).is_none() {
@@ -263,11 +290,8 @@
     let from = if link.entry { &world.entries } else { &world.controls };
     let from = from.borrow()[link.from].address;
     let to = world.controls.borrow()[link.to].address;
-    if link.entry {
-        world.judge.borrow_mut().begin(from);
-    } else {
-        world.judge.borrow_mut().begin_core();
-    }
+    let part = if link.entry { Part::Entry(from) } else { Part::Core };
+    let _disturbed = world.disturb(part);
     let both = |change: &dyn Fn(&mut Path)| {
         world.paths.change(from, to, change);
         world.paths.change(to, from, change);
@@ -297,10 +321,4 @@
         LinkFault::Reset => both(&|path| path.resets = number),
         LinkFault::Silence => both(&|path| path.silences = number),
     }
-    let now = world.now();
-    if link.entry {
-        world.judge.borrow_mut().end(from, now);
-    } else {
-        world.judge.borrow_mut().end_core(now, false);
-    }
 }
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -4,8 +4,8 @@
 
 use async_std::task::spawn_local;
 use http_types::{Method, StatusCode};
-use indexmap::IndexMap;
 use lagoon_ends::{CONFIG, Route, configuration, version_of};
+use serde_json::Value;
 
 use crate::callers::{NEVER, STEADY, VERSIONS};
 use crate::calls::call;
@@ -156,6 +156,6 @@
 }
 
 fn is_same(one: &str, other: &str) -> bool {
-    let read = |text: &str| serde_json::from_str::<IndexMap<String, serde_json::Value>>(text).ok();
+    let read = |text: &str| serde_json::from_str::<Value>(text).ok();
     read(one).is_some_and(|one| Some(one) == read(other))
 }
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -1,6 +1,6 @@
 //! The real programs as processes.
 
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, OpenOptions};
 use std::io;
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
@@ -138,6 +138,5 @@
     if folder.exists() {
         fs::remove_dir_all(folder)?;
     }
-    fs::create_dir_all(folder)?;
-    File::open(folder).map(drop)
+    fs::create_dir_all(folder)
 }
