Let a spare host take the place of a voter that is gone

Trace, with members logged: eight control hosts, at most seven vote. The leader wanted to promote the eighth at each look; that was refused, and it stood before every other change, so from then on nothing was changed: a wiped host's former self and a replaced host stayed voters, and two more lost disks left three of seven. Change: where seven vote, a learner that has caught up waits, or takes the place of a voter that is silent for as long as a wiped host's former self may be. Test: a_spare_host_takes_the_place_of_a_voter_that_is_gone, failed before. Large runs of the soak have eight control hosts now instead of five, so that it plays this too.

--- a/lagoongauge/src/replica/member.rs
+++ b/lagoongauge/src/replica/member.rs
@@ -1,7 +1,7 @@
 //! Changes of the configuration that the leader makes or asks for on its own.
 
 use super::Machine;
-use super::configuration::{Change, Identity};
+use super::configuration::{Change, Identity, MAX_VOTERS};
 use super::core::{Core, Role};
 use super::entry::Payload;
 use super::outbox::Action;
@@ -40,12 +40,24 @@
         if !caught_up || self.silence(learner) >= self.setup.timing.election_min {
             return None;
         }
-        let Some(former) = self.configuration().voter(learner.host) else {
-            return Some(Change::Promote(learner));
+        let configuration = self.configuration();
+        let former = match configuration.voter(learner.host) {
+            Some(former) => former,
+            None if configuration.voters.len() < MAX_VOTERS => {
+                return Some(Change::Promote(learner));
+            }
+            None => self.replaceable()?,
         };
         (self.silence(former) >= self.setup.gone).then_some(Change::Remove(former))
     }
 
+    /// Returns the voter that has been silent for longest, whose place a spare host may take where
+    /// nobody looks after the members.
+    fn replaceable(&self) -> Option<Identity> {
+        self.setup.retire?;
+        self.configuration().voters.iter().copied().max_by_key(|voter| self.silence(*voter))
+    }
+
     /// Returns the removal of a member that was silent for too long, if the others are all there.
     ///
     /// Two voters stay at least, so that no single disk holds all that was accepted. A member that
--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -18,6 +18,22 @@
     world
 }
 
+/// Hosts that have all asked one to let them join, with the timeouts of the programs.
+fn grown(count: usize) -> World {
+    let mut world = World::growing(count);
+    world.timing = Timing {
+        heartbeat: Span::millis(200),
+        pace: Span::millis(30),
+        election_min: Span::millis(700),
+        election_max: Span::millis(1200),
+        clock_drift: 10,
+    };
+    world.leases = false;
+    world.retire = Some(Span::seconds(9));
+    world.restart_all();
+    world
+}
+
 fn leader(world: &World) -> Option<usize> {
     (0..world.hosts.len())
         .find(|&at| world.hosts[at].core.as_ref().is_some_and(|core| core.leads()))
@@ -165,17 +181,7 @@
 #[test]
 fn a_successor_takes_a_dead_voter_s_place_before_the_next_disk_is_lost() {
     for next in [0, 1] {
-        let mut world = World::growing(4);
-        world.timing = Timing {
-            heartbeat: Span::millis(200),
-            pace: Span::millis(30),
-            election_min: Span::millis(700),
-            election_max: Span::millis(1200),
-            clock_drift: 10,
-        };
-        world.leases = false;
-        world.retire = Some(Span::seconds(9));
-        world.restart_all();
+        let mut world = grown(4);
         world.lose_disk(3);
         world.run(ELECTION);
         assert_eq!(voters(&world), 3);
@@ -192,3 +198,31 @@
         world.check();
     }
 }
+
+/// More hosts than may vote: the spare one is no reason to leave the others' changes undone.
+#[test]
+fn a_spare_host_takes_the_place_of_a_voter_that_is_gone() {
+    for wiped in [false, true] {
+        let mut world = grown(8);
+        world.run(ELECTION);
+        assert_eq!(voters(&world), 7);
+        let at = leader(&world).unwrap();
+        let core = world.hosts[at].core.as_ref().unwrap();
+        let lost =
+            core.configuration().voters.iter().copied().find(|it| it.host.0 != at as u32 + 1);
+        let lost = lost.expect("others vote");
+        let place = lost.host.0 as usize - 1;
+        if wiped {
+            world.lose_disk(place);
+            world.run(10);
+            world.start(place);
+        } else {
+            world.crash(place, usize::MAX);
+        }
+        world.run(CAUGHT_UP);
+        let core = world.hosts[leader(&world).unwrap()].core.as_ref().unwrap();
+        assert!(!core.configuration().is_voter(lost), "{lost} has no disk or is gone");
+        assert_eq!(voters(&world), 7);
+        world.check();
+    }
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -22,8 +22,8 @@
 /// Control hosts of a run with at least twice as many hosts; smaller runs have as many entry hosts.
 const CONTROLS: u8 = 3;
 
-/// Control hosts of a large run.
-const MANY_CONTROLS: u8 = 5;
+/// Control hosts of a large run; more than may vote.
+const MANY_CONTROLS: u8 = 8;
 
 /// Hosts from which a run is large.
 const LARGE: u8 = 30;
