--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -91,6 +91,7 @@
     spawn_local(keep(Rc::clone(&host), writer));
     spawn_local(gossip(Rc::clone(&host)));
     let mut led = None;
+    let mut members = (Vec::new(), Vec::new());
     while !stop.is_raised() {
         host.tick();
         link::open(&host);
@@ -102,12 +103,26 @@
             log::info!("the leader is {leader:?}, it was {led:?}; {} vote", host.voters());
             led = leader;
         }
+        let now = host.engine.borrow().membership();
+        if now != members {
+            let (voters, learners) = (shown(&now.0), shown(&now.1));
+            log::info!(
+                belief = "members", voters = voters.as_str(), learners = learners.as_str();
+                "the members of the agreement are others than before"
+            );
+            members = now;
+        }
         sleep(TICK).await;
     }
     log::info!("the control host ends, as it was asked to");
     Ok(())
 }
 
+fn shown(members: &[Identity]) -> String {
+    let names: Vec<String> = members.iter().map(ToString::to_string).collect();
+    names.join(" ")
+}
+
 async fn accept<S: Store + 'static>(host: Shared<S>, listener: TcpListener) {
     loop {
         match listener.accept().await {
--- a/lagoongauged/src/engine.rs
+++ b/lagoongauged/src/engine.rs
@@ -92,6 +92,12 @@
         self.core.configuration().members().collect()
     }
 
+    /// Returns voters and learners.
+    pub fn membership(&self) -> (Vec<Identity>, Vec<Identity>) {
+        let configuration = self.core.configuration();
+        (configuration.voters.clone(), configuration.learners.clone())
+    }
+
     /// Returns how many hosts vote.
     pub fn voters(&self) -> usize {
         self.core.configuration().voters.len()
