--- /dev/null
+++ b/lagoongauge/src/mark/flow_table.rs
@@ -0,0 +1,115 @@
+//! Table of the flows that an entry host tracks.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use super::FlowKey;
+use super::flow::Flow;
+use super::frontend::Frontend;
+use super::target::TargetKey;
+use super::target_table::TargetTable;
+use crate::time::{Instant, Span};
+
+/// Time without packets after which a flow is no longer tracked; its mark still routes it.
+const FLOW_IDLE_TIMEOUT: Span = Span::seconds(5);
+
+/// Time without packets after which a flow that the caller finished is no longer tracked.
+const FINISHED_FLOW_TIMEOUT: Span = Span::millis(2500);
+
+/// Time after which a flow whose SYN was not acknowledged is no longer tracked; callers give up
+/// after 1.4 s.
+const UNACKNOWLEDGED_SYN_TIMEOUT: Span = Span::millis(1600);
+
+/// Tracked flows; each counts as load of its target in the [`TargetTable`] that is passed in.
+#[derive(Debug)]
+pub(super) struct FlowTable {
+    flows: IndexMap<FlowKey, Flow>,
+    max_flows: usize,
+}
+
+impl FlowTable {
+    /// Creates a table that tracks at most `max_flows` flows.
+    pub(super) fn new(max_flows: usize) -> Self {
+        Self { flows: IndexMap::new(), max_flows }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(super) fn get(&self, flow_key: FlowKey) -> Option<Flow> {
+        self.flows.get(&flow_key).copied()
+    }
+
+    pub(super) fn get_mut(&mut self, flow_key: FlowKey) -> Option<&mut Flow> {
+        self.flows.get_mut(&flow_key)
+    }
+
+    /// Tracks a flow unless the table is full.
+    pub(super) fn insert(&mut self, targets: &mut TargetTable, flow_key: FlowKey, flow: Flow) {
+        if self.flows.len() >= self.max_flows {
+            return;
+        }
+        let count = &mut targets[flow.target].own_load.flows;
+        *count = count.saturating_add(1);
+        if let Some(replaced) = self.flows.insert(flow_key, flow) {
+            release_load(targets, &replaced);
+        }
+    }
+
+    pub(super) fn remove(&mut self, targets: &mut TargetTable, flow_key: FlowKey) {
+        if let Some(flow) = self.flows.swap_remove(&flow_key) {
+            release_load(targets, &flow);
+        }
+    }
+
+    /// Removes all flows of a target.
+    pub(super) fn remove_of_target(&mut self, targets: &mut TargetTable, target: TargetKey) {
+        self.remove_if(targets, |flow| flow.target == target);
+    }
+
+    /// Removes the flows without recent packets.
+    pub(super) fn remove_expired(&mut self, now: Instant, targets: &mut TargetTable) {
+        self.remove_if(targets, |flow| match (flow.finished, flow.established) {
+            (true, _) => now.since(flow.last_seen) >= FINISHED_FLOW_TIMEOUT,
+            (_, false) => now.since(flow.opened_at) >= UNACKNOWLEDGED_SYN_TIMEOUT,
+            _ => now.since(flow.last_seen) >= FLOW_IDLE_TIMEOUT,
+        });
+    }
+
+    /// Stops counting requests whose callers no longer wait for an answer.
+    pub(super) fn end_overdue_requests(
+        &mut self,
+        now: Instant,
+        targets: &mut TargetTable,
+        frontends: &IndexMap<SocketAddrV4, Frontend>,
+    ) {
+        for (flow_key, flow) in &mut self.flows {
+            let timeout = frontends
+                .get(&flow_key.frontend)
+                .map_or(FLOW_IDLE_TIMEOUT, |frontend| frontend.timeout);
+            if flow.waiting_since.is_some_and(|since| now.since(since) >= timeout) {
+                flow.waiting_since = None;
+                let waiting = &mut targets[flow.target].own_load.waiting;
+                *waiting = waiting.saturating_sub(1);
+            }
+        }
+    }
+
+    fn remove_if(&mut self, targets: &mut TargetTable, condition: impl Fn(&Flow) -> bool) {
+        let matching = self.flows.iter().filter(|(_, flow)| condition(flow));
+        let flow_keys: Vec<FlowKey> = matching.map(|(flow_key, _)| *flow_key).collect();
+        for flow_key in flow_keys {
+            self.remove(targets, flow_key);
+        }
+    }
+}
+
+fn release_load(targets: &mut TargetTable, flow: &Flow) {
+    let own = &mut targets[flow.target].own_load;
+    own.flows = own.flows.saturating_sub(1);
+    if flow.waiting_since.is_some() {
+        own.waiting = own.waiting.saturating_sub(1);
+    }
+}
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -8,12 +8,14 @@
 
 mod centre;
 mod flow;
+mod flow_table;
 mod frontend;
 mod load;
 pub mod placement;
 pub mod reporting;
 mod router;
 mod target;
+mod target_table;
 mod verdict;
 
 use std::net::SocketAddrV4;
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -3,39 +3,23 @@
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
-use indexmap::map::Entry as MapEntry;
-use slotmap::SlotMap;
 
 use super::centre::{CentreKey, Centres};
 use super::flow::Flow;
+use super::flow_table::FlowTable;
 use super::frontend::Frontend;
 use super::load::{LoadCount, LoadReport};
 use super::placement::{Candidate, LeastCost, Policy};
-use super::target::{Target, TargetKey};
+use super::target::TargetKey;
+use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
-use super::{FlowKey, Mark, Segment, SegmentKind};
+use super::{FlowKey, Segment, SegmentKind};
 use crate::catalog::{Catalog, Idempotency};
 use crate::flow::{FlowHash, HashKey, Protocol, Tuple};
 use crate::id::{HostId, TargetId};
 use crate::roster::{Entry, Phase};
 use crate::time::{Instant, Span};
 
-/// Time without packets after which a flow is no longer tracked; its mark still routes it.
-const FLOW_IDLE_TIMEOUT: Span = Span::seconds(5);
-
-/// Time without packets after which a flow that the caller finished is no longer tracked.
-const FINISHED_FLOW_TIMEOUT: Span = Span::millis(2500);
-
-/// Time after which a flow whose SYN was not acknowledged is no longer tracked; callers give up
-/// after 1.4 s.
-const UNACKNOWLEDGED_SYN_TIMEOUT: Span = Span::millis(1600);
-
-/// Time for which a load report of another entry host is valid.
-const REPORT_LIFETIME: Span = Span::millis(1500);
-
-/// Time for which a gone target is kept, so that its flows can be reset.
-const GONE_TARGET_RETENTION: Span = Span::seconds(90);
-
 /// Time without contact with a quorum of control hosts after which this host counts as cut off.
 const CUT_OFF_TIMEOUT: Span = Span::millis(1000);
 
@@ -72,15 +56,11 @@
     config: RouterConfig,
     policy: P,
     frontends: IndexMap<SocketAddrV4, Frontend>,
-    targets: SlotMap<TargetKey, Target>,
-    target_keys: IndexMap<TargetId, TargetKey>,
-    mark_keys: IndexMap<Mark, TargetKey>,
-    service_targets: IndexMap<String, Vec<TargetKey>>,
+    targets: TargetTable,
     centres: Centres,
     /// The data centre of this host.
     own_centre: CentreKey,
-    flows: IndexMap<FlowKey, Flow>,
-    reports: IndexMap<HostId, (Instant, LoadReport)>,
+    flows: FlowTable,
     candidates: Vec<(TargetKey, Candidate)>,
     response_times: Vec<Span>,
     version: u64,
@@ -105,18 +85,15 @@
     pub fn with_policy(config: RouterConfig, policy: P) -> Self {
         let mut centres = Centres::default();
         let own_centre = centres.key(&config.centre);
+        let flows = FlowTable::new(config.max_flows);
         Self {
             config,
             policy,
             frontends: IndexMap::new(),
-            targets: SlotMap::with_key(),
-            target_keys: IndexMap::new(),
-            mark_keys: IndexMap::new(),
-            service_targets: IndexMap::new(),
+            targets: TargetTable::default(),
             centres,
             own_centre,
-            flows: IndexMap::new(),
-            reports: IndexMap::new(),
+            flows,
             candidates: Vec::new(),
             response_times: Vec::new(),
             version: 0,
@@ -139,18 +116,18 @@
 
     /// Returns the number of targets that accept new flows.
     pub fn serving_count(&self) -> usize {
-        self.targets.values().filter(|target| target.accepts_flows() && !target.silent).count()
+        self.targets.iter().filter(|target| target.accepts_flows() && !target.silent).count()
     }
 
     /// Returns the time since a target's last activity, or `None` for an unknown target.
     pub fn time_since_activity(&self, now: Instant, target: TargetId) -> Option<Span> {
-        let key = self.target_keys.get(&target)?;
-        Some(self.targets[*key].time_since_activity(now))
+        let key = self.targets.key(target)?;
+        Some(self.targets[key].time_since_activity(now))
     }
 
     /// Returns this host's load report for the other entry hosts.
     pub fn report(&self) -> LoadReport {
-        let open = self.targets.values().filter(|target| target.own_load != LoadCount::default());
+        let open = self.targets.iter().filter(|target| target.own_load != LoadCount::default());
         LoadReport { counts: open.map(|target| (target.mark, target.own_load)).collect() }
     }
 
@@ -200,20 +177,14 @@
 
     /// Applies a target's latest announcement, and whether the target is silent.
     pub fn set_target(&mut self, now: Instant, entry: &Entry, silent: bool) {
-        let key = match self.target_keys.get(&entry.target) {
-            Some(key) => *key,
-            None => self.add_target(now, entry),
-        };
-        let location = self.locate_target(entry);
-        let target = &mut self.targets[key];
-        target.update(entry, location, now);
-        target.silent = silent;
+        let centre = self.centres.key(&entry.centre);
+        let location = (centre, centre == self.own_centre);
+        self.targets.set(now, entry, location, silent);
     }
 
     /// Stores the load report of another entry host.
     pub fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
-        self.reports.insert(host, (now, report));
-        self.sum_reports(now);
+        self.targets.set_report(now, host, report);
     }
 
     fn has_stalled(&self, now: Instant) -> bool {
@@ -228,7 +199,7 @@
         }
         self.last_tick = Some(now);
         self.stale_until = now + STALL_RECOVERY;
-        let running = self.targets.values_mut().filter(|target| target.phase != Phase::Gone);
+        let running = self.targets.iter_mut().filter(|target| target.phase != Phase::Gone);
         running.for_each(|target| target.record_activity(self.stale_until));
     }
 
@@ -238,34 +209,11 @@
     pub fn tick(&mut self, now: Instant) {
         self.handle_stall(now);
         self.last_tick = Some(now);
-        let expired = |flow: &Flow| match (flow.finished, flow.established) {
-            (true, _) => now.since(flow.last_seen) >= FINISHED_FLOW_TIMEOUT,
-            (_, false) => now.since(flow.opened_at) >= UNACKNOWLEDGED_SYN_TIMEOUT,
-            _ => now.since(flow.last_seen) >= FLOW_IDLE_TIMEOUT,
-        };
-        let expired_flows: Vec<FlowKey> = self
-            .flows
-            .iter()
-            .filter(|(_, flow)| expired(flow))
-            .map(|(flow_key, _)| *flow_key)
-            .collect();
-        for flow_key in expired_flows {
-            self.remove_flow(flow_key);
-        }
-        let frontends = &self.frontends;
-        for (flow_key, flow) in &mut self.flows {
-            let timeout = frontends
-                .get(&flow_key.frontend)
-                .map_or(FLOW_IDLE_TIMEOUT, |frontend| frontend.timeout);
-            if flow.waiting_since.is_some_and(|since| now.since(since) >= timeout) {
-                flow.waiting_since = None;
-                let waiting = &mut self.targets[flow.target].own_load.waiting;
-                *waiting = waiting.saturating_sub(1);
-            }
-        }
-        self.sum_reports(now);
+        self.flows.remove_expired(now, &mut self.targets);
+        self.flows.end_overdue_requests(now, &mut self.targets, &self.frontends);
+        self.targets.sum_reports(now);
         self.remove_gone_targets(now);
-        self.centres.update(now, self.own_centre, self.targets.values());
+        self.centres.update(now, self.own_centre, self.targets.iter());
     }
 
     /// Decides on a packet.
@@ -292,7 +240,7 @@
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
     fn open_flow(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let mut avoided = None;
-        if let Some(flow) = self.flows.get(&segment.flow_key).copied() {
+        if let Some(flow) = self.flows.get(segment.flow_key) {
             let retransmitted = flow.initial_sequence == segment.sequence;
             let target = &mut self.targets[flow.target];
             if retransmitted {
@@ -303,7 +251,7 @@
             if retransmitted && (flow.established || (target.accepts_flows() && !dead)) {
                 return self.forward(flow.target, false);
             }
-            self.remove_flow(segment.flow_key);
+            self.flows.remove(&mut self.targets, segment.flow_key);
             avoided = (retransmitted && dead).then_some(flow.target);
         }
         let Some(key) = self.place_flow(now, segment, avoided) else {
@@ -313,7 +261,11 @@
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
             frontend.count_flow();
         }
-        self.track_flow(segment.flow_key, Flow::new(key, segment.sequence, now));
+        self.flows.insert(
+            &mut self.targets,
+            segment.flow_key,
+            Flow::new(key, segment.sequence, now),
+        );
         self.forward(key, true)
     }
 
@@ -324,7 +276,7 @@
         segment: &Segment,
         idempotency: Idempotency,
     ) -> Verdict {
-        let known = self.flows.get(&segment.flow_key).copied();
+        let known = self.flows.get(segment.flow_key);
         let key = match known {
             Some(flow) if flow.established => flow.target,
             _ => match self.resolve_target(segment, known) {
@@ -333,22 +285,26 @@
             },
         };
         if self.targets[key].has_ended(now) {
-            self.remove_flow(segment.flow_key);
+            self.flows.remove(&mut self.targets, segment.flow_key);
             return Verdict::Reset(Cause::TargetGone);
         }
         let request = segment.kind == SegmentKind::Data && segment.length > 0;
         if request && idempotency == Idempotency::Idempotent && self.is_unreachable(now, key, known)
         {
             self.targets[key].record_retransmit(now);
-            self.remove_flow(segment.flow_key);
+            self.flows.remove(&mut self.targets, segment.flow_key);
             return Verdict::Reset(Cause::TargetLost);
         }
         if segment.kind == SegmentKind::Rst {
-            self.remove_flow(segment.flow_key);
+            self.flows.remove(&mut self.targets, segment.flow_key);
         } else {
             if known.is_none_or(|flow| flow.target != key) {
-                self.remove_flow(segment.flow_key);
-                self.track_flow(segment.flow_key, Flow::new(key, segment.sequence, now));
+                self.flows.remove(&mut self.targets, segment.flow_key);
+                self.flows.insert(
+                    &mut self.targets,
+                    segment.flow_key,
+                    Flow::new(key, segment.sequence, now),
+                );
             }
             self.update_flow(now, key, segment);
         }
@@ -358,7 +314,7 @@
     /// Finds the target of a flow that is not established on this host: the mark takes precedence
     /// over the target chosen for the SYN.
     fn resolve_target(&self, segment: &Segment, known: Option<Flow>) -> Result<TargetKey, Cause> {
-        let marked = segment.mark.and_then(|mark| self.mark_keys.get(&mark)).copied();
+        let marked = segment.mark.and_then(|mark| self.targets.key_of_mark(mark));
         match (marked, known) {
             (Some(key), _) => {
                 let frontend = &self.frontends[&segment.flow_key.frontend];
@@ -394,7 +350,7 @@
 
     /// Updates a flow and its target from a packet.
     fn update_flow(&mut self, now: Instant, key: TargetKey, segment: &Segment) {
-        let Some(flow) = self.flows.get_mut(&segment.flow_key) else { return };
+        let Some(flow) = self.flows.get_mut(segment.flow_key) else { return };
         let target = &mut self.targets[key];
         flow.last_seen = now;
         flow.finished |= segment.kind == SegmentKind::Fin;
@@ -433,9 +389,8 @@
         let flow_hash = self.flow_hash(segment.flow_key);
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
         let (service, pattern) = (frontend.pick_service(flow_hash)?, frontend.traffic_pattern());
-        let keys = self.service_targets.get(service)?;
         self.candidates.clear();
-        for key in keys {
+        for key in self.targets.keys_of_service(service) {
             let target = &self.targets[*key];
             if target.accepts_flows() {
                 let mut candidate = target.candidate(now);
@@ -459,89 +414,10 @@
         Verdict::Forward { target: target.id, address: target.address, mark: target.mark, new_flow }
     }
 
-    fn track_flow(&mut self, flow_key: FlowKey, flow: Flow) {
-        if self.flows.len() >= self.config.max_flows {
-            return;
-        }
-        let count = &mut self.targets[flow.target].own_load.flows;
-        *count = count.saturating_add(1);
-        if let Some(replaced) = self.flows.insert(flow_key, flow) {
-            self.release_load(&replaced);
-        }
-    }
-
-    fn remove_flow(&mut self, flow_key: FlowKey) {
-        if let Some(flow) = self.flows.swap_remove(&flow_key) {
-            self.release_load(&flow);
-        }
-    }
-
-    fn release_load(&mut self, flow: &Flow) {
-        let own = &mut self.targets[flow.target].own_load;
-        own.flows = own.flows.saturating_sub(1);
-        if flow.waiting_since.is_some() {
-            own.waiting = own.waiting.saturating_sub(1);
-        }
-    }
-
-    /// Returns a target's data centre, and whether it is this host's own.
-    fn locate_target(&mut self, entry: &Entry) -> (CentreKey, bool) {
-        let centre = self.centres.key(&entry.centre);
-        (centre, centre == self.own_centre)
-    }
-
-    fn add_target(&mut self, now: Instant, entry: &Entry) -> TargetKey {
-        let target = Target::new(entry, self.locate_target(entry), now);
-        let mark = target.mark;
-        let key = self.targets.insert(target);
-        self.target_keys.insert(entry.target, key);
-        // Of two targets with the same mark, only the first receives flows: packets that carry the
-        // mark are routed to it.
-        if let MapEntry::Vacant(vacant) = self.mark_keys.entry(mark) {
-            vacant.insert(key);
-            self.service_targets.entry(entry.service.clone()).or_default().push(key);
-        }
-        key
-    }
-
     fn remove_gone_targets(&mut self, now: Instant) {
-        let gone = |target: &Target| {
-            target.phase == Phase::Gone && now.since(target.gone_at) >= GONE_TARGET_RETENTION
-        };
-        let expired: Vec<TargetKey> =
-            self.targets.iter().filter(|(_, target)| gone(target)).map(|(key, _)| key).collect();
-        for key in expired {
-            self.remove_target(key);
-        }
-    }
-
-    fn remove_target(&mut self, key: TargetKey) {
-        let flows = self.flows.iter().filter(|(_, flow)| flow.target == key);
-        let flows: Vec<FlowKey> = flows.map(|(flow_key, _)| *flow_key).collect();
-        for flow_key in flows {
-            self.remove_flow(flow_key);
-        }
-        let Some(target) = self.targets.remove(key) else { return };
-        self.target_keys.swap_remove(&target.id);
-        if self.mark_keys.get(&target.mark) == Some(&key) {
-            self.mark_keys.swap_remove(&target.mark);
-        }
-        for keys in self.service_targets.values_mut() {
-            keys.retain(|other| *other != key);
-        }
-    }
-
-    fn sum_reports(&mut self, now: Instant) {
-        self.reports.retain(|_, (at, _)| now.since(*at) < REPORT_LIFETIME);
-        for target in self.targets.values_mut() {
-            target.other_load = LoadCount::default();
-        }
-        for (_, report) in self.reports.values() {
-            for (mark, count) in &report.counts {
-                if let Some(key) = self.mark_keys.get(mark) {
-                    self.targets[*key].other_load.add(*count);
-                }
-            }
+        for key in self.targets.expired(now) {
+            self.flows.remove_of_target(&mut self.targets, key);
+            self.targets.remove(key);
         }
     }
 }
--- /dev/null
+++ b/lagoongauge/src/mark/target_table.rs
@@ -0,0 +1,140 @@
+//! Table of the targets that an entry host knows, with their load from other entry hosts.
+
+use std::ops::{Index, IndexMut};
+
+use indexmap::IndexMap;
+use indexmap::map::Entry as MapEntry;
+use slotmap::SlotMap;
+
+use super::Mark;
+use super::centre::CentreKey;
+use super::load::{LoadCount, LoadReport};
+use super::target::{Target, TargetKey};
+use crate::id::{HostId, TargetId};
+use crate::roster::{Entry, Phase};
+use crate::time::{Instant, Span};
+
+/// Time for which a load report of another entry host is valid.
+const REPORT_LIFETIME: Span = Span::millis(1500);
+
+/// Time for which a gone target is kept, so that its flows can be reset.
+const GONE_TARGET_RETENTION: Span = Span::seconds(90);
+
+/// Known targets by key, id, mark and service.
+#[derive(Debug, Default)]
+pub(super) struct TargetTable {
+    targets: SlotMap<TargetKey, Target>,
+    by_id: IndexMap<TargetId, TargetKey>,
+    by_mark: IndexMap<Mark, TargetKey>,
+    by_service: IndexMap<String, Vec<TargetKey>>,
+    reports: IndexMap<HostId, (Instant, LoadReport)>,
+}
+
+impl TargetTable {
+    pub(super) fn key(&self, target: TargetId) -> Option<TargetKey> {
+        self.by_id.get(&target).copied()
+    }
+
+    pub(super) fn key_of_mark(&self, mark: Mark) -> Option<TargetKey> {
+        self.by_mark.get(&mark).copied()
+    }
+
+    /// Returns the targets of a service that may receive flows.
+    pub(super) fn keys_of_service(&self, service: &str) -> &[TargetKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Target> + '_ {
+        self.targets.values()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> + '_ {
+        self.targets.values_mut()
+    }
+
+    /// Returns the targets that have been gone for longer than they are kept.
+    pub(super) fn expired(&self, now: Instant) -> Vec<TargetKey> {
+        let is_expired = |target: &Target| {
+            target.phase == Phase::Gone && now.since(target.gone_at) >= GONE_TARGET_RETENTION
+        };
+        let expired = self.targets.iter().filter(|(_, target)| is_expired(target));
+        expired.map(|(key, _)| key).collect()
+    }
+
+    /// Applies a target's latest announcement, and whether the target is silent.
+    pub(super) fn set(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        location: (CentreKey, bool),
+        silent: bool,
+    ) {
+        let key = match self.key(entry.target) {
+            Some(key) => key,
+            None => self.add(now, entry, location),
+        };
+        let target = &mut self.targets[key];
+        target.update(entry, location, now);
+        target.silent = silent;
+    }
+
+    pub(super) fn remove(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.remove(key) else { return };
+        self.by_id.swap_remove(&target.id);
+        if self.by_mark.get(&target.mark) == Some(&key) {
+            self.by_mark.swap_remove(&target.mark);
+        }
+        for keys in self.by_service.values_mut() {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    /// Stores the load report of another entry host.
+    pub(super) fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
+        self.reports.insert(host, (now, report));
+        self.sum_reports(now);
+    }
+
+    /// Adds up the load reports of other entry hosts that are still valid.
+    pub(super) fn sum_reports(&mut self, now: Instant) {
+        self.reports.retain(|_, (at, _)| now.since(*at) < REPORT_LIFETIME);
+        for target in self.targets.values_mut() {
+            target.other_load = LoadCount::default();
+        }
+        for (_, report) in self.reports.values() {
+            for (mark, count) in &report.counts {
+                if let Some(key) = self.by_mark.get(mark) {
+                    self.targets[*key].other_load.add(*count);
+                }
+            }
+        }
+    }
+
+    fn add(&mut self, now: Instant, entry: &Entry, location: (CentreKey, bool)) -> TargetKey {
+        let target = Target::new(entry, location, now);
+        let mark = target.mark;
+        let key = self.targets.insert(target);
+        self.by_id.insert(entry.target, key);
+        // Of two targets with the same mark, only the first receives flows: packets that carry the
+        // mark are routed to it.
+        if let MapEntry::Vacant(vacant) = self.by_mark.entry(mark) {
+            vacant.insert(key);
+            self.by_service.entry(entry.service.clone()).or_default().push(key);
+        }
+        key
+    }
+}
+
+impl Index<TargetKey> for TargetTable {
+    type Output = Target;
+
+    fn index(&self, key: TargetKey) -> &Target {
+        &self.targets[key]
+    }
+}
+
+impl IndexMut<TargetKey> for TargetTable {
+    fn index_mut(&mut self, key: TargetKey) -> &mut Target {
+        &mut self.targets[key]
+    }
+}
