Count how requests end, and add up where callers lost time

Change: each entry host counts requests by kind, outcome and cause and logs the counts of each window of two seconds; lagoonctl losses adds them up over all hosts and estimates what no host saw while some were down. The copy number of a SYN tells how long its caller has waited.

Tests: each cause brought about at the router (tests/marks/losses.rs), the summary with estimates, damaged and missing logs and bounded memory (tests/losses.rs).

--- a/lagoongauge/src/catalog/mod.rs
+++ b/lagoongauge/src/catalog/mod.rs
@@ -24,7 +24,7 @@
 pub struct ServiceKey(pub u16);
 
 /// Whether a caller may retry a request that may have been executed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Idempotency {
     /// The request is idempotent.
     Idempotent,
--- a/lagoongauge/src/mark/flow.rs
+++ b/lagoongauge/src/mark/flow.rs
@@ -1,11 +1,27 @@
 //! Connection tracking: state of the flows whose packets an entry host has seen.
 
 use super::target::TargetKey;
-use crate::time::Instant;
+use crate::time::{Instant, Span};
 
 /// Half of the sequence number space; a smaller forward distance means "later".
 const HALF_SEQUENCE_SPACE: u32 = 1 << 31;
 
+/// Times after the first SYN at which callers send copies of it.
+const SYN_COPY_DELAYS: [Span; 2] = [Span::millis(200), Span::millis(600)];
+
+/// A request that waits for its answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Request {
+    /// When this host saw it first.
+    pub(super) seen_at: Instant,
+    /// When the caller began to wait; for the first request of a flow, when it sent the SYN.
+    pub(super) began_at: Instant,
+    /// Times that the caller repeated data of it.
+    pub(super) repeats: u8,
+    /// Whether all slots of the target were taken when it arrived.
+    pub(super) queued: bool,
+}
+
 /// State of a flow on this entry host.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Flow {
@@ -25,12 +41,21 @@
     pub(super) opened_at: Instant,
     /// When its last packet was seen.
     pub(super) last_seen: Instant,
-    /// When the request that waits for an answer was seen.
-    pub(super) waiting_since: Option<Instant>,
+    /// The request that waits for an answer.
+    pub(super) request: Option<Request>,
+    /// Whether this host did not see the flow's beginning.
+    pub(super) resumed: bool,
+    /// When the caller sent the first SYN; taken by the flow's first request.
+    pub(super) syn_sent_at: Option<Instant>,
+    /// Copies of the SYN that were sent before this host saw the first one.
+    pub(super) unseen_syns: u8,
+    /// Copies of the SYN that this host saw after the first one.
+    pub(super) repeated_syns: u8,
 }
 
 impl Flow {
-    pub(super) fn new(target: TargetKey, sequence: u32, now: Instant) -> Self {
+    /// Creates a flow whose beginning this host did not see.
+    pub(super) fn resumed(target: TargetKey, sequence: u32, now: Instant) -> Self {
         Self {
             target,
             established: false,
@@ -40,8 +65,39 @@
             acknowledged: 0,
             opened_at: now,
             last_seen: now,
-            waiting_since: None,
+            request: None,
+            resumed: true,
+            syn_sent_at: None,
+            unseen_syns: 0,
+            repeated_syns: 0,
+        }
+    }
+
+    /// Creates a flow from a SYN before which the caller sent `unseen_syns` copies of it.
+    pub(super) fn opened(target: TargetKey, sequence: u32, unseen_syns: u32, now: Instant) -> Self {
+        let unseen_syns = (unseen_syns as usize).min(SYN_COPY_DELAYS.len());
+        let delay = unseen_syns.checked_sub(1).map_or(Span(0), |copy| SYN_COPY_DELAYS[copy]);
+        Self {
+            resumed: false,
+            syn_sent_at: Some(now - delay),
+            unseen_syns: unseen_syns as u8,
+            ..Self::resumed(target, sequence, now)
+        }
+    }
+
+    /// Begins a request at a target whose slots may all be taken.
+    pub(super) fn begin_request(&mut self, now: Instant, queued: bool) {
+        let began_at = self.syn_sent_at.take().unwrap_or(now);
+        self.request = Some(Request { seen_at: now, began_at, repeats: 0, queued });
+    }
+
+    /// Ends the request that waits, if there is one.
+    pub(super) fn end_request(&mut self) -> Option<Request> {
+        let request = self.request.take();
+        if request.is_some() {
+            (self.unseen_syns, self.repeated_syns) = (0, 0);
         }
+        request
     }
 
     /// Records the packet's data; returns whether it was not seen before.
--- a/lagoongauge/src/mark/flow_table.rs
+++ b/lagoongauge/src/mark/flow_table.rs
@@ -64,52 +64,73 @@
         }
     }
 
+    /// Counts a copy of the SYN of a flow.
+    pub(super) fn count_repeated_syn(&mut self, flow_key: FlowKey) {
+        if let Some(flow) = self.flows.get_mut(&flow_key) {
+            flow.repeated_syns = flow.repeated_syns.saturating_add(1);
+        }
+    }
+
     /// Removes all flows of a target.
     pub(super) fn remove_of_target(&mut self, targets: &mut TargetTable, target: TargetKey) {
         self.remove_if(targets, |flow| flow.target == target);
     }
 
-    /// Removes the flows without recent packets.
-    pub(super) fn remove_expired(&mut self, now: Instant, targets: &mut TargetTable) {
-        self.remove_if(targets, |flow| match (flow.finished, flow.established) {
+    /// Removes the flows without recent packets; returns those that never opened.
+    pub(super) fn remove_expired(
+        &mut self,
+        now: Instant,
+        targets: &mut TargetTable,
+    ) -> Vec<(FlowKey, Flow)> {
+        let removed = self.remove_if(targets, |flow| match (flow.finished, flow.established) {
             (true, _) => now.since(flow.last_seen) >= FINISHED_FLOW_TIMEOUT,
             (_, false) => now.since(flow.opened_at) >= UNACKNOWLEDGED_SYN_TIMEOUT,
             _ => now.since(flow.last_seen) >= FLOW_IDLE_TIMEOUT,
         });
+        removed.into_iter().filter(|(_, flow)| !flow.established).collect()
     }
 
-    /// Stops counting requests whose callers no longer wait for an answer.
+    /// Ends the requests whose callers no longer wait for an answer, and returns the flows as they
+    /// were before.
     pub(super) fn end_overdue_requests(
         &mut self,
         now: Instant,
         targets: &mut TargetTable,
         frontends: &IndexMap<SocketAddrV4, Frontend>,
-    ) {
+    ) -> Vec<(FlowKey, Flow)> {
+        let mut overdue = Vec::new();
         for (flow_key, flow) in &mut self.flows {
             let timeout = frontends
                 .get(&flow_key.frontend)
                 .map_or(FLOW_IDLE_TIMEOUT, |frontend| frontend.timeout);
-            if flow.waiting_since.is_some_and(|since| now.since(since) >= timeout) {
-                flow.waiting_since = None;
+            if flow.request.is_some_and(|request| now.since(request.seen_at) >= timeout) {
+                overdue.push((*flow_key, *flow));
+                flow.end_request();
                 let waiting = &mut targets[flow.target].own_load.waiting;
                 *waiting = waiting.saturating_sub(1);
             }
         }
+        overdue
     }
 
-    fn remove_if(&mut self, targets: &mut TargetTable, condition: impl Fn(&Flow) -> bool) {
+    fn remove_if(
+        &mut self,
+        targets: &mut TargetTable,
+        condition: impl Fn(&Flow) -> bool,
+    ) -> Vec<(FlowKey, Flow)> {
         let matching = self.flows.iter().filter(|(_, flow)| condition(flow));
-        let flow_keys: Vec<FlowKey> = matching.map(|(flow_key, _)| *flow_key).collect();
-        for flow_key in flow_keys {
-            self.remove(targets, flow_key);
+        let removed: Vec<_> = matching.map(|(flow_key, flow)| (*flow_key, *flow)).collect();
+        for (flow_key, _) in &removed {
+            self.remove(targets, *flow_key);
         }
+        removed
     }
 }
 
 fn release_load(targets: &mut TargetTable, flow: &Flow) {
     let own = &mut targets[flow.target].own_load;
     own.flows = own.flows.saturating_sub(1);
-    if flow.waiting_since.is_some() {
+    if flow.request.is_some() {
         own.waiting = own.waiting.saturating_sub(1);
     }
 }
--- a/lagoongauge/src/mark/frontend.rs
+++ b/lagoongauge/src/mark/frontend.rs
@@ -1,5 +1,6 @@
 //! Frontend addresses as seen by an entry host.
 
+use super::loss::RequestKind;
 use super::placement::TrafficPattern;
 use crate::catalog::{Catalog, Idempotency, Route};
 use crate::time::Span;
@@ -19,6 +20,8 @@
     allowed_services: Vec<String>,
     /// Time after which the caller no longer waits for an answer.
     pub(super) timeout: Span,
+    /// Time within which callers want an answer.
+    objective: Span,
     /// Whether callers may retry its requests.
     pub(super) idempotency: Idempotency,
     /// Recently opened flows.
@@ -33,6 +36,7 @@
             services: Vec::new(),
             allowed_services: Vec::new(),
             timeout: Span(0),
+            objective: route.objective,
             idempotency: route.idempotency,
             flows: 0,
             requests: 0,
@@ -49,6 +53,7 @@
             .map(|service| (names[usize::from(service.service.0)].clone(), service.weight))
             .collect();
         self.timeout = route.timeout;
+        self.objective = route.objective;
         self.idempotency = route.idempotency;
         for (name, _) in &self.services {
             if !self.allowed_services.contains(name) {
@@ -57,6 +62,11 @@
         }
     }
 
+    /// Returns the kind of its requests.
+    pub(super) fn request_kind(&self) -> RequestKind {
+        RequestKind { idempotency: self.idempotency, objective: self.objective }
+    }
+
     /// Counts a new flow.
     pub(super) fn count_flow(&mut self) {
         self.flows += 1;
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -11,6 +11,7 @@
 mod flow_table;
 mod frontend;
 mod load;
+pub mod loss;
 pub mod placement;
 pub mod reporting;
 mod router;
@@ -82,7 +83,8 @@
     pub mark: Option<Mark>,
     /// Sequence number of its first byte.
     pub sequence: u32,
-    /// Next sequence number that the caller expects.
+    /// Next sequence number that the caller expects; on a SYN, the number of copies of it that the
+    /// caller sent before, if the wire format tells.
     pub acknowledged: u32,
     /// Length of its data in bytes.
     pub length: u16,
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -1,5 +1,7 @@
 //! The router, which decides on each packet from a caller.
 
+mod losses;
+
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
@@ -9,6 +11,7 @@
 use super::flow_table::FlowTable;
 use super::frontend::Frontend;
 use super::load::{LoadCount, LoadReport};
+use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::placement::{Candidate, LeastCost, Policy};
 use super::target::TargetKey;
 use super::target_table::TargetTable;
@@ -63,10 +66,13 @@
     flows: FlowTable,
     candidates: Vec<(TargetKey, Candidate)>,
     response_times: Vec<Span>,
+    losses: LossLedger,
     version: u64,
     current: bool,
     /// When this host last was in contact with a quorum of control hosts.
     confirmed_at: Instant,
+    /// When the first catalog was active, or `None` before that.
+    ready_at: Option<Instant>,
     /// Time of the latest tick, or `None` before the first one.
     last_tick: Option<Instant>,
     /// Until when SYNs may have been queued during a stall.
@@ -96,9 +102,11 @@
             flows,
             candidates: Vec::new(),
             response_times: Vec::new(),
+            losses: LossLedger::default(),
             version: 0,
             current: false,
             confirmed_at: Instant::default(),
+            ready_at: None,
             last_tick: None,
             stale_until: Instant::default(),
         }
@@ -138,6 +146,11 @@
         response_times.append(&mut self.response_times);
     }
 
+    /// Returns how the requests ended since the last call.
+    pub fn take_losses(&mut self) -> IndexMap<RequestKind, RequestCounts> {
+        self.losses.take()
+    }
+
     /// Activates a catalog; one that is not newer than the active one is ignored.
     pub fn set_catalog(&mut self, catalog: &Catalog) {
         if catalog.version() <= self.version {
@@ -209,8 +222,10 @@
     pub fn tick(&mut self, now: Instant) {
         self.handle_stall(now);
         self.last_tick = Some(now);
-        self.flows.remove_expired(now, &mut self.targets);
-        self.flows.end_overdue_requests(now, &mut self.targets, &self.frontends);
+        let unopened = self.flows.remove_expired(now, &mut self.targets);
+        self.record_unopened(now, &unopened);
+        let overdue = self.flows.end_overdue_requests(now, &mut self.targets, &self.frontends);
+        self.record_overdue(now, &overdue);
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
         self.centres.update(now, self.own_centre, self.targets.iter());
@@ -227,6 +242,7 @@
             Some(frontend) if frontend.is_removed() => return Verdict::Reset(Cause::RouteRemoved),
             Some(frontend) => frontend.idempotency,
         };
+        self.ready_at.get_or_insert(now);
         match segment.kind {
             SegmentKind::Syn if now < self.stale_until => Verdict::Drop(Cause::Stale),
             SegmentKind::Syn => self.open_flow(now, segment),
@@ -240,6 +256,7 @@
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
     fn open_flow(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let mut avoided = None;
+        let mut unseen_syns = segment.acknowledged;
         if let Some(flow) = self.flows.get(segment.flow_key) {
             let retransmitted = flow.initial_sequence == segment.sequence;
             let target = &mut self.targets[flow.target];
@@ -249,12 +266,17 @@
             let waited = now.since(flow.opened_at) >= MIN_RETRANSMIT_DELAY;
             let dead = target.silent || (waited && !target.is_active_since(flow.opened_at));
             if retransmitted && (flow.established || (target.accepts_flows() && !dead)) {
+                self.flows.count_repeated_syn(segment.flow_key);
                 return self.forward(flow.target, false);
             }
             self.flows.remove(&mut self.targets, segment.flow_key);
-            avoided = (retransmitted && dead).then_some(flow.target);
+            if retransmitted && dead {
+                avoided = Some(flow.target);
+                unseen_syns = unseen_syns.max(1);
+            }
         }
         let Some(key) = self.place_flow(now, segment, avoided) else {
+            self.record_refusal(segment, Cause::NoTarget);
             return Verdict::Reset(Cause::NoTarget);
         };
         self.targets[key].record_trial(now);
@@ -264,7 +286,7 @@
         self.flows.insert(
             &mut self.targets,
             segment.flow_key,
-            Flow::new(key, segment.sequence, now),
+            Flow::opened(key, segment.sequence, unseen_syns, now),
         );
         self.forward(key, true)
     }
@@ -285,6 +307,7 @@
             },
         };
         if self.targets[key].has_ended(now) {
+            self.record_refusal(segment, Cause::TargetGone);
             self.flows.remove(&mut self.targets, segment.flow_key);
             return Verdict::Reset(Cause::TargetGone);
         }
@@ -292,6 +315,7 @@
         if request && idempotency == Idempotency::Idempotent && self.is_unreachable(now, key, known)
         {
             self.targets[key].record_retransmit(now);
+            self.record_refusal(segment, Cause::TargetLost);
             self.flows.remove(&mut self.targets, segment.flow_key);
             return Verdict::Reset(Cause::TargetLost);
         }
@@ -303,7 +327,7 @@
                 self.flows.insert(
                     &mut self.targets,
                     segment.flow_key,
-                    Flow::new(key, segment.sequence, now),
+                    Flow::resumed(key, segment.sequence, now),
                 );
             }
             self.update_flow(now, key, segment);
@@ -341,8 +365,9 @@
         flow: Option<Flow>,
     ) -> bool {
         let target = &self.targets[key];
-        let waiting_since = flow.and_then(|flow| flow.waiting_since);
-        let is_waiting = waiting_since.is_some_and(|since| now.since(since) >= CENTRE_CHECK_DELAY);
+        let request = flow.and_then(|flow| flow.request);
+        let is_waiting =
+            request.is_some_and(|request| now.since(request.seen_at) >= CENTRE_CHECK_DELAY);
         is_waiting
             && self.centres.is_unreachable(target.centre)
             && target.is_unanswered(now, CENTRE_CHECK_DELAY)
@@ -362,21 +387,29 @@
         let new_data = flow.record_data(segment.sequence, segment.length);
         if segment.length > 0 && !new_data && !answered {
             target.record_retransmit(now);
+            if let Some(request) = &mut flow.request {
+                request.repeats = request.repeats.saturating_add(1);
+            }
         }
         let request_done = flow.finished || (answered && !new_data);
-        if request_done && let Some(since) = flow.waiting_since.take() {
+        let before = *flow;
+        let ended = if request_done { flow.end_request() } else { None };
+        if let Some(request) = ended {
             target.own_load.waiting = target.own_load.waiting.saturating_sub(1);
             if answered && self.response_times.len() < MAX_RESPONSE_TIMES {
-                self.response_times.push(now.since(since));
+                self.response_times.push(now.since(request.seen_at));
             }
         }
-        if new_data && !flow.finished && flow.waiting_since.is_none() {
-            flow.waiting_since = Some(now);
+        if new_data && !flow.finished && flow.request.is_none() {
+            flow.begin_request(now, target.is_busy());
             target.own_load.waiting = target.own_load.waiting.saturating_add(1);
             if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
                 frontend.count_request();
             }
         }
+        if ended.is_some() && answered {
+            self.record_answer(now, segment.flow_key, &before);
+        }
     }
 
     /// Chooses the target of a new flow; `avoided` is chosen only if there is no other.
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -124,6 +124,17 @@
         now.since(self.last_activity)
     }
 
+    /// Returns whether as many requests wait at it as it has slots.
+    pub(super) fn is_busy(&self) -> bool {
+        let waiting = u32::from(self.own_load.waiting) + u32::from(self.other_load.waiting);
+        waiting >= u32::from(self.slots)
+    }
+
+    /// Returns whether it is warming up.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        now < self.warm_at
+    }
+
     /// Returns whether it has ended for certain: it was reported gone, its last answers have been
     /// delivered, and no caller has acknowledged a later one.
     pub(super) fn has_ended(&self, now: Instant) -> bool {
@@ -183,7 +194,7 @@
             load,
             slots: self.slots,
             local: self.local,
-            cold: now < self.warm_at,
+            cold: self.is_cold(now),
             suspect: self.silent || suspect,
         }
     }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -1,5 +1,6 @@
 //! Routing by marks: placement of new flows, routing of later packets, resets and drops.
 
+mod losses;
 mod place;
 mod share;
 mod world;
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -115,12 +115,21 @@
     }
 
     pub fn open_to(&mut self, caller: u16, frontend: SocketAddrV4) -> Verdict {
+        self.send_syn(caller, frontend, 0)
+    }
+
+    /// Opens a flow with a SYN that the caller sent `copies` times before.
+    pub fn open_copy(&mut self, caller: u16, copies: u32) -> Verdict {
+        self.send_syn(caller, FRONTEND, copies)
+    }
+
+    fn send_syn(&mut self, caller: u16, frontend: SocketAddrV4, copies: u32) -> Verdict {
         let segment = Segment {
             flow_key: FlowKey { caller: caller_of(caller), frontend },
             kind: SegmentKind::Syn,
             mark: None,
             sequence: 1000,
-            acknowledged: 0,
+            acknowledged: copies,
             length: 0,
         };
         self.router.decide(self.now, &segment)
--- a/lagoongauged/src/bin/lagoonctl.rs
+++ b/lagoongauged/src/bin/lagoonctl.rs
@@ -10,6 +10,7 @@
     let json = raw.json;
     let result = match &raw.command {
         Command::Explain { caller, files } => ctl::explain_flow(caller, files),
+        Command::Losses { plot, files } => ctl::report_losses(plot.as_deref(), files, json),
         _ => Options::try_from(raw).map_err(Failure::from).and_then(ctl::run),
     };
     match result {
--- a/lagoongauged/src/ctl/commands.rs
+++ b/lagoongauged/src/ctl/commands.rs
@@ -1,5 +1,6 @@
 //! The commands and the requests that they make to the control hosts.
 
+use std::fs;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use lagoongauge::error::{Error, Kind, Ran};
 use lagoongauge::settings::{Change, Edit};
 
+use super::losses::{self, LossBudget, LossReport};
 use super::options::{ChangeOptions, Command, Options, TokenAction};
 use super::{Failure, edits, explain, print, tokens};
 use crate::control::client::{Client, Query};
@@ -55,6 +57,7 @@
         }
         Command::Watch { count, path } => runner.watch(&path, count),
         Command::Explain { caller, files } => explain(&caller, &files),
+        Command::Losses { plot, files } => report_losses(plot.as_deref(), &files, runner.json),
         Command::Status => runner.status(),
         Command::Hosts => runner.hosts(),
         Command::Drain { undo, host } => runner.drain(host, !undo),
@@ -73,6 +76,28 @@
     Ok(())
 }
 
+/// Prints where callers lost time, and draws it if `plot` names a file.
+///
+/// Fails with `Usage` if the plot can't be written.
+pub fn report_losses(plot: Option<&str>, files: &[String], json: bool) -> CommandResult {
+    let mut budget = LossBudget::default();
+    let faults = losses::read_logs(files, &mut budget);
+    let report = LossReport::new(&budget, faults);
+    if let Some(path) = plot {
+        let svg = losses::write_svg(&report);
+        let svg = svg.map_err(|error| Error::new(Kind::Internal, format!("{error:#}")))?;
+        let unwritable =
+            |error| Error::new(Kind::Usage, format!("failed to write {path}: {error}"));
+        fs::write(path, svg).map_err(unwritable)?;
+    }
+    if json {
+        print::json(&report);
+    } else {
+        print::line(report.to_string().trim_end());
+    }
+    Ok(())
+}
+
 /// Runs the commands that need the control hosts.
 struct Runner {
     client: Client,
--- a/lagoongauged/src/ctl/explain.rs
+++ b/lagoongauged/src/ctl/explain.rs
@@ -128,17 +128,29 @@
 }
 
 impl LogLine {
-    fn attribute(&self, name: &str) -> Option<&str> {
+    /// Returns the value of an attribute.
+    pub(super) fn attribute(&self, name: &str) -> Option<&str> {
         self.attributes.get(name).map(String::as_str)
     }
 
-    fn host(&self) -> Option<&str> {
+    /// Returns the host that wrote the line.
+    pub(super) fn host(&self) -> Option<&str> {
         self.mdc.get("host").map(String::as_str)
     }
 
+    /// Returns the time of the line in Unix milliseconds.
+    pub(super) fn unix_millis(&self) -> u64 {
+        self.time.timestamp_millis().max(0) as u64
+    }
+
+    /// Returns whether the line reports the start of its process.
+    pub(super) fn is_start(&self) -> bool {
+        self.message.contains(" starts as ")
+    }
+
     /// Returns whether the line reports the start or end of its process.
     fn is_lifecycle_event(&self) -> bool {
-        self.message.contains(" starts as ") || self.message.contains(" host ends")
+        self.is_start() || self.message.contains(" host ends")
     }
 }
 
--- a/lagoongauged/src/ctl/mod.rs
+++ b/lagoongauged/src/ctl/mod.rs
@@ -4,13 +4,14 @@
 mod commands;
 mod edits;
 pub mod explain;
+pub mod losses;
 mod options;
 mod print;
 mod tokens;
 
 use lagoongauge::error::Error;
 
-pub use commands::{explain as explain_flow, run};
+pub use commands::{explain as explain_flow, report_losses, run};
 pub use options::{Command, Options, RawOptions, raw_options};
 pub use print::failure as print_failure;
 
--- a/lagoongauged/src/ctl/options.rs
+++ b/lagoongauged/src/ctl/options.rs
@@ -27,6 +27,7 @@
   lagoonctl watch /tsenkher
   lagoonctl drain 12
   lagoonctl explain 100.64.0.7:40001 entry-1.log entry-2.log control-1.log
+  lagoonctl losses --plot losses.svg entry-*.log
   lagoonctl token make /tsenkher/operators/ann --subtree /tsenkher"
     )
 )]
@@ -113,6 +114,16 @@
         #[bpaf(positional("FILE"))]
         files: Vec<String>,
     },
+    /// Shows where callers lost time, from the logs of all hosts; contacts no control host.
+    #[bpaf(command)]
+    Losses {
+        /// Writes a plot of the missed requests to this SVG file.
+        #[bpaf(long, argument("FILE"))]
+        plot: Option<String>,
+        /// Log files; standard input by default.
+        #[bpaf(positional("FILE"))]
+        files: Vec<String>,
+    },
     /// Shows all hosts, the settings version applied by each, and the reports of the entry hosts.
     #[bpaf(command)]
     Status,
--- a/lagoongauged/src/mark_entry/mod.rs
+++ b/lagoongauged/src/mark_entry/mod.rs
@@ -8,6 +8,7 @@
 mod decision_log;
 mod feed;
 mod load_reports;
+pub mod loss_log;
 mod metrics;
 mod run;
 mod state;
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -14,6 +14,7 @@
 
 use super::decision_log::DecisionLog;
 use super::feed::{self, ActiveControls, EntryInfo};
+use super::loss_log::LossLog;
 use super::metrics::Metrics;
 use super::state::{Decode, FEED_COUNT, State};
 use super::{data_plane, load_reports};
@@ -114,13 +115,16 @@
         ));
     }
     let mut response_times = Vec::new();
+    let mut loss_log = LossLog::new();
     while !stop.is_raised() {
         state.tick(&mut response_times);
+        loss_log.tick(&state);
         sleep(TICK_INTERVAL).await;
     }
     state.set_stopping();
     log::info!("entry host ends in {} ms due to a stop request", linger.0);
     sleep(Duration::from_millis(linger.0)).await;
+    loss_log.flush(&state);
     Ok(())
 }
 
