Hold packets until the first catalog, and let late requests wait after a start

Cause: after all machines of the large deployment lose power, hosts are up at 0.9 s and have a catalog 0.45 s later; 4,833 packets that arrived in between were dropped, and callers repeat them only after 0.2 to 1.6 s. Change: Verdict::Hold, a bounded store of held packets, and admission of late requests by this host's share of the slots of its data centre for two seconds; the latest request goes first.

--- a/lagoongauge/src/mark/flow.rs
+++ b/lagoongauge/src/mark/flow.rs
@@ -73,21 +73,26 @@
         }
     }
 
-    /// Creates a flow from a SYN before which the caller sent `unseen_syns` copies of it.
-    pub(super) fn opened(target: TargetKey, sequence: u32, unseen_syns: u32, now: Instant) -> Self {
-        let unseen_syns = (unseen_syns as usize).min(SYN_COPY_DELAYS.len());
-        let delay = unseen_syns.checked_sub(1).map_or(Span(0), |copy| SYN_COPY_DELAYS[copy]);
+    /// Creates a flow from a SYN before which the caller sent `unseen_syns` copies of it; `arrived`
+    /// is when the SYN arrived, which may have been held since.
+    pub(super) fn opened(
+        target: TargetKey,
+        sequence: u32,
+        unseen_syns: u32,
+        (now, arrived): (Instant, Instant),
+    ) -> Self {
         Self {
             resumed: false,
-            syn_sent_at: Some(now - delay),
-            unseen_syns: unseen_syns as u8,
+            syn_sent_at: Some(arrived - syn_copy_delay(unseen_syns)),
+            unseen_syns: unseen_syns.min(u32::from(u8::MAX)) as u8,
             ..Self::resumed(target, sequence, now)
         }
     }
 
-    /// Begins a request at a target whose slots may all be taken.
-    pub(super) fn begin_request(&mut self, now: Instant, queued: bool) {
-        let began_at = self.syn_sent_at.take().unwrap_or(now);
+    /// Begins a request that arrived at this host at `arrived`, at a target whose slots may all be
+    /// taken.
+    pub(super) fn begin_request(&mut self, now: Instant, arrived: Instant, queued: bool) {
+        let began_at = self.syn_sent_at.take().unwrap_or(arrived);
         self.request = Some(Request { seen_at: now, began_at, repeats: 0, queued });
     }
 
@@ -120,6 +125,12 @@
     }
 }
 
+/// Returns how long before a SYN its caller sent the first copy, given the number of copies before.
+pub(super) fn syn_copy_delay(copies: u32) -> Span {
+    let last = SYN_COPY_DELAYS.len();
+    (copies as usize).min(last).checked_sub(1).map_or(Span(0), |copy| SYN_COPY_DELAYS[copy])
+}
+
 /// Returns whether a sequence number is later than another one, with wrap-around.
 fn is_later(number: u32, other: u32) -> bool {
     let distance = number.wrapping_sub(other);
--- a/lagoongauge/src/mark/flow_table.rs
+++ b/lagoongauge/src/mark/flow_table.rs
@@ -51,8 +51,9 @@
         if self.flows.len() >= self.max_flows {
             return;
         }
-        let count = &mut targets[flow.target].own_load.flows;
-        *count = count.saturating_add(1);
+        let target = &mut targets[flow.target];
+        target.own_load.flows = target.own_load.flows.saturating_add(1);
+        target.opening = target.opening.saturating_add(u16::from(!flow.established));
         if let Some(replaced) = self.flows.insert(flow_key, flow) {
             release_load(targets, &replaced);
         }
@@ -128,7 +129,9 @@
 }
 
 fn release_load(targets: &mut TargetTable, flow: &Flow) {
-    let own = &mut targets[flow.target].own_load;
+    let target = &mut targets[flow.target];
+    target.opening = target.opening.saturating_sub(u16::from(!flow.established));
+    let own = &mut target.own_load;
     own.flows = own.flows.saturating_sub(1);
     if flow.request.is_some() {
         own.waiting = own.waiting.saturating_sub(1);
--- a/lagoongauge/src/mark/frontend.rs
+++ b/lagoongauge/src/mark/frontend.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns the time within which callers want an answer.
+    pub(super) fn objective(&self) -> Span {
+        self.objective
+    }
+
     /// Returns the kind of its requests.
     pub(super) fn request_kind(&self) -> RequestKind {
         RequestKind { idempotency: self.idempotency, objective: self.objective }
--- /dev/null
+++ b/lagoongauge/src/mark/held.rs
@@ -0,0 +1,116 @@
+//! Packets that wait until this host can route them, or until targets have room for them.
+//!
+//! Load pattern: after a loss of power the whole fleet starts at once, and callers repeat their
+//! packets ever more rarely (after 200, 400, 800 and 1600 ms). A packet that is dropped by a host
+//! that will have its catalog in a moment costs its caller the whole pause until the next copy. So
+//! a host that has started without a catalog holds packets, and routes them once it has one. For some
+//! time after that, late requests are held as well ([`super::admission`]).
+
+use indexmap::IndexMap;
+
+use super::{FlowKey, Segment, SegmentKind};
+use crate::time::{Instant, Span};
+
+/// Maximum number of held packets, which bounds their memory to about 1.3 MB.
+const MAX_PACKETS: usize = 1024;
+
+/// Time for which data is held; the next copy follows within this time.
+const DATA_LIFETIME: Span = Span::millis(1600);
+
+/// Times until the caller sends the next copy of a SYN, by the number of copies before it; after the
+/// last one the caller gives up.
+const SYN_COPY_INTERVALS: [Span; 3] = [Span::millis(200), Span::millis(400), Span::millis(800)];
+
+/// Time before the next copy of a SYN at which a held one is no longer forwarded. The copy may reach
+/// another host, and if both placed the flow, the caller would get halves of two flows.
+const SYN_MARGIN: Span = Span::millis(40);
+
+/// Packet that could not be routed when it arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldPacket {
+    /// The packet as decoded.
+    pub segment: Segment,
+    /// The packet as received.
+    pub bytes: Vec<u8>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Until when it may be forwarded.
+    valid_until: Instant,
+}
+
+/// Identifies the copies of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct PacketKey {
+    flow_key: FlowKey,
+    kind: SegmentKind,
+    sequence: u32,
+    length: u16,
+}
+
+/// Held packets in order of arrival; of several copies only the last one is kept.
+#[derive(Debug, Clone, Default)]
+pub struct HeldPackets {
+    packets: IndexMap<PacketKey, HeldPacket>,
+    /// Packets that became too old since the last release.
+    expired: usize,
+}
+
+/// Packets that are no longer held.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Released {
+    /// Packets to route now, in order of arrival.
+    pub packets: Vec<HeldPacket>,
+    /// Number of packets that are too old to be routed.
+    pub expired: usize,
+}
+
+impl HeldPackets {
+    /// Holds a packet; returns whether there was room for it.
+    pub fn hold(&mut self, now: Instant, segment: &Segment, bytes: &[u8]) -> bool {
+        let key = PacketKey::of(segment);
+        if self.packets.len() >= MAX_PACKETS && !self.packets.contains_key(&key) {
+            self.remove_expired(now);
+        }
+        if self.packets.len() >= MAX_PACKETS && !self.packets.contains_key(&key) {
+            return false;
+        }
+        let valid_until = now + lifetime(segment);
+        let packet =
+            HeldPacket { segment: *segment, bytes: bytes.to_vec(), arrived: now, valid_until };
+        self.packets.insert(key, packet);
+        true
+    }
+
+    /// Removes all packets.
+    pub fn take(&mut self, now: Instant) -> Released {
+        self.remove_expired(now);
+        let packets = std::mem::take(&mut self.packets).into_values().collect();
+        Released { packets, expired: std::mem::take(&mut self.expired) }
+    }
+
+    /// Holds a released packet again, unless a later copy of it is held.
+    pub fn put_back(&mut self, packet: HeldPacket) {
+        self.packets.entry(PacketKey::of(&packet.segment)).or_insert(packet);
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        let held = self.packets.len();
+        self.packets.retain(|_, packet| now < packet.valid_until);
+        self.expired += held - self.packets.len();
+    }
+}
+
+impl PacketKey {
+    fn of(segment: &Segment) -> Self {
+        let Segment { flow_key, kind, sequence, length, .. } = *segment;
+        Self { flow_key, kind, sequence, length }
+    }
+}
+
+fn lifetime(segment: &Segment) -> Span {
+    if segment.kind != SegmentKind::Syn {
+        return DATA_LIFETIME;
+    }
+    let copy = (segment.acknowledged as usize).min(SYN_COPY_INTERVALS.len() - 1);
+    Span(SYN_COPY_INTERVALS[copy].0 - SYN_MARGIN.0)
+}
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -6,10 +6,12 @@
 //! unknown, foreign or contradicts the tracked flow ([`Router`]). See "Routing by marks" in
 //! docs/PLATFORM.md.
 
+pub mod admission;
 mod centre;
 mod flow;
 mod flow_table;
 mod frontend;
+pub mod held;
 mod load;
 pub mod loss;
 pub mod placement;
@@ -51,7 +53,7 @@
 }
 
 /// Kind of a packet from a caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum SegmentKind {
     /// A SYN.
     Syn,
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -1,5 +1,6 @@
 //! The router, which decides on each packet from a caller.
 
+mod admission;
 mod losses;
 
 use std::net::SocketAddrV4;
@@ -69,6 +70,8 @@
     losses: LossLedger,
     version: u64,
     current: bool,
+    /// Other entry hosts of this data centre, as far as they are known.
+    local_hosts: u32,
     /// When this host last was in contact with a quorum of control hosts.
     confirmed_at: Instant,
     /// When the first catalog was active, or `None` before that.
@@ -105,6 +108,7 @@
             losses: LossLedger::default(),
             version: 0,
             current: false,
+            local_hosts: 0,
             confirmed_at: Instant::default(),
             ready_at: None,
             last_tick: None,
@@ -183,6 +187,11 @@
         self.current = current;
     }
 
+    /// Sets the number of other entry hosts in this data centre, which share its targets.
+    pub fn set_local_hosts(&mut self, count: u32) {
+        self.local_hosts = count;
+    }
+
     /// Returns whether this host has been without contact with a quorum for some time.
     fn is_cut_off(&self, now: Instant) -> bool {
         !self.current && now.since(self.confirmed_at) >= CUT_OFF_TIMEOUT
@@ -231,9 +240,17 @@
         self.centres.update(now, self.own_centre, self.targets.iter());
     }
 
-    /// Decides on a packet.
+    /// Decides on a packet that has just arrived.
     pub fn decide(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        self.decide_held(now, now, segment)
+    }
+
+    /// Decides on a packet that arrived at `arrived` and has been held since.
+    pub fn decide_held(&mut self, now: Instant, arrived: Instant, segment: &Segment) -> Verdict {
         self.handle_stall(now);
+        if self.version == 0 {
+            return Verdict::Hold;
+        }
         let idempotency = match self.frontends.get(&segment.flow_key.frontend) {
             None if self.current && segment.kind == SegmentKind::Syn => {
                 return Verdict::Reset(Cause::NoRoute);
@@ -245,8 +262,8 @@
         self.ready_at.get_or_insert(now);
         match segment.kind {
             SegmentKind::Syn if now < self.stale_until => Verdict::Drop(Cause::Stale),
-            SegmentKind::Syn => self.open_flow(now, segment),
-            _ => self.continue_flow(now, segment, idempotency),
+            SegmentKind::Syn => self.open_flow((now, arrived), segment),
+            _ => self.continue_flow((now, arrived), segment, idempotency),
         }
     }
 
@@ -254,7 +271,7 @@
     ///
     /// A retransmission goes to the same target, unless that target had time to answer and has
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
-    fn open_flow(&mut self, now: Instant, segment: &Segment) -> Verdict {
+    fn open_flow(&mut self, (now, arrived): (Instant, Instant), segment: &Segment) -> Verdict {
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         if let Some(flow) = self.flows.get(segment.flow_key) {
@@ -269,12 +286,14 @@
                 self.flows.count_repeated_syn(segment.flow_key);
                 return self.forward(flow.target, false);
             }
-            self.flows.remove(&mut self.targets, segment.flow_key);
             if retransmitted && dead {
                 avoided = Some(flow.target);
                 unseen_syns = unseen_syns.max(1);
             }
+        } else if self.must_yield_syn(now, arrived, segment) {
+            return Verdict::Hold;
         }
+        self.flows.remove(&mut self.targets, segment.flow_key);
         let Some(key) = self.place_flow(now, segment, avoided) else {
             self.record_refusal(segment, Cause::NoTarget);
             return Verdict::Reset(Cause::NoTarget);
@@ -286,7 +305,7 @@
         self.flows.insert(
             &mut self.targets,
             segment.flow_key,
-            Flow::opened(key, segment.sequence, unseen_syns, now),
+            Flow::opened(key, segment.sequence, unseen_syns, (now, arrived)),
         );
         self.forward(key, true)
     }
@@ -294,7 +313,7 @@
     /// Decides on a packet other than a SYN.
     fn continue_flow(
         &mut self,
-        now: Instant,
+        (now, arrived): (Instant, Instant),
         segment: &Segment,
         idempotency: Idempotency,
     ) -> Verdict {
@@ -319,6 +338,9 @@
             self.flows.remove(&mut self.targets, segment.flow_key);
             return Verdict::Reset(Cause::TargetLost);
         }
+        if request && known.is_none() && self.must_yield_data(now, arrived, key) {
+            return Verdict::Hold;
+        }
         if segment.kind == SegmentKind::Rst {
             self.flows.remove(&mut self.targets, segment.flow_key);
         } else {
@@ -330,7 +352,7 @@
                     Flow::resumed(key, segment.sequence, now),
                 );
             }
-            self.update_flow(now, key, segment);
+            self.update_flow((now, arrived), key, segment);
         }
         self.forward(key, false)
     }
@@ -374,12 +396,18 @@
     }
 
     /// Updates a flow and its target from a packet.
-    fn update_flow(&mut self, now: Instant, key: TargetKey, segment: &Segment) {
+    fn update_flow(
+        &mut self,
+        (now, arrived): (Instant, Instant),
+        key: TargetKey,
+        segment: &Segment,
+    ) {
         let Some(flow) = self.flows.get_mut(segment.flow_key) else { return };
         let target = &mut self.targets[key];
         flow.last_seen = now;
         flow.finished |= segment.kind == SegmentKind::Fin;
         let answered = flow.record_acknowledgement(segment.acknowledged);
+        target.opening = target.opening.saturating_sub(u16::from(!flow.established));
         flow.established = true;
         if answered {
             target.record_activity(now);
@@ -401,7 +429,7 @@
             }
         }
         if new_data && !flow.finished && flow.request.is_none() {
-            flow.begin_request(now, target.is_busy());
+            flow.begin_request(now, arrived, target.is_busy());
             target.own_load.waiting = target.own_load.waiting.saturating_add(1);
             if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
                 frontend.count_request();
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -56,6 +56,8 @@
     pub(super) gone_at: Instant,
     /// Load from this host.
     pub(super) own_load: LoadCount,
+    /// Flows from this host that have not opened yet.
+    pub(super) opening: u16,
     /// Load from other entry hosts, according to their reports.
     pub(super) other_load: LoadCount,
     /// When a caller last acknowledged an answer of it.
@@ -83,6 +85,7 @@
             warm_at: now + entry.warmup,
             gone_at: now,
             own_load: LoadCount::default(),
+            opening: 0,
             other_load: LoadCount::default(),
             last_activity: now,
             retransmits: 0,
--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -26,11 +26,13 @@
     NoMark,
     /// The SYN was queued during a stall of this host, and its caller has retried elsewhere since.
     Stale,
+    /// The packet arrived before this host had a catalog, and could not be held until then.
+    Starting,
 }
 
 impl Cause {
     /// All causes, in the order of declaration.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::NoRoute,
         Self::RouteRemoved,
         Self::NoTarget,
@@ -40,6 +42,7 @@
         Self::ForeignMark,
         Self::NoMark,
         Self::Stale,
+        Self::Starting,
     ];
 
     /// Returns the cause's name in logs and metrics.
@@ -54,6 +57,7 @@
             Self::ForeignMark => "foreign_mark",
             Self::NoMark => "no_mark",
             Self::Stale => "stale",
+            Self::Starting => "starting",
         }
     }
 }
@@ -76,4 +80,6 @@
     Reset(Cause),
     /// Drop it; the caller retransmits it.
     Drop(Cause),
+    /// Hold it until the first catalog is active, see [`super::held`].
+    Hold,
 }
--- a/lagoongauge/tests/marks/losses.rs
+++ b/lagoongauge/tests/marks/losses.rs
@@ -177,7 +177,7 @@
 /// The first answers after a start belong to requests that callers have repeated for some time.
 #[test]
 fn flows_that_were_open_before_a_start_are_due_to_the_start() {
-    let mut fixture = Fixture::new(&[1]);
+    let mut fixture = Fixture::just_started(&[1]);
     fixture.mark = Some(Mark::of(TargetId(1)));
     fixture.send_data(1, 1, 0);
     fixture.advance(LATE_MS);
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -15,6 +15,9 @@
 /// Another frontend address.
 pub const OTHER_FRONTEND: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
 
+/// Time after which a start no longer affects decisions.
+const UPTIME: Span = Span::seconds(10);
+
 pub struct Fixture {
     pub router: Router,
     /// Mark of the callers' next packets.
@@ -23,12 +26,27 @@
 }
 
 impl Fixture {
-    /// Creates a host with targets of the service "desk".
+    /// Creates a host that has been running for some time, with targets of the service "desk".
     pub fn new(targets: &[u64]) -> Self {
+        let mut fixture = Self::just_started(targets);
+        fixture.now = fixture.now + UPTIME;
+        fixture
+    }
+
+    /// Creates a host whose first catalog has just become active.
+    pub fn just_started(targets: &[u64]) -> Self {
+        let mut fixture = Self::without_catalog(targets);
+        fixture.set_routes(1, &[(FRONTEND, "desk")]);
+        // The catalog counts as active from the first packet on.
+        fixture.send(1, SegmentKind::Rst, 0, 0, 0);
+        fixture
+    }
+
+    /// Creates a host that has just started and knows its targets, but no routes.
+    pub fn without_catalog(targets: &[u64]) -> Self {
         let config =
             RouterConfig { centre: "a".into(), hash_key: HashKey([1; 16]), max_flows: 10_000 };
         let mut fixture = Self { router: Router::new(config), mark: None, now: Instant(100_000) };
-        fixture.set_routes(1, &[(FRONTEND, "desk")]);
         fixture.router.set_current(fixture.now, true);
         for target in targets {
             fixture.add_target(*target, "desk");
@@ -123,6 +141,19 @@
         self.send_syn(caller, FRONTEND, copies)
     }
 
+    /// Opens a flow with a SYN that arrived `millis` ago.
+    pub fn open_after(&mut self, caller: u16, millis: u64) -> Verdict {
+        let syn = segment(caller, SegmentKind::Syn, 0, 0);
+        self.router.decide_held(self.now, self.now - Span(millis), &syn)
+    }
+
+    /// Sends data of a flow that was open before this host started, and that arrived before the
+    /// first catalog.
+    pub fn send_held_data(&mut self, caller: u16) -> Verdict {
+        let data = Segment { mark: self.mark, ..segment(caller, SegmentKind::Data, 0, 10) };
+        self.router.decide_held(self.now, self.now - Span(50), &data)
+    }
+
     fn send_syn(&mut self, caller: u16, frontend: SocketAddrV4, copies: u32) -> Verdict {
         let segment = Segment {
             flow_key: FlowKey { caller: caller_of(caller), frontend },
@@ -148,14 +179,9 @@
         acknowledged: u32,
         length: u16,
     ) -> Verdict {
-        let segment = Segment {
-            flow_key: FlowKey { caller: caller_of(caller), frontend: FRONTEND },
-            kind,
-            mark: self.mark,
-            sequence: 1001 + from,
-            acknowledged: 5000 + acknowledged,
-            length,
-        };
+        let acknowledged = 5000 + acknowledged;
+        let segment =
+            Segment { mark: self.mark, acknowledged, ..segment(caller, kind, from, length) };
         self.router.decide(self.now, &segment)
     }
 
@@ -170,6 +196,18 @@
     }
 }
 
+/// Returns a packet of `length` bytes from offset `from` on, which acknowledges nothing.
+pub fn segment(caller: u16, kind: SegmentKind, from: u32, length: u16) -> Segment {
+    Segment {
+        flow_key: FlowKey { caller: caller_of(caller), frontend: FRONTEND },
+        kind,
+        mark: None,
+        sequence: 1001 + from,
+        acknowledged: 0,
+        length,
+    }
+}
+
 pub fn target_of(verdict: Verdict) -> TargetId {
     match verdict {
         Verdict::Forward { target, .. } => target,
--- a/lagoongauged/src/mark_entry/counters.rs
+++ b/lagoongauged/src/mark_entry/counters.rs
@@ -9,6 +9,7 @@
 pub struct Counters {
     forwarded: AtomicU64,
     begun: AtomicU64,
+    held: AtomicU64,
     unreadable: AtomicU64,
     unsent: AtomicU64,
     reset: [AtomicU64; Cause::ALL.len()],
@@ -26,6 +27,11 @@
         self.begun.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of packets held until the first catalog was active.
+    pub fn held(&self) -> u64 {
+        self.held.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of datagrams that could not be decoded.
     pub fn unreadable(&self) -> u64 {
         self.unreadable.load(Ordering::Relaxed)
@@ -51,6 +57,10 @@
         self.begun.fetch_add(u64::from(new_flow), Ordering::Relaxed);
     }
 
+    pub(super) fn count_held(&self) {
+        self.held.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(super) fn count_unreadable(&self) {
         self.unreadable.fetch_add(1, Ordering::Relaxed);
     }
--- a/lagoongauged/src/mark_entry/data_plane.rs
+++ b/lagoongauged/src/mark_entry/data_plane.rs
@@ -2,10 +2,13 @@
 
 use std::io::ErrorKind;
 use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
 
-use lagoongauge::mark::{Codec, Segment, Verdict};
+use indexmap::IndexSet;
+use lagoongauge::mark::held::HeldPacket;
+use lagoongauge::mark::{Cause, Codec, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
 use super::state::SharedState;
@@ -16,62 +19,142 @@
 /// Delay after a failed receive, which also limits the rate of the warnings about it.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Forwards packets until the process ends; callers receive packets at `caller_port`.
+/// Interval at which packets that are still held are offered to the router.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Routes packets from one socket.
 ///
-/// No lock is held across a system call, and no memory is allocated per packet.
-pub(super) fn forward_packets<C: Codec>(
-    state: &SharedState,
-    codec: &C,
-    socket: &UdpSocket,
+/// No lock is held across a system call, and no memory is allocated per packet that need not be
+/// held.
+#[derive(Debug)]
+pub(super) struct DataPlane<C> {
+    state: SharedState,
+    codec: C,
+    socket: UdpSocket,
+    /// Port at which callers receive packets.
     caller_port: u16,
-) {
-    let mut buffer = vec![0; C::HEADROOM + MAX_DATAGRAM_BYTES];
-    let mut reply = Vec::with_capacity(MAX_DATAGRAM_BYTES);
-    loop {
-        let length = match socket.recv_from(&mut buffer[C::HEADROOM..]) {
-            Ok((length, _)) => length,
-            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-            Err(error) => {
-                log::warn!("failed to receive packet: {error}");
-                thread::sleep(RETRY_DELAY);
-                continue;
+}
+
+impl<C: Codec> DataPlane<C> {
+    pub(super) fn new(state: SharedState, codec: C, socket: UdpSocket, caller_port: u16) -> Self {
+        Self { state, codec, socket, caller_port }
+    }
+
+    /// Forwards packets until the process ends.
+    pub(super) fn run(&self) {
+        let mut buffer = vec![0; C::HEADROOM + MAX_DATAGRAM_BYTES];
+        let mut reply = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+        loop {
+            let length = match self.socket.recv_from(&mut buffer[C::HEADROOM..]) {
+                Ok((length, _)) => length,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) => {
+                    log::warn!("failed to receive packet: {error}");
+                    thread::sleep(RETRY_DELAY);
+                    continue;
+                }
+            };
+            let bytes = &mut buffer[..C::HEADROOM + length];
+            match self.codec.decode(&bytes[C::HEADROOM..]) {
+                Some(segment) => {
+                    let now = self.state.clock.now();
+                    if !self.process((now, now), &segment, bytes, &mut reply) {
+                        self.hold(now, &segment, &bytes[C::HEADROOM..]);
+                    }
+                }
+                None => self.state.counters.count_unreadable(),
             }
-        };
-        let bytes = &mut buffer[..C::HEADROOM + length];
-        let Some(segment) = codec.decode(&bytes[C::HEADROOM..]) else {
-            state.counters.count_unreadable();
-            continue;
-        };
-        let now = state.clock.now();
-        let verdict = decide(state, now, &segment);
-        let sent = match verdict {
+        }
+    }
+
+    /// Routes the held packets once the first catalog is active, and later ones as targets have room
+    /// for them. Waits without polling while nothing is held.
+    pub(super) fn release_packets(&self, wakeups: &Receiver<()>) {
+        while wakeups.recv().is_ok() {
+            while self.release_held() {
+                thread::sleep(RELEASE_INTERVAL);
+            }
+        }
+    }
+
+    /// Routes a packet that arrived at `arrived`; `bytes` hold it behind the codec's headroom.
+    /// Returns whether it was routed; otherwise it has to be held.
+    fn process(
+        &self,
+        (now, arrived): (Instant, Instant),
+        segment: &Segment,
+        bytes: &mut [u8],
+        reply: &mut Vec<u8>,
+    ) -> bool {
+        let state = &self.state;
+        let sent = match decide(state, (now, arrived), segment) {
             Verdict::Forward { target, address, mark, new_flow } => {
-                codec.encapsulate(bytes, target, mark);
+                self.codec.encapsulate(bytes, target, mark);
                 state.counters.count_forward(new_flow);
-                socket.send_to(bytes, address)
+                self.socket.send_to(bytes, address)
             }
             Verdict::Reset(cause) => {
                 state.counters.count_reset(cause);
                 reply.clear();
-                codec.build_reset(&segment, &mut reply);
-                let caller = SocketAddrV4::new(*segment.flow_key.caller.ip(), caller_port);
-                socket.send_to(&reply, caller)
+                self.codec.build_reset(segment, reply);
+                let caller = SocketAddrV4::new(*segment.flow_key.caller.ip(), self.caller_port);
+                self.socket.send_to(reply, caller)
             }
             Verdict::Drop(cause) => {
                 state.counters.count_drop(cause);
-                continue;
+                return true;
             }
+            Verdict::Hold => return false,
         };
         if sent.is_err() {
             state.counters.count_unsent();
         }
+        true
+    }
+
+    fn hold(&self, now: Instant, segment: &Segment, packet: &[u8]) {
+        if self.state.held().hold(now, segment, packet) {
+            self.state.counters.count_held();
+        } else {
+            self.state.counters.count_drop(Cause::Starting);
+        }
+        if self.state.version() > 0 {
+            self.state.wake_releaser();
+        }
+    }
+
+    /// Offers the held packets to the router, the latest first, as its request has most of its time
+    /// left. Once one of a frontend has to wait further, so do the others of that frontend. Returns
+    /// whether packets are still held.
+    fn release_held(&self) -> bool {
+        let now = self.state.clock.now();
+        let released = self.state.held().take(now);
+        for _ in 0..released.expired {
+            self.state.counters.count_drop(Cause::Starting);
+        }
+        let mut full = IndexSet::new();
+        let mut reply = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+        for packet in released.packets.into_iter().rev() {
+            let frontend = packet.segment.flow_key.frontend;
+            if full.contains(&frontend) || !self.process_held(now, &packet, &mut reply) {
+                full.insert(frontend);
+                self.state.held().put_back(packet);
+            }
+        }
+        !full.is_empty()
+    }
+
+    fn process_held(&self, now: Instant, packet: &HeldPacket, reply: &mut Vec<u8>) -> bool {
+        let mut bytes = vec![0; C::HEADROOM];
+        bytes.extend_from_slice(&packet.bytes);
+        self.process((now, packet.arrived), &packet.segment, &mut bytes, reply)
     }
 }
 
 /// Routes a packet and logs the decision, each under its own lock.
-fn decide(state: &SharedState, now: Instant, segment: &Segment) -> Verdict {
+fn decide(state: &SharedState, (now, arrived): (Instant, Instant), segment: &Segment) -> Verdict {
     let mut router = state.router();
-    let verdict = router.decide(now, segment);
+    let verdict = router.decide_held(now, arrived, segment);
     let age = match verdict {
         Verdict::Forward { target, new_flow: true, .. } => router.time_since_activity(now, target),
         _ => None,
--- a/lagoongauged/src/mark_entry/decision_log.rs
+++ b/lagoongauged/src/mark_entry/decision_log.rs
@@ -76,7 +76,7 @@
         age: Span,
     ) {
         let outcome = match *verdict {
-            Verdict::Forward { new_flow: false, .. } => return,
+            Verdict::Forward { new_flow: false, .. } | Verdict::Hold => return,
             Verdict::Forward { target, .. } => Outcome::Placed(target),
             Verdict::Reset(cause) => Outcome::Reset(cause),
             Verdict::Drop(cause) => Outcome::Dropped(cause),
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -11,7 +11,7 @@
 use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::id::HostId;
 
-use super::state::{Decode, FEED_COUNT, SharedState};
+use super::state::{Decode, FEED_COUNT, PRIMARY_FEED, SharedState};
 use crate::cluster::FEED_TIMEOUT;
 use crate::cluster::message::{FeedAck, FeedMessage, Hello, host_address};
 use crate::daemon::Backoff;
@@ -115,7 +115,7 @@
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
     let version = state.version();
-    let secondary = feed > 0;
+    let secondary = feed != PRIMARY_FEED;
     let hello = Hello::Entry { host: entry.host, centre: entry.centre.clone(), version, secondary };
     frame::write(&mut writer, &hello, FEED_TIMEOUT).await?;
     let mut last_current = Instant::now();
@@ -124,6 +124,9 @@
         match frame::read(&mut reader, FEED_TIMEOUT).await? {
             FeedMessage::Catalog(data) => pending_catalog = decode(decoder, &data.decompress()?),
             FeedMessage::Targets(targets) => state.set_targets(feed, targets),
+            FeedMessage::CompressedTargets(targets) => {
+                state.set_targets(feed, targets.decompress()?);
+            }
             FeedMessage::Status { current, controls, neighbours } => {
                 state.set_status(feed, current, controls, neighbours);
                 if current {
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -17,6 +17,7 @@
     registry: MetricRegistry,
     forwarded: IntCounter,
     begun: IntCounter,
+    held: IntCounter,
     reset: IntCounterVec,
     dropped: IntCounterVec,
     unreadable: IntCounter,
@@ -38,6 +39,8 @@
         Ok(Self {
             forwarded: registry.counter("forwarded_packets", "Packets sent on to targets.")?,
             begun: registry.counter("begun_flows", "Flows that began here.")?,
+            held: registry
+                .counter("held_packets", "Packets held until the first catalog was active.")?,
             reset: registry.counter_vec(
                 "reset_packets",
                 "Packets answered with a reset.",
@@ -78,6 +81,7 @@
         let counters = &state.counters;
         advance_to(&self.forwarded, counters.forwarded());
         advance_to(&self.begun, counters.begun());
+        advance_to(&self.held, counters.held());
         advance_to(&self.unreadable, counters.unreadable());
         advance_to(&self.unsent, counters.unsent());
         advance_to(&self.omitted, state.decisions.omitted());
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 use async_std::task::{sleep, spawn_local};
@@ -12,12 +13,13 @@
 use lagoongauge::mark::{Codec, Router, RouterConfig};
 use lagoongauge::time::Span;
 
+use super::data_plane::DataPlane;
 use super::decision_log::DecisionLog;
 use super::feed::{self, ActiveControls, EntryInfo};
+use super::load_reports;
 use super::loss_log::LossLog;
 use super::metrics::Metrics;
 use super::state::{Decode, FEED_COUNT, State};
-use super::{data_plane, load_reports};
 use crate::cluster::message::host_address;
 use crate::daemon::{Clock, Stop, spawn};
 
@@ -64,7 +66,7 @@
     serve: F,
 ) -> Result<()>
 where
-    C: Codec + Send + 'static,
+    C: Codec + Send + Sync + 'static,
     D: Decode,
     F: AsyncFnOnce(Arc<State>) -> Result<()>,
 {
@@ -86,13 +88,12 @@
         Error::new(Kind::Internal, format!("failed to register metrics: {error}"))
     })?;
     let router = Router::new(config);
-    let state = Arc::new(State::new(clock, router, decisions, metrics, announce_interval, seeds));
+    let (state, wakeups) = State::new(clock, router, decisions, metrics, announce_interval, seeds);
+    let state = Arc::new(state);
     let socket =
         UdpSocket::bind(packet_address).map_err(|error| bind_error(packet_address, &error))?;
-    let shared = Arc::clone(&state);
-    let forward_packets =
-        move || data_plane::forward_packets(&shared, &codec, &socket, packet_address.port());
-    spawn("packets", forward_packets).map_err(|error| start_error(&error))?;
+    let plane = DataPlane::new(Arc::clone(&state), codec, socket, packet_address.port());
+    start_data_plane(plane, wakeups).map_err(|error| start_error(&error))?;
     let listen_address = host_address(host, listen_port);
     let report_socket =
         UdpSocket::bind(listen_address).map_err(|error| bind_error(listen_address, &error))?;
@@ -128,6 +129,18 @@
     Ok(())
 }
 
+/// Starts the threads of the data path: one for packets as they arrive, and one for those that are
+/// held after the start.
+fn start_data_plane<C>(plane: DataPlane<C>, wakeups: Receiver<()>) -> std::io::Result<()>
+where
+    C: Codec + Send + Sync + 'static,
+{
+    let plane = Arc::new(plane);
+    let held = Arc::clone(&plane);
+    spawn("held packets", move || held.release_packets(&wakeups))?;
+    spawn("packets", move || plane.run())
+}
+
 fn bind_error(address: SocketAddrV4, error: &std::io::Error) -> Error {
     Error::new(Kind::Usage, format!("failed to bind {address}: {error}"))
 }
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the threads of an entry host.
 
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexSet;
@@ -8,6 +9,7 @@
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::mark::Router;
+use lagoongauge::mark::held::HeldPackets;
 use lagoongauge::roster::{Entry, FeedStatuses, MergeOutcome, Roster, TargetRecord};
 use lagoongauge::time::{Instant, Span};
 
@@ -20,6 +22,9 @@
 /// Number of control hosts that an entry host subscribes to at a time.
 pub(super) const FEED_COUNT: usize = 2;
 
+/// Feed that delivers targets and catalogs at once; the others do if it does not.
+pub(super) const PRIMARY_FEED: usize = 0;
+
 /// Time after startup during which only control hosts in contact with a quorum are trusted; a group
 /// of control hosts that starts at the same time has a leader by then.
 const STARTUP_GRACE: Span = Span::millis(1500);
@@ -40,6 +45,8 @@
     feed_statuses: FeedStatuses<FEED_COUNT>,
     controls: Vec<HostId>,
     neighbours: Vec<Neighbour>,
+    /// Whether each feed has delivered targets.
+    has_targets: [bool; FEED_COUNT],
     /// Whether a feed has delivered the full state of its control host. During `STARTUP_GRACE` only
     /// a control host in contact with a quorum counts.
     synced: bool,
@@ -65,6 +72,9 @@
     metrics: Metrics,
     router: Mutex<Router>,
     cluster: Mutex<ClusterState>,
+    held: Mutex<HeldPackets>,
+    /// Wakes the thread that releases held packets.
+    releaser: SyncSender<()>,
     start_time: Instant,
     stopping: AtomicBool,
 }
@@ -73,6 +83,7 @@
 pub(super) type SharedState = Arc<State>;
 
 impl State {
+    /// Creates the state, and the receiver of the wake-ups to release held packets.
     pub(super) fn new(
         clock: Clock,
         router: Router,
@@ -80,24 +91,29 @@
         metrics: Metrics,
         announce_interval: Span,
         seeds: Vec<HostId>,
-    ) -> Self {
+    ) -> (Self, Receiver<()>) {
+        let (releaser, wakeups) = sync_channel(1);
         let cluster = ClusterState {
             roster: Roster::new(announce_interval),
             feed_statuses: FeedStatuses::default(),
             controls: seeds,
             neighbours: Vec::new(),
+            has_targets: [false; FEED_COUNT],
             synced: false,
         };
-        Self {
+        let state = Self {
             clock,
             counters: Counters::default(),
             decisions,
             metrics,
             router: Mutex::new(router),
             cluster: Mutex::new(cluster),
+            held: Mutex::default(),
+            releaser,
             start_time: clock.now(),
             stopping: AtomicBool::new(false),
-        }
+        };
+        (state, wakeups)
     }
 
     /// Returns whether the fabric may send packets here.
@@ -124,6 +140,10 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn held(&self) -> MutexGuard<'_, HeldPackets> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns all known control hosts.
     pub(super) fn controls(&self) -> Vec<HostId> {
         self.cluster().controls.clone()
@@ -149,6 +169,12 @@
         (hosts(local), hosts(remote))
     }
 
+    /// Wakes the thread that releases held packets; a wake-up that is already pending covers this
+    /// one.
+    pub(super) fn wake_releaser(&self) {
+        let _ = self.releaser.try_send(());
+    }
+
     /// Makes the host not ready, so that the fabric stops sending packets to it.
     pub(super) fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Release);
@@ -168,6 +194,8 @@
             return false;
         }
         router.set_catalog(catalog);
+        drop(router);
+        self.wake_releaser();
         true
     }
 
@@ -175,6 +203,7 @@
     pub(super) fn set_targets(&self, feed: usize, targets: Vec<(Entry, bool)>) {
         let now = self.clock.now();
         let mut cluster = self.cluster();
+        cluster.has_targets[feed] = true;
         let revision = cluster.roster.revision();
         let mut changed = Vec::new();
         for (entry, silent) in targets {
@@ -204,14 +233,19 @@
         let mut cluster = self.cluster();
         cluster.feed_statuses.set_current(feed, current);
         let early = self.clock.now().since(self.start_time) < STARTUP_GRACE;
-        cluster.synced |= current || !early;
+        // The secondary feed reports its status before it sends the targets.
+        let complete = feed == PRIMARY_FEED || cluster.has_targets[feed];
+        cluster.synced |= complete && (current || !early);
         if current {
             cluster.controls = controls;
         }
         cluster.neighbours = neighbours;
         let confirmed = cluster.feed_statuses.is_current();
+        let local_hosts = cluster.neighbours.iter().filter(|neighbour| neighbour.local).count();
         drop(cluster);
-        self.router().set_current(self.clock.now(), confirmed);
+        let mut router = self.router();
+        router.set_current(self.clock.now(), confirmed);
+        router.set_local_hosts(local_hosts as u32);
     }
 
     /// Records that a feed was connected or lost.
