Encode targets once for all feeds, compress them, and send the roster once at the start

Ruled out: election timeouts (a leader stands within one retry once the links are up).

Tests: shared batches lead to the current roster from any revision, size and damage of a compressed roster (tests/feed.rs).

--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -13,7 +13,7 @@
 use lagoongauge::replica::Store;
 
 use super::host::SharedHost;
-use super::message::{FeedAck, FeedMessage, Neighbour};
+use super::message::{FeedAck, FeedMessage};
 use crate::frame;
 
 /// Maximum interval between two messages to an entry host.
@@ -26,7 +26,8 @@
 /// Delay after a change, so that further changes are sent in the same batch.
 pub(super) const BATCH_DELAY: Duration = Duration::from_millis(15);
 
-/// Delay before the secondary feed sends a new catalog that the primary feed has not delivered.
+/// Delay before the secondary feed sends a new catalog that the primary feed has not delivered, and
+/// before it sends the roster for the first time.
 pub(super) const SECONDARY_DELAY: Duration = Duration::from_millis(600);
 
 /// Timeout for an entry host to accept a chunk of a message, and to send an acknowledgement.
@@ -42,7 +43,8 @@
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
     let entry_version = Cell::new(version);
-    let mut sent = SentState { revision: 0, version, secondary, caught_up: Instant::now() };
+    let opened = Instant::now();
+    let mut sent = SentState { revision: 0, version, secondary, opened, caught_up: opened };
     let mut wakeups = host.add_feed();
     host.record_entry_host(entry, centre.clone());
     let sender_task = async {
@@ -76,6 +78,8 @@
     version: u64,
     /// Whether another feed of the entry host is its primary source of catalogs.
     secondary: bool,
+    /// When the feed was opened.
+    opened: Instant,
     /// When the entry host last had the newest catalog.
     caught_up: Instant,
 }
@@ -86,6 +90,12 @@
         self.version = self.version.max(version);
     }
 
+    /// Returns whether targets may be sent now. The first feed sends the whole roster, and the
+    /// secondary one waits so that it need not be sent twice while a fleet starts.
+    fn may_send_targets(&self) -> bool {
+        !self.secondary || self.revision > 0 || self.opened.elapsed() >= SECONDARY_DELAY
+    }
+
     /// Returns whether a catalog has to be sent now; the secondary feed waits for the primary one.
     fn is_due(&mut self, version: u64) -> bool {
         if version <= self.version {
@@ -103,17 +113,13 @@
     sent: &mut SentState,
     writer: &mut W,
 ) -> Result<()> {
-    let (targets, revision) = {
-        let roster = host.roster.borrow();
-        let changed =
-            roster.changed_since(sent.revision).map(|record| (record.entry.clone(), record.silent));
-        (changed.collect::<Vec<_>>(), roster.revision())
-    };
-    sent.revision = revision;
-    if !targets.is_empty() {
-        frame::write(writer, &FeedMessage::Targets(targets), IO_TIMEOUT).await?;
+    while sent.may_send_targets()
+        && let Some(batch) = host.target_batch(sent.revision)?
+    {
+        sent.revision = batch.until;
+        frame::write_frame(writer, &batch.frame, IO_TIMEOUT).await?;
     }
-    let neighbours = Neighbour::choose(host.entry_hosts(), entry, centre);
+    let neighbours = host.neighbours(entry, centre);
     let (current, controls) = (host.is_current(), host.controls());
     frame::write(writer, &FeedMessage::Status { current, controls, neighbours }, IO_TIMEOUT)
         .await?;
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -1,6 +1,6 @@
 //! State of a control host, shared by its tasks.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,8 +18,9 @@
 use super::bounds::Bounds;
 use super::compressed::CompressedDocument;
 use super::link::Link;
-use super::message::PeerMessage;
+use super::message::{Neighbour, PeerMessage};
 use super::metrics::Metrics;
+use super::target_batches::{TargetBatch, TargetBatches};
 use crate::daemon::Clock;
 use crate::engine::Engine;
 
@@ -74,6 +75,7 @@
     pub clock: Clock,
     pub(super) engine: RefCell<Engine<S, CatalogStore>>,
     pub(super) roster: RefCell<Roster>,
+    batches: RefCell<TargetBatches>,
     pub(super) links: RefCell<IndexMap<HostId, Link>>,
     entry_hosts: RefCell<IndexMap<HostId, EntryHost>>,
     /// Latest heartbeats that have not been sent to the other control hosts.
@@ -103,6 +105,7 @@
             clock,
             engine: RefCell::new(engine),
             roster,
+            batches: RefCell::default(),
             links: RefCell::default(),
             entry_hosts: RefCell::default(),
             heartbeats: RefCell::default(),
@@ -166,10 +169,28 @@
 
     /// Returns the entry hosts fed by any control host, with their data centres.
     pub fn entry_hosts(&self) -> Vec<(HostId, String)> {
+        let entry_hosts = self.live_entry_hosts();
+        entry_hosts.iter().map(|(host, entry)| (*host, entry.centre.clone())).collect()
+    }
+
+    /// Returns the entry hosts with which an entry host shares its load counts.
+    pub(super) fn neighbours(&self, of: HostId, centre: &str) -> Vec<Neighbour> {
+        let entry_hosts = self.live_entry_hosts();
+        let centres = entry_hosts.iter().map(|(host, entry)| (*host, entry.centre.as_str()));
+        Neighbour::choose(centres, of, centre)
+    }
+
+    /// Returns the encoded changes of targets after a revision, or `None` if there are none; fails
+    /// with `InvalidData` if they can't be encoded.
+    pub(super) fn target_batch(&self, since: u64) -> std::io::Result<Option<TargetBatch>> {
+        self.batches.borrow_mut().batch_since(&self.roster.borrow(), since)
+    }
+
+    fn live_entry_hosts(&self) -> RefMut<'_, IndexMap<HostId, EntryHost>> {
         let now = self.clock.now();
         let mut entry_hosts = self.entry_hosts.borrow_mut();
         entry_hosts.retain(|_, entry| now.since(entry.last_heard) < ENTRY_HOST_TTL);
-        entry_hosts.iter().map(|(host, entry)| (*host, entry.centre.clone())).collect()
+        entry_hosts
     }
 
     /// Replaces the catalog by a document; has no effect if its version or a later one is stored.
@@ -331,7 +352,7 @@
                     let version = self.document().version;
                     self.engine.borrow_mut().handle_message(now, message);
                     self.flush();
-                    if self.document().version != version {
+                    if self.check_quorum() || self.document().version != version {
                         self.wake_feeds();
                     }
                 }
@@ -403,14 +424,19 @@
         for target in &newly_silent {
             log::warn!("target {target} is silent: several announcements missed");
         }
+        if self.check_quorum() || !newly_silent.is_empty() || self.document().version != version {
+            self.wake_feeds();
+        }
+    }
+
+    /// Returns whether contact with a quorum was gained or lost since the last call.
+    fn check_quorum(&self) -> bool {
         let current = self.is_current();
-        let quorum_changed = self.was_current.replace(current) != current;
-        if quorum_changed {
+        let changed = self.was_current.replace(current) != current;
+        if changed {
             log::warn!("contact with a quorum of control hosts: {current}");
         }
-        if quorum_changed || !newly_silent.is_empty() || self.document().version != version {
-            self.wake_feeds();
-        }
+        changed
     }
 
     /// Sends a message to all other control hosts; returns its number on each link, by which its
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -4,8 +4,9 @@
 use std::io::Result;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::net::TcpStream;
-use async_std::task::{sleep, spawn_local};
+use async_std::task::spawn_local;
 use futures::channel::mpsc;
 use futures::{AsyncReadExt, FutureExt, StreamExt, pin_mut, select};
 use lagoongauge::id::HostId;
@@ -34,6 +35,8 @@
 pub(super) struct Link {
     queue: VecDeque<PeerMessage>,
     waker: Option<mpsc::Sender<()>>,
+    /// Ends the pause before the next connection attempt.
+    redial: Option<mpsc::Sender<()>>,
     /// Number of messages pushed since the link was created.
     pushed_count: u64,
     /// Number of the last message that the other host acknowledged.
@@ -56,6 +59,15 @@
         self.pushed_count
     }
 
+    /// Has the next connection attempt made at once, as the other host was seen running.
+    fn dial_now(&mut self) {
+        if self.waker.is_none()
+            && let Some(redial) = &mut self.redial
+        {
+            let _ = redial.try_send(());
+        }
+    }
+
     /// Returns whether the other host has acknowledged a message.
     pub(super) fn is_acknowledged(&self, number: u64) -> bool {
         self.acked_count >= number
@@ -75,6 +87,10 @@
     let address = host_address(peer, host.setup.port);
     let mut failing = false;
     let mut backoff = Backoff::default();
+    let (sender, mut redial) = mpsc::channel(1);
+    if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
+        link.redial = Some(sender);
+    }
     loop {
         match frame::dial(address, CONNECT_TIMEOUT).await {
             Ok(stream) => {
@@ -97,7 +113,7 @@
             link.waker = None;
             link.queue.retain(|message| !message.is_transient());
         }
-        sleep(backoff.next_delay()).await;
+        let _ = timeout(backoff.next_delay(), redial.next()).await;
     }
 }
 
@@ -176,6 +192,9 @@
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
     host.add_controls(&[peer]);
+    if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
+        link.dial_now();
+    }
     let mut count = 0u64;
     loop {
         let message: PeerMessage = frame::read(&mut reader, IDLE_TIMEOUT).await?;
--- a/lagoongauged/src/cluster/message.rs
+++ b/lagoongauged/src/cluster/message.rs
@@ -6,7 +6,7 @@
 use lagoongauge::roster::{Entry, Heartbeat};
 use serde::{Deserialize, Serialize};
 
-use super::compressed::CompressedDocument;
+use super::compressed::{CompressedDocument, CompressedTargets};
 
 /// First message on every connection, which identifies the host that opened it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +73,9 @@
         /// Entry hosts to share load counts with.
         neighbours: Vec<Neighbour>,
     },
+    /// Many changed targets. Entry hosts of earlier versions can't read it, see "Upgrades" in
+    /// docs/OPERATIONS.md.
+    CompressedTargets(CompressedTargets),
 }
 
 /// Another entry host with which an entry host shares its load counts.
@@ -91,12 +94,16 @@
     /// Chooses the neighbours of an entry host. Hosts of its own data centre come first, and within
     /// each group those with the next higher addresses, so that every host is the neighbour of
     /// about as many others.
-    pub fn choose(entry_hosts: Vec<(HostId, String)>, of: HostId, centre: &str) -> Vec<Self> {
-        let others = entry_hosts.into_iter().filter(|(host, _)| *host != of);
+    pub fn choose<'a>(
+        entry_hosts: impl Iterator<Item = (HostId, &'a str)>,
+        of: HostId,
+        centre: &str,
+    ) -> Vec<Self> {
+        let others = entry_hosts.filter(|(host, _)| *host != of);
         let mut others: Vec<Self> = others
             .map(|(host, other_centre)| Self { host, local: other_centre == centre })
             .collect();
-        others.sort_by_key(|other| (!other.local, other.host.0.wrapping_sub(of.0)));
+        others.sort_unstable_by_key(|other| (!other.local, other.host.0.wrapping_sub(of.0)));
         others.truncate(Self::MAX_COUNT);
         others
     }
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -14,9 +14,10 @@
 mod metrics;
 mod roster_file;
 mod run;
+pub mod target_batches;
 
 pub use self::bounds::{Bounds, ExceededBound};
-pub use self::compressed::CompressedDocument;
+pub use self::compressed::{CompressedDocument, CompressedTargets};
 pub(crate) use self::feed::FEED_TIMEOUT;
 pub use self::host::{Host, Setup, SharedHost};
 pub use self::roster_file::RosterFile;
--- a/lagoongauged/src/frame.rs
+++ b/lagoongauged/src/frame.rs
@@ -56,16 +56,30 @@
 /// may take long on a slow link.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Encodes a message as a frame; fails with `InvalidData` if it can't be encoded.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
+    let mut bytes = vec![0; 4];
+    bytes = postcard::to_extend(message, bytes).map_err(|error| invalid_data(&error))?;
+    let length = u32::try_from(bytes.len() - 4).map_err(|error| invalid_data(&error))?;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    Ok(bytes)
+}
+
 /// Writes one message; fails with `TimedOut` if the peer does not accept a chunk of it in time.
 pub async fn write<W, T>(writer: &mut W, message: &T, time_limit: Duration) -> Result<()>
 where
     W: AsyncWrite + Unpin,
     T: Serialize,
 {
-    let mut bytes = vec![0; 4];
-    bytes = postcard::to_extend(message, bytes).map_err(|error| invalid_data(&error))?;
-    let length = u32::try_from(bytes.len() - 4).map_err(|error| invalid_data(&error))?;
-    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    write_frame(writer, &encode(message)?, time_limit).await
+}
+
+/// Writes a frame from [`encode`]; fails with `TimedOut` if the peer does not accept a chunk of it
+/// in time.
+pub async fn write_frame<W>(writer: &mut W, bytes: &[u8], time_limit: Duration) -> Result<()>
+where
+    W: AsyncWrite + Unpin,
+{
     for chunk in bytes.chunks(CHUNK_BYTES) {
         timeout(time_limit, writer.write_all(chunk)).await.map_err(|_| timed_out())??;
     }
--- a/lagoongauged/tests/feed.rs
+++ b/lagoongauged/tests/feed.rs
@@ -1,16 +1,21 @@
 //! Connections between hosts, and what control hosts feed to entry hosts: large catalogs over
-//! narrow links, and the choice of neighbours.
+//! narrow links, shared batches of targets, and the choice of neighbours.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::AsyncWriteExt;
+use indexmap::IndexSet;
 use lagoongauge::catalog::Document;
-use lagoongauge::id::HostId;
-use lagoongauged::cluster::CompressedDocument;
-use lagoongauged::cluster::message::Neighbour;
+use lagoongauge::id::{HostId, TargetId};
+use lagoongauge::roster::{Entry, Phase, Roster};
+use lagoongauge::time::{Instant, Span};
+use lagoongauged::cluster::message::{FeedMessage, Neighbour};
+use lagoongauged::cluster::target_batches::TargetBatches;
+use lagoongauged::cluster::{CompressedDocument, CompressedTargets};
 use lagoongauged::frame;
 use socket2::{Domain, Socket, Type};
 
@@ -20,6 +25,9 @@
 /// Bandwidth of an entry host's link in the users' larger deployments, in bytes per second.
 const LINK_BYTES_PER_SECOND: usize = 437_000;
 
+/// Number of targets at the intended size.
+const TARGET_COUNT: usize = 3600;
+
 fn document() -> Document {
     let route = |number: u32| {
         let name = number.wrapping_mul(0x9e37_79b9);
@@ -82,6 +90,110 @@
     }
 }
 
+fn announced(target: u64) -> Entry {
+    Entry {
+        target: TargetId(target),
+        incarnation: 1,
+        sequence: 1,
+        phase: Phase::Serving,
+        service: "desk".into(),
+        address: SocketAddrV4::new([10, 0, 0, target as u8].into(), 80),
+        centre: "a".into(),
+        slots: 2,
+        warmup: Span(0),
+    }
+}
+
+fn roster_of(targets: u64) -> Roster {
+    let mut roster = Roster::new(Span(1200));
+    for target in 1..=targets {
+        roster.merge(Instant(1), announced(target));
+    }
+    roster
+}
+
+/// Returns the targets of a frame.
+fn decode(frame: &[u8]) -> Vec<TargetId> {
+    let targets = match postcard::from_bytes(&frame[4..]).unwrap() {
+        FeedMessage::Targets(targets) => targets,
+        FeedMessage::CompressedTargets(targets) => targets.decompress().unwrap(),
+        other => panic!("expected targets, got {other:?}"),
+    };
+    targets.iter().map(|(entry, _)| entry.target).collect()
+}
+
+/// At the start of a host the roster must not occupy its link for long. Ids of targets are random.
+#[test]
+fn a_large_roster_takes_at_most_half_a_second_on_a_narrow_link() {
+    let mut random = 1_u64;
+    let targets: Vec<(Entry, bool)> = (0..TARGET_COUNT)
+        .map(|number| {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let entry = Entry {
+                target: TargetId(random >> 24),
+                incarnation: 1_791_026_400_000 + (random >> 54),
+                sequence: random >> 58,
+                service: format!("service-{}", number % 4),
+                address: SocketAddrV4::new([10, 0, (number >> 8) as u8, number as u8].into(), 80),
+                centre: format!("centre-{}", number % 5),
+                ..announced(1)
+            };
+            (entry, false)
+        })
+        .collect();
+    let compressed = CompressedTargets::compress(&targets).unwrap();
+    let size = compressed.size_bytes();
+    assert!(size <= LINK_BYTES_PER_SECOND / 2, "the compressed roster has {size} bytes");
+    assert_eq!(compressed.decompress().unwrap(), targets);
+}
+
+#[test]
+fn a_corrupted_roster_is_rejected() {
+    let targets: Vec<(Entry, bool)> = (1..50).map(|target| (announced(target), true)).collect();
+    let mut bytes = postcard::to_stdvec(&CompressedTargets::compress(&targets).unwrap()).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0xff;
+    let corrupted: CompressedTargets = postcard::from_bytes(&bytes).unwrap();
+    assert!(corrupted.decompress().is_err());
+}
+
+#[test]
+fn feeds_with_the_same_revision_share_one_batch() {
+    let mut roster = roster_of(50);
+    let mut batches = TargetBatches::default();
+    let first = batches.batch_since(&roster, 0).unwrap().unwrap();
+    assert_eq!(decode(&first.frame).len(), 50);
+    roster.merge(Instant(2), announced(51));
+    let second = batches.batch_since(&roster, 0).unwrap().unwrap();
+    assert!(Rc::ptr_eq(&first.frame, &second.frame), "a batch of one change less is shared");
+    let rest = batches.batch_since(&roster, second.until).unwrap().unwrap();
+    assert_eq!(decode(&rest.frame), [TargetId(51)]);
+    assert!(batches.batch_since(&roster, rest.until).unwrap().is_none());
+}
+
+/// A feed reaches the current roster from any revision, whatever batches are kept.
+#[test]
+fn batches_lead_to_the_current_roster() {
+    let mut roster = roster_of(100);
+    let mut batches = TargetBatches::default();
+    for change in 0..200 {
+        let (since, target) = (change % 90, 1 + change % 100);
+        let mut known: IndexSet<TargetId> =
+            roster.iter().map(|record| record.entry.target).collect();
+        roster.merge(Instant(2), Entry { sequence: 2 + change, slots: 3, ..announced(target) });
+        roster.changed_since(since).for_each(|record| {
+            known.swap_remove(&record.entry.target);
+        });
+        let mut revision = since;
+        while let Some(batch) = batches.batch_since(&roster, revision).unwrap() {
+            assert!(batch.until > revision, "each batch makes progress");
+            revision = batch.until;
+            known.extend(if batch.frame.is_empty() { Vec::new() } else { decode(&batch.frame) });
+        }
+        assert_eq!((revision, known.len()), (roster.revision(), 100));
+    }
+}
+
 /// With more entry hosts than a host may have neighbours, each must be the neighbour of about as
 /// many hosts as it has neighbours itself.
 #[test]
@@ -93,7 +205,8 @@
             hosts.clone().map(|host| (HostId(host), centre_name(host))).collect();
         let mut neighbour_counts = [0_usize; 120];
         for host in hosts {
-            let others = Neighbour::choose(entries.clone(), HostId(host), &centre_name(host));
+            let known = entries.iter().map(|(host, centre)| (*host, centre.as_str()));
+            let others = Neighbour::choose(known, HostId(host), &centre_name(host));
             assert_eq!(others.len(), Neighbour::MAX_COUNT);
             assert!(others.iter().all(|other| other.host != HostId(host)));
             assert_eq!(
