Let a starting entry host leave a control host without quorum

Change: while an entry host has no catalog, and only the control host of its secondary feed is in contact with a quorum, it opens its primary feed anew at another control host.

Refuted, not kept: shorter pauses between the first elections (25 to 100 ms in place of 50 to 200).

--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -18,17 +18,22 @@
     world
 }
 
-/// Builds a group of one voter, which the other hosts join once time advances, with the timeouts of
-/// the programs.
-fn growing_world(count: usize) -> World {
-    let mut world = World::growing(count);
-    world.timing = Timing {
+/// Returns the timeouts of the programs.
+fn program_timing() -> Timing {
+    Timing {
         heartbeat: Span::millis(200),
         append_interval: Span::millis(30),
         election_min: Span::millis(700),
         election_max: Span::millis(1200),
         clock_drift: 10,
-    };
+    }
+}
+
+/// Builds a group of one voter, which the other hosts join once time advances, with the timeouts of
+/// the programs.
+fn growing_world(count: usize) -> World {
+    let mut world = World::growing(count);
+    world.timing = program_timing();
     world.lease_reads = false;
     world.retire_after = Some(Span::seconds(9));
     world.restart_all();
@@ -102,6 +107,41 @@
     }
 }
 
+/// After a loss of power hosts start one after the other. The first ones retry often, so that a
+/// leader stands soon after the last one that the quorum needs.
+#[test]
+fn hosts_that_start_in_turn_elect_a_leader_soon_after_a_quorum_is_there() {
+    for count in [4, 6] {
+        let mut world = unattended_world(count);
+        world.timing = program_timing();
+        world.run(ELECTION_ROUNDS);
+        let mut times: Vec<u64> = (0..25).map(|_| time_from_quorum(&mut world)).collect();
+        times.sort_unstable();
+        let median = times[times.len() / 2];
+        assert!(median <= 100, "{count} hosts take {times:?} ms");
+    }
+}
+
+/// Restarts all hosts in turn; returns how long after the start of a quorum a leader stands.
+fn time_from_quorum(world: &mut World) -> u64 {
+    let count = world.hosts.len();
+    (0..count).for_each(|host| world.crash(host, usize::MAX));
+    let mut quorum_at = 0;
+    for host in 0..=count / 2 {
+        world.start(host);
+        quorum_at = world.time;
+        world.run(2);
+    }
+    while find_leader(world).is_none() {
+        world.run(1);
+    }
+    let took = world.time - quorum_at;
+    (count / 2 + 1..count).for_each(|host| world.start(host));
+    world.run(ELECTION_ROUNDS);
+    world.check();
+    took
+}
+
 fn time_to_leader(world: &mut World) -> u64 {
     world.restart_all();
     let started = world.time;
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -7,7 +7,8 @@
 
 use async_std::net::TcpStream;
 use async_std::task::sleep;
-use futures::{AsyncReadExt, AsyncWrite};
+use futures::future::pending;
+use futures::{AsyncReadExt, AsyncWrite, FutureExt, pin_mut, select};
 use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::id::HostId;
 
@@ -23,6 +24,12 @@
 /// Time without contact with a quorum after which a control host's feed is given up.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Interval at which a starting host compares its feeds.
+const BEHIND_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Number of consecutive checks after which the primary feed counts as behind.
+const BEHIND_CHECKS: u32 = 2;
+
 /// Identity of this entry host, and the port at which control hosts listen.
 #[derive(Debug, Clone)]
 pub(super) struct EntryInfo {
@@ -100,7 +107,15 @@
     let stream = frame::dial(host_address(control, entry.port), CONNECT_TIMEOUT).await?;
     log::info!("subscribed to control host {control}");
     state.set_connected(feed, true);
-    let result = receive_feed(feed, entry, state, decoder, stream).await;
+    let result = {
+        let receiver_task = receive_feed(feed, entry, state, decoder, stream).fuse();
+        let watcher_task = wait_until_behind(feed, state).fuse();
+        pin_mut!(receiver_task, watcher_task);
+        select! {
+            result = receiver_task => result,
+            () = watcher_task => Err(not_current()),
+        }
+    };
     state.set_connected(feed, false);
     log::warn!("subscription to control host {control} lost: {result:?}");
     Ok(())
@@ -146,14 +161,31 @@
             }
         }
         if last_current.elapsed() > QUORUM_TIMEOUT {
-            return Err(Error::new(
-                ErrorKind::NotConnected,
-                "control host is not in contact with a quorum",
-            ));
+            return Err(not_current());
         }
     }
 }
 
+/// Waits until this host, which has no catalog yet, should use another control host for its primary
+/// feed: the secondary feed's control host is in contact with a quorum, and this one is not.
+///
+/// The secondary feed delivers nothing for some time, in which the host would not be ready.
+async fn wait_until_behind(feed: usize, state: &SharedState) {
+    let mut seen = 0;
+    while feed == PRIMARY_FEED && state.version() == 0 {
+        sleep(BEHIND_INTERVAL).await;
+        seen = if state.is_primary_behind() { seen + 1 } else { 0 };
+        if seen == BEHIND_CHECKS {
+            return;
+        }
+    }
+    pending().await
+}
+
+fn not_current() -> Error {
+    Error::new(ErrorKind::NotConnected, "control host is not in contact with a quorum")
+}
+
 /// Decodes a document; an invalid one is logged and skipped, as no other feed has a better copy.
 fn decode<D: Decode>(decoder: &D, document: &Document) -> Option<Catalog> {
     let decoded = decoder.decode(document);
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -125,6 +125,13 @@
         synced && self.router().version() > 0
     }
 
+    /// Returns whether only the control host of the secondary feed is in contact with a quorum.
+    pub(super) fn is_primary_behind(&self) -> bool {
+        let cluster = self.cluster();
+        let statuses = &cluster.feed_statuses;
+        statuses.is_current() && !statuses.is_current_feed(PRIMARY_FEED)
+    }
+
     /// Returns the version of the active catalog.
     pub fn version(&self) -> u64 {
         self.router().version()
