--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -179,7 +179,7 @@
             return;
         }
     }
-    pending().await;
+    pending::<()>().await;
 }
 
 fn not_current() -> Error {
