Update silent targets when a feed gains or loses contact with a quorum

The host still took the target for silent: the secondary feed, in contact with a quorum but without targets for its first 600 ms, made the reports of the other feed void, so the update that ended the silence changed nothing, and the router was never told. Statuses changed what counts as silent without an update of the router before as well, but only with both feeds reporting. Ruled out: shared batches (each record is in the later batch if it changed). Change: a feed's gain or loss of quorum updates the targets that are silent only before or only after it, as its connection and loss did already. Test: entry_start.rs plays the sequence with stand-ins of control hosts; without the change the target still counts as silent after 3 s.

--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -237,8 +237,11 @@
         controls: Vec<HostId>,
         neighbours: Vec<Neighbour>,
     ) {
+        let now = self.clock.now();
         let mut cluster = self.cluster();
-        cluster.feed_statuses.set_current(feed, current);
+        if cluster.feed_statuses.is_current_feed(feed) != current {
+            self.update_silent(now, &mut cluster, |statuses| statuses.set_current(feed, current));
+        }
         let early = self.clock.now().since(self.start_time) < STARTUP_GRACE;
         // The secondary feed reports its status before it sends the targets.
         let complete = feed == PRIMARY_FEED || cluster.has_targets[feed];
@@ -259,11 +262,7 @@
     pub(super) fn set_connected(&self, feed: usize, connected: bool) {
         let now = self.clock.now();
         let mut cluster = self.cluster();
-        let silent_before = cluster.silent_targets();
-        cluster.feed_statuses.set_connected(feed, connected);
-        let changed: Vec<TargetId> =
-            silent_before.symmetric_difference(&cluster.silent_targets()).copied().collect();
-        self.update_targets(now, &cluster, &changed);
+        self.update_silent(now, &mut cluster, |statuses| statuses.set_connected(feed, connected));
         let confirmed = cluster.feed_statuses.is_current();
         drop(cluster);
         self.router().set_current(self.clock.now(), confirmed);
@@ -286,6 +285,21 @@
         self.metrics.observe_response_times(response_times);
     }
 
+    /// Changes the statuses of the feeds, and updates the targets that are silent only before or only
+    /// after that.
+    fn update_silent(
+        &self,
+        now: Instant,
+        cluster: &mut ClusterState,
+        change: impl FnOnce(&mut FeedStatuses<FEED_COUNT>),
+    ) {
+        let silent_before = cluster.silent_targets();
+        change(&mut cluster.feed_statuses);
+        let changed: Vec<TargetId> =
+            silent_before.symmetric_difference(&cluster.silent_targets()).copied().collect();
+        self.update_targets(now, cluster, &changed);
+    }
+
     /// Updates changed targets in the router, then logs some of them after unlocking it.
     fn update_targets(&self, now: Instant, cluster: &ClusterState, changed: &[TargetId]) {
         let records = || changed.iter().filter_map(|target| cluster.roster.get(*target));
--- a/lagoongauged/tests/entry_start.rs
+++ b/lagoongauged/tests/entry_start.rs
@@ -26,6 +26,9 @@
 /// Time within which a host has to be ready. The secondary feed alone would take 600 ms.
 const READY_LIMIT: Duration = Duration::from_millis(450);
 
+/// Time after which a test gives up.
+const TEST_LIMIT: Duration = Duration::from_secs(3);
+
 /// Interval of the stand-ins' status messages.
 const STATUS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -85,41 +88,62 @@
     }
 }
 
-/// Feeds one entry host as a control host does. The first primary feed of all reports that its
-/// control host has no contact with a quorum; secondary feeds report their status only.
-fn feed(mut stream: TcpStream, is_behind: &AtomicBool) -> Option<()> {
+/// What a stand-in sends on a feed, given whether that is a secondary one.
+type Script = Arc<dyn Fn(Feed, bool) -> Option<()> + Send + Sync>;
+
+/// Sending end of a feed; sending fails with `None` once the entry host has closed it.
+struct Feed(TcpStream);
+
+impl Feed {
+    fn send(&mut self, message: &FeedMessage) -> Option<()> {
+        self.0.write_all(&frame::encode(message).unwrap()).ok()
+    }
+
+    fn send_status(&mut self, current: bool) -> Option<()> {
+        let controls = controls();
+        self.send(&FeedMessage::Status { current, controls, neighbours: Vec::new() })
+    }
+
+    fn send_target(&mut self, silent: bool) -> Option<()> {
+        self.send(&FeedMessage::Targets(vec![(target(), silent)]))
+    }
+
+    fn send_catalog(&mut self) -> Option<()> {
+        let document = Document { version: 1, content: Vec::new() };
+        self.send(&FeedMessage::Catalog(CompressedDocument::compress(&document).unwrap()))
+    }
+
+    /// Sends statuses until the feed is closed, or for some time.
+    fn repeat_status(&mut self, current: bool, duration: Duration) -> Option<()> {
+        let started = Instant::now();
+        while started.elapsed() < duration {
+            self.send_status(current)?;
+            thread::sleep(STATUS_INTERVAL);
+        }
+        Some(())
+    }
+}
+
+fn serve(mut stream: TcpStream, script: &Script) -> Option<()> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).ok()?;
     let mut bytes = vec![0; u32::from_be_bytes(length) as usize];
     stream.read_exact(&mut bytes).ok()?;
     let Ok(Hello::Entry { secondary, .. }) = postcard::from_bytes(&bytes) else { return None };
-    let current = secondary || !is_behind.swap(false, Ordering::SeqCst);
-    let mut send = |message: &FeedMessage| stream.write_all(&frame::encode(message).unwrap()).ok();
-    let controls = controls();
-    let status = FeedMessage::Status { current, controls, neighbours: Vec::new() };
-    if current && !secondary {
-        let document = Document { version: 1, content: Vec::new() };
-        send(&FeedMessage::Targets(vec![(target(), false)]))?;
-        send(&status)?;
-        send(&FeedMessage::Catalog(CompressedDocument::compress(&document).unwrap()))?;
-    }
-    loop {
-        send(&status)?;
-        thread::sleep(STATUS_INTERVAL);
-    }
+    script(Feed(stream), secondary)
 }
 
 /// Starts stand-ins of control hosts on one port, which is returned.
-fn start_controls(is_behind: &Arc<AtomicBool>) -> u16 {
+fn start_controls(script: &Script) -> u16 {
     let first = TcpListener::bind((CONTROLS[0], 0)).unwrap();
     let port = first.local_addr().unwrap().port();
     let others = CONTROLS[1..].iter().map(|address| TcpListener::bind((*address, port)).unwrap());
     for listener in std::iter::once(first).chain(others) {
-        let is_behind = Arc::clone(is_behind);
+        let script = Arc::clone(script);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let is_behind = Arc::clone(&is_behind);
-                thread::spawn(move || feed(stream, &is_behind));
+                let script = Arc::clone(&script);
+                thread::spawn(move || serve(stream, &script));
             }
         });
     }
@@ -130,16 +154,20 @@
     CONTROLS.map(host_id).to_vec()
 }
 
-/// Control hosts that lost their disks start at once but take long to catch up.
-#[test]
-fn a_starting_host_leaves_a_control_host_without_quorum() {
-    let is_behind = Arc::new(AtomicBool::new(true));
-    let port = start_controls(&is_behind);
+/// Runs an entry host with address 127.0.7.`number` until a condition holds; returns how long that
+/// took, or `None` if it took longer than `limit`.
+fn run_until(
+    number: u8,
+    script: Script,
+    limit: Duration,
+    condition: impl Fn(&State) -> bool + 'static,
+) -> Option<Duration> {
+    let port = start_controls(&script);
     let packets = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let Ok(SocketAddr::V4(packet_address)) = packets.local_addr() else { unreachable!() };
     drop(packets);
     let options = Options {
-        host: host_id(Ipv4Addr::new(127, 0, 7, 100)),
+        host: host_id(Ipv4Addr::new(127, 0, 7, number)),
         centre: "a".into(),
         port,
         listen_port: port,
@@ -148,22 +176,56 @@
         packet_address,
         linger: Span(0),
     };
-    let stop = Stop::default();
-    let started = Instant::now();
-    let ready_after = Rc::new(Cell::new(None));
-    let (watched, watcher_stop) = (Rc::clone(&ready_after), stop.clone());
+    let (stop, started) = (Stop::default(), Instant::now());
+    let held_after = Rc::new(Cell::new(None));
+    let (watched, watcher_stop) = (Rc::clone(&held_after), stop.clone());
     let watch = async move |state: Arc<State>| {
         task::spawn_local(async move {
-            while !state.is_ready() && started.elapsed() < 4 * READY_LIMIT {
+            while !condition(&state) && started.elapsed() < limit {
                 task::sleep(Duration::from_millis(5)).await;
             }
-            watched.set(Some(started.elapsed()));
+            watched.set(condition(&state).then(|| started.elapsed()));
             watcher_stop.raise();
         });
         Ok(())
     };
     task::block_on(mark_entry::run(options, NoCodec, OneRoute, &stop, watch)).unwrap();
-    assert!(!is_behind.load(Ordering::SeqCst), "no primary feed was opened");
-    let ready_after = ready_after.get();
-    assert!(ready_after.is_some_and(|after| after <= READY_LIMIT), "ready after {ready_after:?}");
+    held_after.get()
+}
+
+/// Control hosts that lost their disks start at once but take long to catch up.
+#[test]
+fn a_starting_host_leaves_a_control_host_without_quorum() {
+    let is_behind = AtomicBool::new(true);
+    let script: Script = Arc::new(move |mut feed, secondary| {
+        let current = secondary || !is_behind.swap(false, Ordering::SeqCst);
+        if current && !secondary {
+            feed.send_target(false)?;
+            feed.send_status(true)?;
+            feed.send_catalog()?;
+        }
+        feed.repeat_status(current, TEST_LIMIT)
+    });
+    let ready_after = run_until(100, script, READY_LIMIT, State::is_ready);
+    assert!(ready_after.is_some(), "the host is not ready after {READY_LIMIT:?}");
+}
+
+/// A control host that was cut off reports targets as silent. Its reports lose precedence when the
+/// other one is in contact with a quorum, and when both are again, the targets are no longer silent.
+#[test]
+fn a_target_that_was_silent_during_a_cut_serves_after_it() {
+    let script: Script = Arc::new(|mut feed, secondary| {
+        if secondary {
+            return feed.repeat_status(true, TEST_LIMIT);
+        }
+        feed.send_target(true)?;
+        feed.send_status(true)?;
+        feed.send_catalog()?;
+        feed.repeat_status(true, 4 * STATUS_INTERVAL)?;
+        feed.repeat_status(false, 2 * STATUS_INTERVAL)?;
+        feed.send_target(false)?;
+        feed.repeat_status(true, TEST_LIMIT)
+    });
+    let serving_after = run_until(101, script, TEST_LIMIT, |state| state.counts().1 == 1);
+    assert!(serving_after.is_some(), "the target still counts as silent after {TEST_LIMIT:?}");
 }
