Bound the loss budget against lines far apart in time

Cause: the estimate went through every window between the first and the last one. One line of a host whose clock was wrong, or one damaged window, made that 900 million windows: the command did not end within 40 s (new test, before the change) and its memory grew. Found while rereading the diff for values that are silently replaced. Change: a window has to begin within ten minutes of its line's time, outages over ten minutes count as hosts taken out of service, and only windows with counts or outages are visited. The pauses of control hosts' links say why their results are not used.

--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -64,6 +64,7 @@
         if self.waker.is_none()
             && let Some(redial) = &mut self.redial
         {
+            // If the channel is full, the next attempt is about to be made anyway.
             let _ = redial.try_send(());
         }
     }
@@ -113,6 +114,7 @@
             link.waker = None;
             link.queue.retain(|message| !message.is_transient());
         }
+        // The next attempt follows whether the pause is over or the other host was seen.
         let _ = timeout(backoff.next_delay(), redial.next()).await;
     }
 }
--- a/lagoongauged/src/ctl/losses/estimate.rs
+++ b/lagoongauged/src/ctl/losses/estimate.rs
@@ -1,6 +1,6 @@
 //! Estimates the requests that no entry host saw because some were down.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Outage, Window};
 
@@ -21,9 +21,8 @@
     window_seconds: u64,
 ) -> BTreeMap<u64, u64> {
     let mut unseen = BTreeMap::new();
-    let Some((first, last)) = span_of(windows) else { return unseen };
     let mut base: Vec<u64> = Vec::new();
-    for start in (first..=last).step_by(window_seconds as usize) {
+    for start in window_starts(windows, outages, window_seconds) {
         let seen = windows.get(&start).map_or(0, Window::requests);
         let down_share = down_share(outages, host_count, (start, start + window_seconds));
         if down_share == 0.0 {
@@ -50,6 +49,18 @@
     down as f64 / (host_count.max(1) as u64 * (end - start)) as f64
 }
 
-fn span_of(windows: &BTreeMap<u64, Window>) -> Option<(u64, u64)> {
-    Some((*windows.first_key_value()?.0, *windows.last_key_value()?.0))
+/// Returns the starts of all windows with counts, and of those between them in which hosts were down.
+fn window_starts(
+    windows: &BTreeMap<u64, Window>,
+    outages: &[Outage],
+    window_seconds: u64,
+) -> BTreeSet<u64> {
+    let mut starts: BTreeSet<u64> = windows.keys().copied().collect();
+    let (Some(&first), Some(&last)) = (starts.first(), starts.last()) else { return starts };
+    for outage in outages {
+        let from = outage.from / 1000 / window_seconds * window_seconds;
+        let until = (outage.until / 1000).min(last);
+        starts.extend((from.max(first)..=until).step_by(window_seconds as usize));
+    }
+    starts
 }
--- a/lagoongauged/src/ctl/losses/mod.rs
+++ b/lagoongauged/src/ctl/losses/mod.rs
@@ -30,6 +30,13 @@
 /// Number of hosts and of their outages that are kept.
 const MAX_HOSTS: usize = 4096;
 
+/// Longest time between the start of a window and its line; a clock may step in between.
+const MAX_DELAY_SECONDS: u64 = 600;
+
+/// Longest outage for which unseen requests are estimated, in milliseconds; a host that is away for
+/// longer was taken out of service.
+const MAX_OUTAGE_MS: u64 = 600_000;
+
 /// Name under which further kinds and causes are counted.
 const OTHER_NAME: &str = "other";
 
@@ -138,10 +145,11 @@
     /// Records an outage that ended with the start of a host.
     fn add_start(&mut self, line: &LogLine) {
         let last_line = line.host().and_then(|host| self.last_lines.get(host));
-        if let Some(from) = last_line
-            && self.outages.len() < MAX_HOSTS
-        {
-            self.outages.push(Outage { from: *from, until: line.unix_millis() });
+        let Some(from) = last_line.copied() else { return };
+        let until = line.unix_millis();
+        let is_short = until.saturating_sub(from) <= MAX_OUTAGE_MS;
+        if is_short && self.outages.len() < MAX_HOSTS {
+            self.outages.push(Outage { from, until });
         }
     }
 
@@ -219,8 +227,12 @@
     map.entry(if known { name.to_string() } else { OTHER_NAME.to_string() }).or_default()
 }
 
+/// Returns the start of the line's window, or `None` if the line does not tell it or was written at
+/// another time.
 fn window_start(line: &LogLine) -> Option<u64> {
-    line.attribute("window")?.parse().ok()
+    let start: u64 = line.attribute("window")?.parse().ok()?;
+    let written = line.unix_millis() / 1000;
+    (written.abs_diff(start) <= MAX_DELAY_SECONDS).then_some(start)
 }
 
 fn count_of(line: &LogLine, name: &str) -> u64 {
--- a/lagoongauged/src/ctl/losses/report.rs
+++ b/lagoongauged/src/ctl/losses/report.rs
@@ -70,7 +70,8 @@
             .map(|start| {
                 let kinds = budget.windows.get(&start).map(|window| window.kinds.clone());
                 WindowLosses {
-                    start: DateTime::from_timestamp(start as i64, 0).unwrap_or_default(),
+                    start: to_time(start),
+                    // No host wrote counts of a window in which all were down.
                     kinds: kinds.unwrap_or_default(),
                     unseen: unseen.get(&start).copied().unwrap_or(0),
                 }
@@ -155,6 +156,11 @@
     }
 }
 
+/// Converts Unix seconds; windows lie within minutes of their lines' times, which are valid.
+fn to_time(seconds: u64) -> DateTime<Utc> {
+    DateTime::from_timestamp(seconds as i64, 0).unwrap_or(DateTime::<Utc>::MAX_UTC)
+}
+
 fn total_causes(windows: &[WindowLosses]) -> Vec<CauseTotal> {
     let mut causes: IndexMap<String, Missed> = IndexMap::new();
     for CauseTotal { cause, missed } in windows.iter().flat_map(WindowLosses::causes) {
--- a/lagoongauged/tests/losses.rs
+++ b/lagoongauged/tests/losses.rs
@@ -116,6 +116,23 @@
     assert_eq!(report.faults[1].damaged_lines, 1);
 }
 
+/// A host whose clock was wrong, or a damaged line, may claim any time.
+#[test]
+fn lines_far_apart_in_time_cost_neither_time_nor_memory() {
+    let wrong_clock = r#"{"time":"1970-01-01T00:00:04Z","message":"requests of a window","mdc":{"host":"h1"},"attributes":{"decision":"requests","window":"2","kind":"idempotent/150","on_time":"1"}}"#;
+    let damaged = requests(0, "h1", r#""on_time":"7""#).replace(&START.to_string(), "99");
+    let started = std::time::Instant::now();
+    let report = report(&[
+        wrong_clock.into(),
+        damaged,
+        requests(0, "h1", r#""on_time":"5""#),
+        line(3000, "h1", "front-1 starts as Entry", ""),
+        requests(4, "h1", r#""on_time":"5""#),
+    ]);
+    assert!(started.elapsed() < std::time::Duration::from_secs(2), "{:?}", started.elapsed());
+    assert_eq!((report.on_time, report.windows.len()), (11, 3), "{report}");
+}
+
 /// A day of logs has 43,200 windows, and a careless program may log any number of names.
 #[test]
 fn long_logs_are_kept_in_bounded_memory() {
