Move announcements and gossip out of the control host's state

Cause: cluster/host.rs had 503 lines with three jobs. Change: host/announcements.rs merges and replicates what targets announce, host/gossip.rs sends heartbeats and lists of hosts; moved as they were, 397 lines stay.

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -1,5 +1,8 @@
 //! State of a control host, shared by its tasks.
 
+mod announcements;
+mod gossip;
+
 use std::cell::{Cell, RefCell, RefMut};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,7 +15,7 @@
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::{Message, Store};
-use lagoongauge::roster::{Entry, Heartbeat, MergeOutcome, Phase, Roster};
+use lagoongauge::roster::{Entry, Heartbeat, Phase, Roster};
 use lagoongauge::time::{Instant, Span};
 
 use super::bounds::Bounds;
@@ -24,8 +27,7 @@
 use crate::daemon::Clock;
 use crate::engine::Engine;
 
-/// Timeout for a roster change to reach a majority of control hosts.
-const REPLICATION_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) use self::gossip::gossip;
 
 /// Timeout for a quorum to confirm a read.
 pub(super) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
@@ -39,10 +41,6 @@
 /// Time for which an entry host remains listed after it was last reported as fed.
 const ENTRY_HOST_TTL: Span = Span::seconds(4);
 
-/// Interval at which collected heartbeats are sent to the other control hosts; the host lists are
-/// sent at every third interval.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Options of a control host.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -250,93 +248,6 @@
         .await?
     }
 
-    /// Merges a target's announcement into the roster and returns the outcome.
-    ///
-    /// An announcement that a target is draining or gone is acknowledged only once a majority of
-    /// control hosts has it, as this host may fail right afterwards; otherwise this fails with
-    /// `NoQuorum`.
-    pub async fn handle_announcement(&self, entry: Entry) -> Result<MergeOutcome> {
-        let now = self.clock.now();
-        let heartbeat = Heartbeat {
-            target: entry.target,
-            incarnation: entry.incarnation,
-            sequence: entry.sequence,
-        };
-        let (target, announced_phase) = (entry.target, entry.phase);
-        let merged = self.roster.borrow_mut().merge(now, entry);
-        let entry = self.roster.borrow().get(target).map(|record| record.entry.clone());
-        let Some(entry) = entry else { return Ok(merged) };
-        // A repeated drain or end is replicated again, as the first replication may have failed.
-        let leaving = match merged {
-            MergeOutcome::Stale => announced_phase != Phase::Serving,
-            MergeOutcome::Refreshed | MergeOutcome::Changed => entry.phase != Phase::Serving,
-        };
-        match merged {
-            MergeOutcome::Changed => log::info!(
-                "target {target} of service {} at {} is {:?}, incarnation {}, announcement {}",
-                entry.service,
-                entry.address,
-                entry.phase,
-                entry.incarnation,
-                entry.sequence
-            ),
-            MergeOutcome::Refreshed => {
-                self.heartbeats.borrow_mut().insert(target, heartbeat);
-            }
-            MergeOutcome::Stale => {}
-        }
-        if leaving {
-            return self
-                .replicate(target, &PeerMessage::Targets(vec![entry]))
-                .await
-                .map(|()| merged);
-        }
-        if merged == MergeOutcome::Changed {
-            self.broadcast(&PeerMessage::Targets(vec![entry]));
-            self.wake_feeds();
-        }
-        Ok(merged)
-    }
-
-    /// Records that a target has ended; fails with `NoQuorum` like [`Self::handle_announcement`].
-    ///
-    /// A host that started after the target's last announcement does not know it, but notifies the
-    /// other control hosts, which may know it.
-    pub async fn handle_leave(&self, target: TargetId) -> Result<()> {
-        let left = self.roster.borrow_mut().leave(self.clock.now(), target);
-        if let Some(Entry { service, address, .. }) = left {
-            log::info!("target {target} of service {service} at {address} has ended");
-        }
-        let known = self.roster.borrow().get(target).map(|record| record.entry.clone());
-        let message = known
-            .map_or(PeerMessage::TargetLeft(target), |entry| PeerMessage::Targets(vec![entry]));
-        self.replicate(target, &message).await
-    }
-
-    /// Sends a target's state to the other control hosts and waits until a majority knows it.
-    async fn replicate(&self, target: TargetId, message: &PeerMessage) -> Result<()> {
-        let receipts = self.broadcast(message);
-        self.wake_feeds();
-        let voters = self.engine.borrow().voter_count();
-        wait_until(REPLICATION_TIMEOUT, || {
-            let count = 1 + self.count_acknowledged(&receipts);
-            if count > voters / 2 {
-                return Ok(());
-            }
-            let detail = format!("only {count} control hosts know the state of {target}");
-            Err(Error::new(Kind::NoQuorum, detail))
-        })
-        .await
-    }
-
-    fn count_acknowledged(&self, receipts: &[(HostId, u64)]) -> usize {
-        let links = self.links.borrow();
-        let acknowledged = |(host, number): &&(HostId, u64)| {
-            links.get(host).is_some_and(|link| link.is_acknowledged(*number))
-        };
-        receipts.iter().filter(acknowledged).count()
-    }
-
     /// Handles a message from another control host.
     pub(super) fn handle_message(&self, from: HostId, message: PeerMessage) {
         let now = self.clock.now();
@@ -484,20 +395,3 @@
         sleep(POLL_INTERVAL).await;
     }
 }
-
-/// Sends collected heartbeats and the host lists to the other control hosts at intervals.
-pub(super) async fn gossip<S: Store + 'static>(host: SharedHost<S>) {
-    let mut round = 0u64;
-    loop {
-        sleep(GOSSIP_INTERVAL).await;
-        let heartbeats: Vec<Heartbeat> = host.heartbeats.take().into_values().collect();
-        if !heartbeats.is_empty() {
-            host.broadcast(&PeerMessage::Heartbeats(heartbeats));
-        }
-        if round.is_multiple_of(3) {
-            let (controls, entry_hosts) = (host.controls(), host.entry_hosts());
-            host.broadcast(&PeerMessage::Hosts { controls, entry_hosts });
-        }
-        round += 1;
-    }
-}
