Move the packets after the SYN out of the router, and name the times of a packet

Change: router/continuation.rs decides on packets after the SYN; beginning and ending a request are functions of their own; PacketTimes holds when a packet arrived and when it is decided on.

--- a/lagoongauge/src/mark/flow.rs
+++ b/lagoongauge/src/mark/flow.rs
@@ -1,5 +1,6 @@
 //! Connection tracking: state of the flows whose packets an entry host has seen.
 
+use super::PacketTimes;
 use super::target::TargetKey;
 use crate::time::{Instant, Span};
 
@@ -73,13 +74,12 @@
         }
     }
 
-    /// Creates a flow from a SYN before which the caller sent `unseen_syns` copies of it; `arrived`
-    /// is when the SYN arrived, which may have been held since.
+    /// Creates a flow from a SYN before which the caller sent `unseen_syns` copies of it.
     pub(super) fn opened(
         target: TargetKey,
         sequence: u32,
         unseen_syns: u32,
-        (now, arrived): (Instant, Instant),
+        PacketTimes { now, arrived }: PacketTimes,
     ) -> Self {
         Self {
             resumed: false,
@@ -89,11 +89,17 @@
         }
     }
 
-    /// Begins a request that arrived at this host at `arrived`, at a target whose slots may all be
-    /// taken.
-    pub(super) fn begin_request(&mut self, now: Instant, arrived: Instant, queued: bool) {
-        let began_at = self.syn_sent_at.take().unwrap_or(arrived);
-        self.request = Some(Request { seen_at: now, began_at, repeats: 0, queued });
+    /// Begins a request; `queued` tells whether all slots of the target were taken.
+    pub(super) fn begin_request(&mut self, times: PacketTimes, queued: bool) {
+        let began_at = self.syn_sent_at.take().unwrap_or(times.arrived);
+        self.request = Some(Request { seen_at: times.now, began_at, repeats: 0, queued });
+    }
+
+    /// Counts that the caller repeated data of the request that waits.
+    pub(super) fn count_repeat(&mut self) {
+        if let Some(request) = &mut self.request {
+            request.repeats = request.repeats.saturating_add(1);
+        }
     }
 
     /// Ends the request that waits, if there is one.
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -26,6 +26,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::TargetId;
+use crate::time::Instant;
 
 pub use self::load::{LoadCount, LoadReport};
 pub use self::router::{Router, RouterConfig};
@@ -92,6 +93,15 @@
     pub length: u16,
 }
 
+/// Times of a packet, which differ if it was held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PacketTimes {
+    /// When the decision on it is made.
+    pub now: Instant,
+    /// When it arrived at this host.
+    pub arrived: Instant,
+}
+
 /// Decodes and encodes the packets of one wire format.
 pub trait Codec {
     /// Bytes that [`Codec::encapsulate`] writes in front of a packet to a target.
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -1,6 +1,7 @@
 //! The router, which decides on each packet from a caller.
 
 mod admission;
+mod continuation;
 mod losses;
 
 use std::net::SocketAddrV4;
@@ -17,8 +18,8 @@
 use super::target::TargetKey;
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
-use super::{FlowKey, Segment, SegmentKind};
-use crate::catalog::{Catalog, Idempotency};
+use super::{FlowKey, PacketTimes, Segment, SegmentKind};
+use crate::catalog::Catalog;
 use crate::flow::{FlowHash, HashKey, Protocol, Tuple};
 use crate::id::{HostId, TargetId};
 use crate::roster::{Entry, Phase};
@@ -27,9 +28,6 @@
 /// Time without contact with a quorum of control hosts after which this host counts as cut off.
 const CUT_OFF_TIMEOUT: Span = Span::millis(1000);
 
-/// Time that a request may wait before the reachability of its target's data centre is checked.
-const CENTRE_CHECK_DELAY: Span = Span::millis(500);
-
 /// Minimum delay at which a copy of a SYN shows that the first was not answered; with a shorter
 /// delay both may have been queued at this host.
 const MIN_RETRANSMIT_DELAY: Span = Span::millis(100);
@@ -40,9 +38,6 @@
 /// Time after a stall within which this host processes the packets queued during it.
 const STALL_RECOVERY: Span = Span::millis(200);
 
-/// Maximum number of response times kept until they are collected.
-const MAX_RESPONSE_TIMES: usize = 4096;
-
 /// Configuration of a router.
 #[derive(Debug, Clone)]
 pub struct RouterConfig {
@@ -260,10 +255,11 @@
             Some(frontend) => frontend.idempotency,
         };
         self.ready_at.get_or_insert(now);
+        let times = PacketTimes { now, arrived };
         match segment.kind {
             SegmentKind::Syn if now < self.stale_until => Verdict::Drop(Cause::Stale),
-            SegmentKind::Syn => self.open_flow((now, arrived), segment),
-            _ => self.continue_flow((now, arrived), segment, idempotency),
+            SegmentKind::Syn => self.open_flow(times, segment),
+            _ => self.continue_flow(times, segment, idempotency),
         }
     }
 
@@ -271,7 +267,8 @@
     ///
     /// A retransmission goes to the same target, unless that target had time to answer and has
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
-    fn open_flow(&mut self, (now, arrived): (Instant, Instant), segment: &Segment) -> Verdict {
+    fn open_flow(&mut self, times: PacketTimes, segment: &Segment) -> Verdict {
+        let PacketTimes { now, arrived } = times;
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         if let Some(flow) = self.flows.get(segment.flow_key) {
@@ -305,141 +302,11 @@
         self.flows.insert(
             &mut self.targets,
             segment.flow_key,
-            Flow::opened(key, segment.sequence, unseen_syns, (now, arrived)),
+            Flow::opened(key, segment.sequence, unseen_syns, times),
         );
         self.forward(key, true)
     }
 
-    /// Decides on a packet other than a SYN.
-    fn continue_flow(
-        &mut self,
-        (now, arrived): (Instant, Instant),
-        segment: &Segment,
-        idempotency: Idempotency,
-    ) -> Verdict {
-        let known = self.flows.get(segment.flow_key);
-        let key = match known {
-            Some(flow) if flow.established => flow.target,
-            _ => match self.resolve_target(segment, known) {
-                Ok(key) => key,
-                Err(cause) => return Verdict::Drop(cause),
-            },
-        };
-        if self.targets[key].has_ended(now) {
-            self.record_refusal(segment, Cause::TargetGone);
-            self.flows.remove(&mut self.targets, segment.flow_key);
-            return Verdict::Reset(Cause::TargetGone);
-        }
-        let request = segment.kind == SegmentKind::Data && segment.length > 0;
-        if request && idempotency == Idempotency::Idempotent && self.is_unreachable(now, key, known)
-        {
-            self.targets[key].record_retransmit(now);
-            self.record_refusal(segment, Cause::TargetLost);
-            self.flows.remove(&mut self.targets, segment.flow_key);
-            return Verdict::Reset(Cause::TargetLost);
-        }
-        if request && known.is_none() && self.must_yield_data(now, arrived, key) {
-            return Verdict::Hold;
-        }
-        if segment.kind == SegmentKind::Rst {
-            self.flows.remove(&mut self.targets, segment.flow_key);
-        } else {
-            if known.is_none_or(|flow| flow.target != key) {
-                self.flows.remove(&mut self.targets, segment.flow_key);
-                self.flows.insert(
-                    &mut self.targets,
-                    segment.flow_key,
-                    Flow::resumed(key, segment.sequence, now),
-                );
-            }
-            self.update_flow((now, arrived), key, segment);
-        }
-        self.forward(key, false)
-    }
-
-    /// Finds the target of a flow that is not established on this host: the mark takes precedence
-    /// over the target chosen for the SYN.
-    fn resolve_target(&self, segment: &Segment, known: Option<Flow>) -> Result<TargetKey, Cause> {
-        let marked = segment.mark.and_then(|mark| self.targets.key_of_mark(mark));
-        match (marked, known) {
-            (Some(key), _) => {
-                let frontend = &self.frontends[&segment.flow_key.frontend];
-                let allowed = frontend.allows(&self.targets[key].service);
-                if allowed { Ok(key) } else { Err(Cause::ForeignMark) }
-            }
-            (None, Some(flow)) => Ok(flow.target),
-            (None, None) if segment.mark.is_some() => Err(Cause::UnknownMark),
-            (None, None) => Err(Cause::NoMark),
-        }
-    }
-
-    /// Returns whether a flow's target, or its whole data centre, is unreachable.
-    fn is_unreachable(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
-        self.targets[key].is_unreachable(now, self.is_cut_off(now))
-            || self.waits_for_unreachable_centre(now, key, flow)
-    }
-
-    /// Returns whether a flow waits for an answer from an unreachable data centre.
-    fn waits_for_unreachable_centre(
-        &self,
-        now: Instant,
-        key: TargetKey,
-        flow: Option<Flow>,
-    ) -> bool {
-        let target = &self.targets[key];
-        let request = flow.and_then(|flow| flow.request);
-        let is_waiting =
-            request.is_some_and(|request| now.since(request.seen_at) >= CENTRE_CHECK_DELAY);
-        is_waiting
-            && self.centres.is_unreachable(target.centre)
-            && target.is_unanswered(now, CENTRE_CHECK_DELAY)
-    }
-
-    /// Updates a flow and its target from a packet.
-    fn update_flow(
-        &mut self,
-        (now, arrived): (Instant, Instant),
-        key: TargetKey,
-        segment: &Segment,
-    ) {
-        let Some(flow) = self.flows.get_mut(segment.flow_key) else { return };
-        let target = &mut self.targets[key];
-        flow.last_seen = now;
-        flow.finished |= segment.kind == SegmentKind::Fin;
-        let answered = flow.record_acknowledgement(segment.acknowledged);
-        target.opening = target.opening.saturating_sub(u16::from(!flow.established));
-        flow.established = true;
-        if answered {
-            target.record_activity(now);
-        }
-        let new_data = flow.record_data(segment.sequence, segment.length);
-        if segment.length > 0 && !new_data && !answered {
-            target.record_retransmit(now);
-            if let Some(request) = &mut flow.request {
-                request.repeats = request.repeats.saturating_add(1);
-            }
-        }
-        let request_done = flow.finished || (answered && !new_data);
-        let before = *flow;
-        let ended = if request_done { flow.end_request() } else { None };
-        if let Some(request) = ended {
-            target.own_load.waiting = target.own_load.waiting.saturating_sub(1);
-            if answered && self.response_times.len() < MAX_RESPONSE_TIMES {
-                self.response_times.push(now.since(request.seen_at));
-            }
-        }
-        if new_data && !flow.finished && flow.request.is_none() {
-            flow.begin_request(now, arrived, target.is_busy());
-            target.own_load.waiting = target.own_load.waiting.saturating_add(1);
-            if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
-                frontend.count_request();
-            }
-        }
-        if ended.is_some() && answered {
-            self.record_answer(now, segment.flow_key, &before);
-        }
-    }
-
     /// Chooses the target of a new flow; `avoided` is chosen only if there is no other.
     fn place_flow(
         &mut self,
--- /dev/null
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -0,0 +1,159 @@
+//! Decides on packets that follow the SYN, and keeps the state of their flows.
+
+use super::Router;
+use crate::catalog::Idempotency;
+use crate::mark::flow::Flow;
+use crate::mark::placement::Policy;
+use crate::mark::target::TargetKey;
+use crate::mark::{Cause, FlowKey, PacketTimes, Segment, SegmentKind, Verdict};
+use crate::time::{Instant, Span};
+
+/// Time that a request may wait before the reachability of its target's data centre is checked.
+const CENTRE_CHECK_DELAY: Span = Span::millis(500);
+
+/// Maximum number of response times kept until they are collected.
+const MAX_RESPONSE_TIMES: usize = 4096;
+
+impl<P: Policy> Router<P> {
+    /// Decides on a packet other than a SYN.
+    pub(super) fn continue_flow(
+        &mut self,
+        times: PacketTimes,
+        segment: &Segment,
+        idempotency: Idempotency,
+    ) -> Verdict {
+        let PacketTimes { now, arrived } = times;
+        let known = self.flows.get(segment.flow_key);
+        let key = match known {
+            Some(flow) if flow.established => flow.target,
+            _ => match self.resolve_target(segment, known) {
+                Ok(key) => key,
+                Err(cause) => return Verdict::Drop(cause),
+            },
+        };
+        if self.targets[key].has_ended(now) {
+            self.record_refusal(segment, Cause::TargetGone);
+            self.flows.remove(&mut self.targets, segment.flow_key);
+            return Verdict::Reset(Cause::TargetGone);
+        }
+        let request = segment.kind == SegmentKind::Data && segment.length > 0;
+        if request && idempotency == Idempotency::Idempotent && self.is_unreachable(now, key, known)
+        {
+            self.targets[key].record_retransmit(now);
+            self.record_refusal(segment, Cause::TargetLost);
+            self.flows.remove(&mut self.targets, segment.flow_key);
+            return Verdict::Reset(Cause::TargetLost);
+        }
+        if request && known.is_none() && self.must_yield_data(now, arrived, key) {
+            return Verdict::Hold;
+        }
+        if segment.kind == SegmentKind::Rst {
+            self.flows.remove(&mut self.targets, segment.flow_key);
+        } else {
+            if known.is_none_or(|flow| flow.target != key) {
+                self.flows.remove(&mut self.targets, segment.flow_key);
+                self.flows.insert(
+                    &mut self.targets,
+                    segment.flow_key,
+                    Flow::resumed(key, segment.sequence, now),
+                );
+            }
+            self.update_flow(times, key, segment);
+        }
+        self.forward(key, false)
+    }
+
+    /// Finds the target of a flow that is not established on this host: the mark takes precedence
+    /// over the target chosen for the SYN.
+    fn resolve_target(&self, segment: &Segment, known: Option<Flow>) -> Result<TargetKey, Cause> {
+        let marked = segment.mark.and_then(|mark| self.targets.key_of_mark(mark));
+        match (marked, known) {
+            (Some(key), _) => {
+                let frontend = &self.frontends[&segment.flow_key.frontend];
+                let allowed = frontend.allows(&self.targets[key].service);
+                if allowed { Ok(key) } else { Err(Cause::ForeignMark) }
+            }
+            (None, Some(flow)) => Ok(flow.target),
+            (None, None) if segment.mark.is_some() => Err(Cause::UnknownMark),
+            (None, None) => Err(Cause::NoMark),
+        }
+    }
+
+    /// Returns whether a flow's target, or its whole data centre, is unreachable.
+    fn is_unreachable(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
+        self.targets[key].is_unreachable(now, self.is_cut_off(now))
+            || self.waits_for_unreachable_centre(now, key, flow)
+    }
+
+    /// Returns whether a flow waits for an answer from an unreachable data centre.
+    fn waits_for_unreachable_centre(
+        &self,
+        now: Instant,
+        key: TargetKey,
+        flow: Option<Flow>,
+    ) -> bool {
+        let target = &self.targets[key];
+        let request = flow.and_then(|flow| flow.request);
+        let is_waiting =
+            request.is_some_and(|request| now.since(request.seen_at) >= CENTRE_CHECK_DELAY);
+        is_waiting
+            && self.centres.is_unreachable(target.centre)
+            && target.is_unanswered(now, CENTRE_CHECK_DELAY)
+    }
+
+    /// Updates a flow and its target from a packet.
+    fn update_flow(&mut self, times: PacketTimes, key: TargetKey, segment: &Segment) {
+        let now = times.now;
+        let Some(flow) = self.flows.get_mut(segment.flow_key) else { return };
+        let target = &mut self.targets[key];
+        flow.last_seen = now;
+        flow.finished |= segment.kind == SegmentKind::Fin;
+        let answered = flow.record_acknowledgement(segment.acknowledged);
+        target.opening = target.opening.saturating_sub(u16::from(!flow.established));
+        flow.established = true;
+        if answered {
+            target.record_activity(now);
+        }
+        let new_data = flow.record_data(segment.sequence, segment.length);
+        if segment.length > 0 && !new_data && !answered {
+            target.record_retransmit(now);
+            flow.count_repeat();
+        }
+        if flow.finished || (answered && !new_data) {
+            self.end_request(now, key, segment.flow_key, answered);
+        }
+        if new_data {
+            self.begin_request(times, key, segment.flow_key);
+        }
+    }
+
+    /// Ends the request of a flow, if one waits.
+    fn end_request(&mut self, now: Instant, key: TargetKey, flow_key: FlowKey, answered: bool) {
+        let Some(flow) = self.flows.get_mut(flow_key) else { return };
+        let before = *flow;
+        let Some(request) = flow.end_request() else { return };
+        let waiting = &mut self.targets[key].own_load.waiting;
+        *waiting = waiting.saturating_sub(1);
+        if !answered {
+            return;
+        }
+        if self.response_times.len() < MAX_RESPONSE_TIMES {
+            self.response_times.push(now.since(request.seen_at));
+        }
+        self.record_answer(now, flow_key, &before);
+    }
+
+    /// Begins a request on a flow, unless one waits or the caller has finished the flow.
+    fn begin_request(&mut self, times: PacketTimes, key: TargetKey, flow_key: FlowKey) {
+        let Some(flow) = self.flows.get_mut(flow_key) else { return };
+        if flow.finished || flow.request.is_some() {
+            return;
+        }
+        let target = &mut self.targets[key];
+        flow.begin_request(times, target.is_busy());
+        target.own_load.waiting = target.own_load.waiting.saturating_add(1);
+        if let Some(frontend) = self.frontends.get_mut(&flow_key.frontend) {
+            frontend.count_request();
+        }
+    }
+}
--- a/lagoongauged/src/mark_entry/data_plane.rs
+++ b/lagoongauged/src/mark_entry/data_plane.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexSet;
 use lagoongauge::mark::held::HeldPacket;
-use lagoongauge::mark::{Cause, Codec, Segment, Verdict};
+use lagoongauge::mark::{Cause, Codec, PacketTimes, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
 use super::state::SharedState;
@@ -58,7 +58,8 @@
             match self.codec.decode(&bytes[C::HEADROOM..]) {
                 Some(segment) => {
                     let now = self.state.clock.now();
-                    if !self.process((now, now), &segment, bytes, &mut reply) {
+                    if !self.process(PacketTimes { now, arrived: now }, &segment, bytes, &mut reply)
+                    {
                         self.hold(now, &segment, &bytes[C::HEADROOM..]);
                     }
                 }
@@ -77,17 +78,17 @@
         }
     }
 
-    /// Routes a packet that arrived at `arrived`; `bytes` hold it behind the codec's headroom.
+    /// Routes a packet; `bytes` hold it behind the codec's headroom.
     /// Returns whether it was routed; otherwise it has to be held.
     fn process(
         &self,
-        (now, arrived): (Instant, Instant),
+        times: PacketTimes,
         segment: &Segment,
         bytes: &mut [u8],
         reply: &mut Vec<u8>,
     ) -> bool {
         let state = &self.state;
-        let sent = match decide(state, (now, arrived), segment) {
+        let sent = match decide(state, times, segment) {
             Verdict::Forward { target, address, mark, new_flow } => {
                 self.codec.encapsulate(bytes, target, mark);
                 state.counters.count_forward(new_flow);
@@ -147,12 +148,14 @@
     fn process_held(&self, now: Instant, packet: &HeldPacket, reply: &mut Vec<u8>) -> bool {
         let mut bytes = vec![0; C::HEADROOM];
         bytes.extend_from_slice(&packet.bytes);
-        self.process((now, packet.arrived), &packet.segment, &mut bytes, reply)
+        let times = PacketTimes { now, arrived: packet.arrived };
+        self.process(times, &packet.segment, &mut bytes, reply)
     }
 }
 
 /// Routes a packet and logs the decision, each under its own lock.
-fn decide(state: &SharedState, (now, arrived): (Instant, Instant), segment: &Segment) -> Verdict {
+fn decide(state: &SharedState, times: PacketTimes, segment: &Segment) -> Verdict {
+    let PacketTimes { now, arrived } = times;
     let mut router = state.router();
     let verdict = router.decide_held(now, arrived, segment);
     let age = match verdict {
