Keep held packets in the order of their first copies

Change: packets are released in the order in which callers sent the first copy; a copy of data keeps its first copy's time, from which the loss counts reckon as well. Test: packets_that_are_put_back_keep_their_order fails without the change.

--- a/lagoongauge/src/mark/flow.rs
+++ b/lagoongauge/src/mark/flow.rs
@@ -7,8 +7,9 @@
 /// Half of the sequence number space; a smaller forward distance means "later".
 const HALF_SEQUENCE_SPACE: u32 = 1 << 31;
 
-/// Times after the first SYN at which callers send copies of it.
-const SYN_COPY_DELAYS: [Span; 2] = [Span::millis(200), Span::millis(600)];
+/// Times at which callers send a SYN and its copies, counted from the first, and give up.
+const SYN_SCHEDULE: [Span; 4] =
+    [Span::millis(0), Span::millis(200), Span::millis(600), Span::millis(1400)];
 
 /// A request that waits for its answer.
 #[derive(Debug, Clone, Copy)]
@@ -131,10 +132,20 @@
     }
 }
 
-/// Returns how long before a SYN its caller sent the first copy, given the number of copies before.
+/// Returns how long before a SYN its caller sent the first one, given the number of copies before.
 pub(super) fn syn_copy_delay(copies: u32) -> Span {
-    let last = SYN_COPY_DELAYS.len();
-    (copies as usize).min(last).checked_sub(1).map_or(Span(0), |copy| SYN_COPY_DELAYS[copy])
+    SYN_SCHEDULE[syn_index(copies)]
+}
+
+/// Returns how long after a SYN its caller sends the next copy or gives up.
+pub(super) fn next_syn_delay(copies: u32) -> Span {
+    let index = syn_index(copies);
+    Span(SYN_SCHEDULE[index + 1].0 - SYN_SCHEDULE[index].0)
+}
+
+/// Returns the place of a SYN in the schedule, given the number of copies before.
+fn syn_index(copies: u32) -> usize {
+    (copies as usize).min(SYN_SCHEDULE.len() - 2)
 }
 
 /// Returns whether a sequence number is later than another one, with wrap-around.
--- a/lagoongauge/src/mark/held.rs
+++ b/lagoongauge/src/mark/held.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use super::flow::{next_syn_delay, syn_copy_delay};
 use super::{FlowKey, Segment, SegmentKind};
 use crate::time::{Instant, Span};
 
@@ -17,10 +18,6 @@
 /// Time for which data is held; the next copy follows within this time.
 const DATA_LIFETIME: Span = Span::millis(1600);
 
-/// Times until the caller sends the next copy of a SYN, by the number of copies before it; after the
-/// last one the caller gives up.
-const SYN_COPY_INTERVALS: [Span; 3] = [Span::millis(200), Span::millis(400), Span::millis(800)];
-
 /// Time before the next copy of a SYN at which a held one is no longer forwarded. The copy may reach
 /// another host, and if both placed the flow, the caller would get halves of two flows.
 const SYN_MARGIN: Span = Span::millis(40);
@@ -32,7 +29,7 @@
     pub segment: Segment,
     /// The packet as received.
     pub bytes: Vec<u8>,
-    /// When it arrived.
+    /// When it arrived; for data, when its first copy did.
     pub arrived: Instant,
     /// Until when it may be forwarded.
     valid_until: Instant,
@@ -47,7 +44,7 @@
     length: u16,
 }
 
-/// Held packets in order of arrival; of several copies only the last one is kept.
+/// Held packets; of several copies only the last one is kept.
 #[derive(Debug, Clone, Default)]
 pub struct HeldPackets {
     packets: IndexMap<PacketKey, HeldPacket>,
@@ -58,12 +55,22 @@
 /// Packets that are no longer held.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Released {
-    /// Packets to route now, in order of arrival.
+    /// Packets to route now, in the order in which callers sent their first copies.
     pub packets: Vec<HeldPacket>,
     /// Number of packets that are too old to be routed.
     pub expired: usize,
 }
 
+impl HeldPacket {
+    /// Returns when the caller sent the first copy, as far as this host can tell.
+    fn sent_at(&self) -> Instant {
+        match self.segment.kind {
+            SegmentKind::Syn => self.arrived - syn_copy_delay(self.segment.acknowledged),
+            _ => self.arrived,
+        }
+    }
+}
+
 impl HeldPackets {
     /// Holds a packet; returns whether there was room for it.
     pub fn hold(&mut self, now: Instant, segment: &Segment, bytes: &[u8]) -> bool {
@@ -75,8 +82,9 @@
             return false;
         }
         let valid_until = now + lifetime(segment);
-        let packet =
-            HeldPacket { segment: *segment, bytes: bytes.to_vec(), arrived: now, valid_until };
+        let first = self.packets.get(&key).filter(|_| segment.kind != SegmentKind::Syn);
+        let arrived = first.map_or(now, |first| first.arrived);
+        let packet = HeldPacket { segment: *segment, bytes: bytes.to_vec(), arrived, valid_until };
         self.packets.insert(key, packet);
         true
     }
@@ -84,11 +92,13 @@
     /// Removes all packets.
     pub fn take(&mut self, now: Instant) -> Released {
         self.remove_expired(now);
-        let packets = std::mem::take(&mut self.packets).into_values().collect();
+        let mut packets: Vec<_> = std::mem::take(&mut self.packets).into_values().collect();
+        packets.sort_by_key(HeldPacket::sent_at);
         Released { packets, expired: std::mem::take(&mut self.expired) }
     }
 
-    /// Holds a released packet again, unless a later copy of it is held.
+    /// Holds a released packet again, unless a later copy of it is held. For a moment there may be
+    /// twice as many packets, as others may have arrived since the release.
     pub fn put_back(&mut self, packet: HeldPacket) {
         self.packets.entry(PacketKey::of(&packet.segment)).or_insert(packet);
     }
@@ -111,6 +121,5 @@
     if segment.kind != SegmentKind::Syn {
         return DATA_LIFETIME;
     }
-    let copy = (segment.acknowledged as usize).min(SYN_COPY_INTERVALS.len() - 1);
-    Span(SYN_COPY_INTERVALS[copy].0 - SYN_MARGIN.0)
+    Span(next_syn_delay(segment.acknowledged).0 - SYN_MARGIN.0)
 }
--- a/lagoongauge/tests/marks/held.rs
+++ b/lagoongauge/tests/marks/held.rs
@@ -41,6 +41,19 @@
     assert_eq!(released(&mut held, 10), []);
 }
 
+/// Packets that still have to wait are put back in any order.
+#[test]
+fn packets_that_are_put_back_keep_their_order() {
+    let mut held = HeldPackets::default();
+    let packets: Vec<Segment> = (1..5).map(|caller| data(caller, 0)).collect();
+    for (packet, arrived) in packets.iter().zip(0..) {
+        held.hold(START + Span(arrived), packet, &[0]);
+    }
+    let taken = held.take(START + Span(10)).packets;
+    taken.into_iter().rev().for_each(|packet| held.put_back(packet));
+    assert_eq!(released(&mut held, 20), packets);
+}
+
 #[test]
 fn of_several_copies_only_the_last_is_released() {
     let mut held = HeldPackets::default();
