Log silent voters and how many more may fail, and count both

The leader now logs the health of its voters whenever it changes, and serves two gauges. No decision is changed. The lines on leader and membership move beside it, out of the main loop.

--- a/lagoongauge/src/replica/membership.rs
+++ b/lagoongauge/src/replica/membership.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns the time since a peer last answered, or since this leader added it if it never has.
-    fn silence(&self, identity: Identity) -> Span {
+    pub(super) fn silence(&self, identity: Identity) -> Span {
         let Role::Leader(leader) = &self.role else { return Span(0) };
         let Some(peer) = leader.peers.get(&identity) else { return Span(0) };
         self.now.since(peer.last_answered.unwrap_or(peer.added_at))
--- a/lagoongauge/src/replica/mod.rs
+++ b/lagoongauge/src/replica/mod.rs
@@ -32,7 +32,7 @@
 pub use self::outbox::{Action, BatchId, ProposalId};
 pub use self::setup::{Limits, Setup, Timing};
 pub use self::snapshot::Snapshot;
-pub use self::status::Status;
+pub use self::status::{Status, VoterHealth};
 pub use self::store::{MemoryStore, Record, Recovered, Store};
 
 use crate::error::Result;
--- a/lagoongauge/src/replica/status.rs
+++ b/lagoongauge/src/replica/status.rs
@@ -30,7 +30,40 @@
     pub lags: Vec<(Identity, u64)>,
 }
 
+/// How many voters respond, from the leader's point of view.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VoterHealth {
+    /// Number of voters.
+    pub voters: usize,
+    /// Number of voters in a majority.
+    pub quorum: usize,
+    /// Voters that have not answered for so long that they count as lost.
+    pub silent: Vec<Identity>,
+}
+
+impl VoterHealth {
+    /// Returns the number of responding voters that may fail before the quorum is lost.
+    pub fn spare(&self) -> usize {
+        self.voters.saturating_sub(self.silent.len() + self.quorum)
+    }
+}
+
 impl<M: StateMachine> Core<M> {
+    /// Returns the health of the voters, or `None` unless this replica is the leader.
+    pub fn voter_health(&self) -> Option<VoterHealth> {
+        if !self.is_leader() {
+            return None;
+        }
+        let configuration = self.configuration();
+        let limit = self.setup.gone_after;
+        let voters = configuration.voters.iter().copied();
+        Some(VoterHealth {
+            voters: configuration.voters.len(),
+            quorum: configuration.quorum(),
+            silent: voters.filter(|voter| self.silence(*voter) >= limit).collect(),
+        })
+    }
+
     /// Returns the status for operators.
     pub fn status(&self) -> Status {
         let last = self.log.last().index;
--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -278,3 +278,22 @@
         world.check();
     }
 }
+
+#[test]
+fn the_leader_reports_silent_voters() {
+    let mut world = unattended_world(5);
+    world.run(ELECTION_ROUNDS);
+    let leader = find_leader(&world).unwrap();
+    let health =
+        |world: &World, host: usize| world.hosts[host].core.as_ref().unwrap().voter_health();
+    let reported = health(&world, leader).unwrap();
+    assert_eq!((reported.voters, reported.quorum, reported.spare()), (5, 3, 2));
+    assert_eq!(reported.silent, []);
+    let follower = (leader + 1) % 5;
+    assert_eq!(health(&world, follower), None);
+    world.crash(follower, usize::MAX);
+    world.run(CATCH_UP_ROUNDS + 40);
+    let reported = health(&world, leader).unwrap();
+    assert_eq!(reported.silent, [identity(follower as u32 + 1, 1)]);
+    assert_eq!(reported.spare(), 1);
+}
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -14,7 +14,7 @@
 use lagoongauge::catalog::{CatalogStore, Document};
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::replica::{Message, Store};
+use lagoongauge::replica::{Message, Store, VoterHealth};
 use lagoongauge::roster::{Entry, Heartbeat, Phase, Roster};
 use lagoongauge::time::{Instant, Span};
 
@@ -130,6 +130,11 @@
         self.engine.borrow().voter_count()
     }
 
+    /// Returns the health of the voters, or `None` unless this host is the leader.
+    pub(super) fn voter_health(&self) -> Option<VoterHealth> {
+        self.engine.borrow().voter_health()
+    }
+
     /// Returns whether this host is in contact with a quorum.
     pub fn is_current(&self) -> bool {
         self.engine.borrow().is_current(self.clock.now(), QUORUM_TIMEOUT)
--- a/lagoongauged/src/cluster/metrics.rs
+++ b/lagoongauged/src/cluster/metrics.rs
@@ -16,6 +16,8 @@
     changes: Histogram,
     version: IntGauge,
     voters: IntGauge,
+    silent_voters: IntGauge,
+    spare_voters: IntGauge,
     leads: IntGauge,
     current: IntGauge,
     entry_hosts: IntGauge,
@@ -31,6 +33,8 @@
         let registry = MetricRegistry::new("lagoon_control");
         let changes_help = "Time from a change's arrival at the leader to its acceptance.";
         let current_help = "1 while this host is in touch with a quorum, else 0.";
+        let silent_help = "Voters that count as lost; 0 unless this host leads.";
+        let spare_help = "Voters that may fail before the quorum is lost; meaningful only where this host leads.";
         let entry_hosts_help = "Entry hosts that are fed by any control host.";
         Ok(Self {
             changes: registry.histogram(
@@ -41,6 +45,8 @@
             version: registry
                 .gauge("catalog_version", "Version of the newest accepted catalog.")?,
             voters: registry.gauge("voters", "Control hosts that vote.")?,
+            silent_voters: registry.gauge("silent_voters", silent_help)?,
+            spare_voters: registry.gauge("spare_voters", spare_help)?,
             leads: registry.gauge("leads", "1 while this host leads, else 0.")?,
             current: registry.gauge("current", current_help)?,
             entry_hosts: registry.gauge("entry_hosts", entry_hosts_help)?,
@@ -58,6 +64,9 @@
     pub fn render<S: Store + 'static>(&self, host: &Host<S>) -> prometheus::Result<String> {
         self.version.set(host.document().version as i64);
         self.voters.set(host.voter_count() as i64);
+        let health = host.voter_health().unwrap_or_default();
+        self.silent_voters.set(health.silent.len() as i64);
+        self.spare_voters.set(health.spare() as i64);
         self.leads.set(i64::from(host.leader() == Some(host.setup.host)));
         self.current.set(i64::from(host.is_current()));
         self.entry_hosts.set(host.entry_hosts().len() as i64);
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 //! docs/PLATFORM.md.
 
 mod bounds;
+mod change_log;
 mod compressed;
 mod feed;
 mod host;
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -10,6 +10,7 @@
 use lagoongauge::replica::{Identity, Limits, Setup as ReplicaSetup, Store, Timing};
 use lagoongauge::time::Span;
 
+use super::change_log::ChangeLog;
 use super::host::{Host, Setup, SharedHost, gossip};
 use super::message::{Hello, host_address};
 use super::metrics::Metrics;
@@ -93,42 +94,20 @@
     })?;
     spawn_local(persist_changes(Rc::clone(&host), writer));
     spawn_local(gossip(Rc::clone(&host)));
-    let mut last_leader = None;
-    let mut last_membership = (Vec::new(), Vec::new());
+    let mut change_log = ChangeLog::default();
     while !stop.is_raised() {
         host.tick();
         link::start_links(&host);
         if let Some(error) = host.engine.borrow().failure() {
             return Err(error.clone());
         }
-        let leader = host.leader();
-        if leader != last_leader {
-            log::info!(
-                "leader changed from {last_leader:?} to {leader:?}, {} voters",
-                host.voter_count()
-            );
-            last_leader = leader;
-        }
-        let membership = host.engine.borrow().membership();
-        if membership != last_membership {
-            let (voters, learners) = (join_names(&membership.0), join_names(&membership.1));
-            log::info!(
-                belief = "members", voters = voters.as_str(), learners = learners.as_str();
-                "membership of the control hosts changed"
-            );
-            last_membership = membership;
-        }
+        change_log.update(&host.engine.borrow());
         sleep(TICK_INTERVAL).await;
     }
     log::info!("control host ends after a stop request");
     Ok(())
 }
 
-fn join_names(replicas: &[Identity]) -> String {
-    let names: Vec<String> = replicas.iter().map(ToString::to_string).collect();
-    names.join(" ")
-}
-
 async fn accept_connections<S: Store + 'static>(host: SharedHost<S>, listener: TcpListener) {
     loop {
         match listener.accept().await {
--- a/lagoongauged/src/engine.rs
+++ b/lagoongauged/src/engine.rs
@@ -8,6 +8,7 @@
 use lagoongauge::id::HostId;
 use lagoongauge::replica::{
     Action, Change, Core, Identity, Message, ProposalId, Setup, StateMachine, Status, Store,
+    VoterHealth,
 };
 use lagoongauge::settings::{ChangeOutcome, Command, State};
 use lagoongauge::time::{Instant, Span};
@@ -117,6 +118,11 @@
         self.core.configuration().voters.len()
     }
 
+    /// Returns the health of the voters, or `None` unless this host is the leader.
+    pub fn voter_health(&self) -> Option<VoterHealth> {
+        self.core.voter_health()
+    }
+
     /// Replaces the hosts to which requests to join are sent.
     pub fn set_seeds(&mut self, seeds: Vec<HostId>) {
         self.setup.seeds.clone_from(&seeds);
