Add a failing test: two lost voters block each other's removal

Cause: next_removal takes a silent voter out only if all other voters respond. Two that are silent at the same time are both kept for good. With their two replacements six vote, the quorum is four, and just four respond.

--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod model;
 mod paths;
+mod replacement;
 mod rules;
 mod unattended;
 mod world;
