Keep silent voters where the number of voters is odd

Cause: the removal after 9 s also shrank an odd number of voters. The quorum of five and of four is three, so it gains nothing, and a host that returns with its disk is missed.

Change: voters are removed only from an even number, and then after gone_after. The 9 s stay for learners. One lost voter in an odd group stays until the next host joins, and the group bears as many losses as without it.

--- a/lagoongauge/src/replica/membership.rs
+++ b/lagoongauge/src/replica/membership.rs
@@ -71,21 +71,19 @@
     /// Other voters may be silent as well: if each had to answer before one is removed, two lost
     /// ones would stay for good, and their replacements would raise the quorum.
     ///
-    /// A silent host may still have its disk, so enough voters remain to bear the loss of other
-    /// disks; see [`Setup::disk_losses`]. A host that was only partitioned asks to join again
-    /// afterwards. With an even number of voters, one voter less tolerates as many failures, so a
-    /// silent voter is removed early: its replacement may already be a voter, and the next failure
-    /// must not cost the quorum.
+    /// Only an even number of voters shrinks. One voter less then needs one answer less, and the
+    /// next failure must not cost the quorum. From an odd number the quorum would stay as large, but
+    /// a removed host that returns with its disk could not help to reach it. Enough voters remain to
+    /// bear the loss of disks, see [`Setup::disk_losses`]; a host that was only partitioned asks to
+    /// join again afterwards.
     ///
     /// [`Setup::disk_losses`]: super::Setup::disk_losses
     fn lost_voter(&self) -> Option<Identity> {
-        let limit = self.setup.retire_after?;
         let count = self.configuration().voters.len();
-        let early = count.is_multiple_of(2);
-        let limit = if early { limit.min(self.setup.gone_after) } else { limit };
+        let may_shrink = count.is_multiple_of(2) && count > self.setup.min_voters();
         let silent = self.longest_silent_voter()?;
-        let may_shrink = count > self.setup.min_voters();
-        (may_shrink && self.silence(silent) >= limit).then_some(silent)
+        let lost = self.silence(silent) >= self.setup.gone_after;
+        (may_shrink && lost).then_some(silent)
     }
 
     fn lost_learner(&self) -> Option<Identity> {
--- a/lagoongauge/src/replica/setup.rs
+++ b/lagoongauge/src/replica/setup.rs
@@ -97,8 +97,8 @@
     pub timing: Timing,
     /// Bounds on memory and message sizes.
     pub limits: Limits,
-    /// Silence after which a leader removes a voter or learner on its own. With `None` it removes
-    /// none, as operators then declare hosts lost.
+    /// Silence after which a leader removes a learner on its own. With `None` it removes no voter
+    /// either, as operators then declare hosts lost.
     pub retire_after: Option<Span>,
     /// Number of hosts that may lose their disks at the same time. Voters are not removed
     /// automatically where this would leave too few to keep a quorum then.
--- a/lagoongauge/tests/replica/replacement.rs
+++ b/lagoongauge/tests/replica/replacement.rs
@@ -51,8 +51,9 @@
     world.start(replacement);
 }
 
-fn has_leader(world: &World) -> bool {
-    world.hosts.iter().any(|host| host.core.as_ref().is_some_and(|core| core.is_leader()))
+fn find_leader(world: &World) -> Option<usize> {
+    let leads = |host: &Host| host.core.as_ref().is_some_and(|core| core.is_leader());
+    world.hosts.iter().position(leads)
 }
 
 /// Six voters, two of them lost for good, need all four others: the next lost disk would lose the
@@ -69,7 +70,26 @@
         world.run(40);
         world.start(wiped);
         world.run(SETTLING_ROUNDS);
-        assert!(has_leader(&world), "one leads after host {wiped} lost its disk");
+        assert!(find_leader(&world).is_some(), "one leads after host {wiped} lost its disk");
+        world.check();
+    }
+}
+
+/// A voter that is down comes back with its disk; removed from an odd number of voters it could not
+/// help to reach a quorum that is as large as before.
+#[test]
+fn a_voter_that_is_down_still_counts_when_another_loses_its_disk() {
+    for rounds in 180..220 {
+        let mut world = group_with_spares(5, 0, 1);
+        world.crash(0, usize::MAX);
+        world.crash(1, usize::MAX);
+        world.run(rounds);
+        world.lose_disk(2);
+        world.run(20);
+        world.start(1);
+        world.start(2);
+        world.run(SETTLING_ROUNDS);
+        assert!(find_leader(&world).is_some(), "disk lost after {rounds} rounds");
         world.check();
     }
 }
@@ -190,8 +210,7 @@
     }
 
     fn propose(&mut self) -> bool {
-        let led = |host: &Host| host.core.as_ref().is_some_and(|core| core.is_leader());
-        let Some(leader) = self.world.hosts.iter().position(led) else { return false };
+        let Some(leader) = find_leader(&self.world) else { return false };
         let command = format!("at {}", self.world.time).into_bytes();
         let accepted = self.world.accepted.len();
         let proposed = self.world.propose(leader, &command).is_some_and(|result| result.is_ok());
@@ -209,7 +228,7 @@
         run.inject(&fault);
         faults.push(fault);
         run.world.run(CATCH_UP_ROUNDS);
-        if !has_leader(&run.world) {
+        if find_leader(&run.world).is_none() {
             run.world.run(RECOVERY_ROUNDS - CATCH_UP_ROUNDS);
         }
         if !run.propose() {
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -26,8 +26,8 @@
 /// Timeout for the hello message on an accepted connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Silence after which a control host is removed from the consensus group. A voter that the quorum
-/// does not need is removed earlier, see `Bounds::gone_after`.
+/// Silence after which a learner is removed from the consensus group; for voters see
+/// `Bounds::gone_after`.
 const RETIRE_AFTER: Span = Span::seconds(9);
 
 /// Timeouts of the replicated log, under which a failed leader is replaced well within 1.5 s.
