Count the silence of a lost leader from its last message

Cause: a new leader counted the silence of all others from its own election, although it knows when it last heard its predecessor. Change: it starts with that; whoever has not answered yet counts as present until the new leader has led for an election timeout.

The new test (the leader of three hosts is replaced, with the loss at 20 different moments) fails before: 'leader 0 lost after 4 rounds'.

--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -69,6 +69,8 @@
     pub(super) durable: u64,
     pub(super) role: Role,
     pub(super) leader: Option<Identity>,
+    /// The leader that was heard last.
+    pub(super) last_leader: Option<Identity>,
     pub(super) leader_contact: Instant,
     /// Whether there was contact with a leader since the start.
     pub(super) had_leader: bool,
@@ -104,6 +106,7 @@
             durable: base.index,
             role: Role::Follower,
             leader: None,
+            last_leader: None,
             leader_contact: now,
             had_leader: false,
             election_deadline: now,
--- a/lagoongauge/src/replica/election.rs
+++ b/lagoongauge/src/replica/election.rs
@@ -112,6 +112,7 @@
         }
         self.role = Role::Follower;
         self.leader = Some(from);
+        self.last_leader = Some(from);
         self.leader_contact = self.now;
         self.had_leader = true;
         self.reset_election_deadline();
--- a/lagoongauge/src/replica/leader.rs
+++ b/lagoongauge/src/replica/leader.rs
@@ -29,8 +29,8 @@
     pub(super) chunk_round: Option<Instant>,
     /// Latest round that the peer answered.
     pub(super) last_answered: Option<Instant>,
-    /// When this leader added the peer.
-    pub(super) added_at: Instant,
+    /// Start of the peer's silence if it has never answered this leader.
+    pub(super) silent_since: Instant,
     /// When the last message was sent.
     last_sent: Option<Instant>,
     /// When a message last included the newest entry.
@@ -38,7 +38,7 @@
 }
 
 impl Peer {
-    fn new(next: u64, added_at: Instant) -> Self {
+    fn new(next: u64, silent_since: Instant) -> Self {
         let (chunk_round, last_answered, last_sent, all_sent_at) = Default::default();
         Self {
             matched: 0,
@@ -47,7 +47,7 @@
             snapshot_offset: None,
             chunk_round,
             last_answered,
-            added_at,
+            silent_since,
             last_sent,
             all_sent_at,
         }
@@ -131,10 +131,20 @@
             pending: BTreeMap::new(),
         });
         self.sync_peers();
+        self.inherit_silence();
         self.append_entry(Payload::Noop);
         self.tick_leader();
     }
 
+    /// Has the silence of the former leader start with its last message: it may be lost for good, and
+    /// its removal should not wait for the election as well.
+    fn inherit_silence(&mut self) {
+        let Some(former) = self.last_leader else { return };
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(peer) = leader.peers.get_mut(&former) else { return };
+        peer.silent_since = self.leader_contact;
+    }
+
     pub(super) fn tick_leader(&mut self) {
         if !self.has_quorum() {
             self.step_down();
--- a/lagoongauge/src/replica/membership.rs
+++ b/lagoongauge/src/replica/membership.rs
@@ -92,10 +92,14 @@
         learners.find(|learner| self.silence(*learner) >= limit)
     }
 
-    /// Returns the time since a peer last answered, or since this leader added it if it never has.
+    /// Returns the time since a peer last answered; 0 while this leader is so new that an answer may
+    /// still be on its way.
     pub(super) fn silence(&self, identity: Identity) -> Span {
         let Role::Leader(leader) = &self.role else { return Span(0) };
         let Some(peer) = leader.peers.get(&identity) else { return Span(0) };
-        self.now.since(peer.last_answered.unwrap_or(peer.added_at))
+        if self.now.since(leader.elected_at) < self.setup.timing.election_min {
+            return Span(0);
+        }
+        self.now.since(peer.last_answered.unwrap_or(peer.silent_since))
     }
 }
--- a/lagoongauge/tests/replica/replacement.rs
+++ b/lagoongauge/tests/replica/replacement.rs
@@ -75,6 +75,28 @@
     }
 }
 
+/// Four voters, one of them lost for good, need all three others. The silence of a lost leader counts
+/// from its last message, so its removal does not wait for the election as well.
+#[test]
+fn a_replaced_leader_is_removed_before_the_next_disk_is_lost() {
+    for delay in 0..20 {
+        let mut world = group_with_spares(3, 1, 1);
+        world.run(delay);
+        let leader = find_leader(&world).unwrap();
+        world.start(3);
+        world.run(20);
+        world.crash(leader, usize::MAX);
+        world.run(CATCH_UP_ROUNDS - 20);
+        let wiped = (leader + 1) % 3;
+        world.lose_disk(wiped);
+        world.run(20);
+        world.start(wiped);
+        world.run(SETTLING_ROUNDS);
+        assert!(find_leader(&world).is_some(), "leader {leader} lost after {delay} rounds");
+        world.check();
+    }
+}
+
 /// A voter that is down comes back with its disk; removed from an odd number of voters it could not
 /// help to reach a quorum that is as large as before.
 #[test]
