--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -102,17 +102,10 @@
             let _guard = context.begin_fault(FaultScope::ControlHosts);
             inject_process_fault(context, HostIndex::Control(number), kind).await
         }
-        Fault::AllControls(downtime) => {
-            let _guard = context.begin_fault(FaultScope::ControlMajority);
-            let count = context.control_hosts.borrow().len();
-            let kills = (0..count).map(|number| {
-                inject_process_fault(
-                    context,
-                    HostIndex::Control(number),
-                    ProcessFault::Kill(downtime),
-                )
-            });
-            futures::future::join_all(kills).await.into_iter().collect()
+        Fault::AllControls(downtime) => interrupt_controls(context, downtime, None).await,
+        Fault::AllControlsAndDisk(number, downtime) => {
+            let may_wipe = context.judge.borrow().is_control_stable(context.now());
+            interrupt_controls(context, downtime, may_wipe.then_some(number)).await
         }
         Fault::Disk(number, kind) => {
             // A disk may be lost only after the replacement of the previous one has caught up.
@@ -266,6 +259,30 @@
     }
 }
 
+/// Kills all control hosts and restarts them after `downtime`, one of them with an empty disk if
+/// `wiped` is its index.
+async fn interrupt_controls(
+    context: &Context,
+    downtime: Millis,
+    wiped: Option<usize>,
+) -> Result<()> {
+    let _guard = context.begin_fault(FaultScope::ControlMajority);
+    let count = context.control_hosts.borrow().len();
+    let interrupt = |number| async move {
+        let index = HostIndex::Control(number);
+        if context.with_enabled_process(index, Process::kill).is_none() {
+            return Ok(());
+        }
+        sleep_ms(downtime).await;
+        if wiped == Some(number) {
+            context.control_hosts.borrow()[number].wipe_disk()?;
+        }
+        context.restart(index)
+    };
+    let interrupts = (0..count).map(interrupt);
+    futures::future::join_all(interrupts).await.into_iter().collect()
+}
+
 /// Waits until a process that was asked to stop has exited; kills it after [`STOP_TIMEOUT`].
 async fn wait_for_exit(context: &Context, index: HostIndex) {
     let asked_at = context.now();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -82,6 +82,8 @@
     Disk(usize, DiskFault),
     /// Kills all control hosts at once and restarts them after this time.
     AllControls(Millis),
+    /// The same, and the control host with this index restarts with an empty disk.
+    AllControlsAndDisk(usize, Millis),
     /// A fault of a link.
     Link(Link, LinkFault),
     /// Drops a share of the datagrams between entry hosts for this time.
@@ -136,9 +138,26 @@
         at += generator.rng.random_range(WAVE_GAP.0..WAVE_GAP.1);
     }
     faults.retain(|fault| fault.at + FAULT_FREE_END < duration);
+    add_lost_disks(seed, &mut faults, control_count);
     faults
 }
 
+/// Has half of the outages of all control hosts destroy a disk.
+///
+/// The random numbers are of a stream of their own, so that the seeds of earlier findings still draw
+/// the same faults.
+fn add_lost_disks(seed: u64, faults: &mut [ScheduledFault], control_count: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(1);
+    for scheduled in faults {
+        let Fault::AllControls(downtime) = scheduled.fault else { continue };
+        if rng.random_bool(0.5) {
+            let host = rng.random_range(0..control_count);
+            scheduled.fault = Fault::AllControlsAndDisk(host, downtime);
+        }
+    }
+}
+
 struct FaultGenerator {
     rng: ChaCha8Rng,
     entry_count: usize,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -19,14 +19,9 @@
 use crate::proxy::start_proxy;
 use crate::{callers, operator, targets};
 
-/// Number of control hosts; the remaining hosts of a run, at least two, are entry hosts.
-const CONTROL_HOSTS: u8 = 3;
-
-/// Number of control hosts of a large run; more than the maximum number of voters.
-const LARGE_RUN_CONTROL_HOSTS: u8 = 8;
-
-/// Number of hosts from which a run is large.
-const LARGE_RUN_HOSTS: u8 = 30;
+/// Number of control hosts of runs with at least this many hosts in total, the largest runs first. An
+/// even number shows what an odd one hides, and eight are more than may vote.
+const CONTROL_HOSTS: [(u8, u8); 3] = [(30, 8), (12, 4), (0, 3)];
 
 /// Number of callers, each with its own address.
 const CALLER_ADDRESSES: u8 = 4;
@@ -81,8 +76,7 @@
     }
     let context: SharedContext = Rc::new(Context::new(net, config.seed, sockets));
     let program = program_to_run(config);
-    let control_count =
-        if config.hosts >= LARGE_RUN_HOSTS { LARGE_RUN_CONTROL_HOSTS } else { CONTROL_HOSTS };
+    let control_count = count_controls(config.hosts);
     let entry_count = config.hosts.saturating_sub(control_count).max(2);
     start_hosts(&context, &program, entry_count, control_count).await?;
     if !wait_until_serving(&context, entry_count).await {
@@ -115,6 +109,12 @@
     Ok(Outcome { findings, counts })
 }
 
+/// Returns the number of control hosts; the remaining hosts, at least two, are entry hosts.
+fn count_controls(hosts: u8) -> u8 {
+    let found = CONTROL_HOSTS.iter().find(|(least, _)| hosts >= *least);
+    found.map_or(1, |(_, count)| *count)
+}
+
 fn program_to_run(config: &RunConfig) -> Program {
     let folder = config.folder.clone();
     match config.mutant {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -15,6 +15,7 @@
         Fault::Disk(_, kind) => format!("disk {kind:?}"),
         Fault::Link(link, kind) => format!("link of entry {} {kind:?}", link.entry),
         Fault::AllControls(_) => "all".into(),
+        Fault::AllControlsAndDisk(..) => "all and disk".into(),
         Fault::Datagrams(_) => "datagrams".into(),
         Fault::Target => "target".into(),
     };
@@ -40,7 +41,7 @@
     let disks = ["Wipe", "Leave", "Die"].map(|kind| format!("disk {kind}"));
     let entry_links = links.map(|kind| format!("link of entry true {kind}"));
     let control_links = links.map(|kind| format!("link of entry false {kind}"));
-    let others = ["all", "datagrams", "target"].map(String::from);
+    let others = ["all", "all and disk", "datagrams", "target"].map(String::from);
     let all = entries
         .into_iter()
         .chain(controls)
