Cut off, split and stall control hosts in the random runs

Three more kinds of faults: a host is cut off while others lose disks or power, half of the hosts are cut off from the other half, a disk stalls and then all lose power and what was not synced. The runs that once halted keep the faults that they drew.

--- a/lagoongauge/tests/replica/replacement.rs
+++ b/lagoongauge/tests/replica/replacement.rs
@@ -19,6 +19,9 @@
 /// Number of random runs for each size of a group.
 const RUNS: u64 = 25;
 
+/// Number of kinds of faults in random runs.
+const FAULT_KINDS: u32 = 10;
+
 /// Number of faults in a random run.
 const FAULTS_PER_RUN: usize = 8;
 
@@ -133,6 +136,12 @@
     LoseDiskAndPower,
     /// A host is down for long; meanwhile another is, and a third loses its disk.
     Overlap(usize),
+    /// A host is cut off; the others lose power or a disk while it is.
+    CutOff(usize),
+    /// Half of the hosts are cut off from the other half.
+    Split(usize),
+    /// A host's disk stops syncing for some rounds, then all lose power and what was not synced.
+    StallAndLosePower(usize),
 }
 
 /// A group of hosts under random faults, with the hosts that have not been lost for good.
@@ -156,16 +165,20 @@
         }
     }
 
-    fn draw_fault(&mut self) -> Fault {
+    /// Draws one of the first `kinds` kinds of faults.
+    fn draw_fault(&mut self, kinds: u32) -> Fault {
         let rounds = self.rng.random_range(1..300);
-        let fault = match self.rng.random_range(0..7) {
+        let fault = match self.rng.random_range(0..kinds) {
             0 => Fault::Replace,
             1 => Fault::ReplacePlanned,
             2 => Fault::LoseDisk,
             3 => Fault::Down(rounds),
             4 => Fault::LosePower,
             5 => Fault::LoseDiskAndPower,
-            _ => Fault::Overlap(rounds),
+            6 => Fault::Overlap(rounds),
+            7 => Fault::CutOff(rounds),
+            8 => Fault::Split(rounds),
+            _ => Fault::StallAndLosePower(rounds),
         };
         let replaces = matches!(fault, Fault::Replace | Fault::ReplacePlanned);
         if replaces && self.spares.is_empty() { Fault::LoseDisk } else { fault }
@@ -185,6 +198,9 @@
                 self.lose_disks(&order);
             }
             Fault::Overlap(rounds) => self.overlap(&order, *rounds),
+            Fault::CutOff(rounds) => self.cut_off(&order, *rounds),
+            Fault::Split(rounds) => self.split(&order, *rounds),
+            Fault::StallAndLosePower(rounds) => self.stall(&order, *rounds),
         }
         self.members.iter().for_each(|host| self.world.start(*host));
     }
@@ -223,6 +239,38 @@
         self.lose_disks(order);
     }
 
+    /// Cuts a host off, has others lose their disks or all others lose power, and ends the cut.
+    fn cut_off(&mut self, order: &[usize], rounds: usize) {
+        let host = order[self.disk_losses];
+        self.world.hosts[host].isolated = true;
+        self.propose();
+        self.world.run(rounds);
+        self.propose();
+        if self.rng.random_bool(0.5) {
+            self.lose_disks(order);
+        } else {
+            self.pause(order, 20);
+        }
+        self.world.hosts[host].isolated = false;
+    }
+
+    fn split(&mut self, order: &[usize], rounds: usize) {
+        let (left, right) = order.split_at(order.len() / 2);
+        self.world.cuts = left.iter().flat_map(|a| right.iter().map(|b| [*a, *b])).collect();
+        self.world.run(rounds);
+        self.propose();
+        self.world.cuts.clear();
+    }
+
+    fn stall(&mut self, order: &[usize], rounds: usize) {
+        self.world.hosts[order[0]].sync_paused = true;
+        self.propose();
+        self.world.run(rounds);
+        order.iter().for_each(|host| self.world.crash(*host, 0));
+        self.world.hosts[order[0]].sync_paused = false;
+        self.world.run(20);
+    }
+
     fn shuffled_members(&mut self) -> Vec<usize> {
         let mut order = self.members.clone();
         for index in (1..order.len()).rev() {
@@ -242,11 +290,11 @@
 }
 
 /// Injects random faults; returns those after which the group accepted no change, if it ever did not.
-fn find_halt(seed: u64, count: usize, disk_losses: usize) -> Option<Vec<Fault>> {
+fn find_halt(seed: u64, count: usize, disk_losses: usize, kinds: u32) -> Option<Vec<Fault>> {
     let mut run = Run::new(seed, count, disk_losses);
     let mut faults = Vec::new();
     for _ in 0..FAULTS_PER_RUN {
-        let fault = run.draw_fault();
+        let fault = run.draw_fault(kinds);
         run.inject(&fault);
         faults.push(fault);
         run.world.run(CATCH_UP_ROUNDS);
@@ -260,6 +308,9 @@
     None
 }
 
+/// Number of kinds of faults when the runs of [`REGRESSIONS`] were found.
+const REGRESSION_KINDS: u32 = 7;
+
 /// Number of hosts, lost disks to bear and seed of runs that once halted.
 const REGRESSIONS: [(usize, usize, u64); 4] = [
     (3, 1, 584),  // The silence of a lost leader counted from the election of the next one.
@@ -271,7 +322,7 @@
 #[test]
 fn runs_that_once_halted_go_on() {
     for (count, disk_losses, seed) in REGRESSIONS {
-        let halt = find_halt(seed, count, disk_losses);
+        let halt = find_halt(seed, count, disk_losses, REGRESSION_KINDS);
         assert!(halt.is_none(), "{count} hosts, seed {seed}: halt after {halt:?}");
     }
 }
@@ -281,7 +332,8 @@
 #[test]
 fn random_replacements_and_lost_disks_never_end_the_group() {
     for (count, disk_losses) in [(3, 1), (4, 1), (6, 2), (8, 2)] {
-        let halt = |seed| find_halt(seed, count, disk_losses).map(|faults| (seed, faults));
+        let halt =
+            |seed| find_halt(seed, count, disk_losses, FAULT_KINDS).map(|faults| (seed, faults));
         let halts: Vec<_> = (0..RUNS).filter_map(halt).collect();
         let first = halts.first();
         assert!(
