--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -1,6 +1,7 @@
 //! State of a control host, shared by its tasks.
 
 mod announcements;
+mod documents;
 mod gossip;
 
 use std::cell::{Cell, RefCell, RefMut};
@@ -12,7 +13,7 @@
 use futures::channel::mpsc;
 use indexmap::IndexMap;
 use lagoongauge::catalog::{CatalogStore, Document};
-use lagoongauge::error::{Error, Kind, Result};
+use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::{Message, Store, VoterHealth};
 use lagoongauge::roster::{Entry, Heartbeat, Phase, Roster};
@@ -27,11 +28,9 @@
 use crate::daemon::Clock;
 use crate::engine::Engine;
 
+pub(super) use self::documents::CONFIRM_TIMEOUT;
 pub(super) use self::gossip::gossip;
 
-/// Timeout for a quorum to confirm a read.
-pub(super) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Interval at which [`wait_until`] checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(4);
 
@@ -198,22 +197,6 @@
         entry_hosts
     }
 
-    /// Replaces the catalog by a document; has no effect if its version or a later one is stored.
-    ///
-    /// Fails with `NotLeader` or `NoQuorum` if the change is never applied, and with
-    /// `UnknownOutcome` if it may be.
-    pub async fn propose_document(&self, document: &Document) -> Result<()> {
-        self.check_bootstrapped()?;
-        let now = self.clock.now();
-        let pending = self.engine.borrow_mut().submit(now, document.to_bytes());
-        self.flush();
-        let result = pending?.await;
-        let aborted = |_| Error::new(Kind::UnknownOutcome, "the replica was started anew");
-        result.map_err(aborted)??;
-        self.metrics.observe_change(self.clock.now().since(now).0 as f64 / 1000.0);
-        Ok(())
-    }
-
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics(&self) -> String {
         self.metrics.render(self).unwrap_or_else(|error| {
@@ -237,24 +220,6 @@
         counts
     }
 
-    /// Returns the latest document as of this call, confirmed by a quorum.
-    ///
-    /// Fails with `NotLeader`, or with `NotCurrent` if no quorum answers in time.
-    pub async fn read_document(&self) -> Result<Arc<Document>> {
-        let arrived = self.clock.now();
-        // Heartbeats must have a later time than the request, and the clock counts milliseconds.
-        sleep(Duration::from_millis(1)).await;
-        self.engine.borrow_mut().confirm_leadership(self.clock.now());
-        self.flush();
-        wait_until(CONFIRM_TIMEOUT, || {
-            match self.engine.borrow().read_after(arrived).map(CatalogStore::document) {
-                Err(error) if error.kind == Kind::NotCurrent => Err(error),
-                result => Ok(result),
-            }
-        })
-        .await?
-    }
-
     /// Handles a message from another control host.
     pub(super) fn handle_message(&self, from: HostId, message: PeerMessage) {
         let now = self.clock.now();
@@ -377,18 +342,6 @@
             full || !feed.is_closed()
         });
     }
-
-    /// Rejects a first document until all seeds vote.
-    fn check_bootstrapped(&self) -> Result<()> {
-        let (voters, seeds) = (self.engine.borrow().voter_count(), self.setup.seeds.len());
-        let bootstrapped = self.document().version > 0 || voters >= seeds;
-        let is_leader = self.engine.borrow().is_leader();
-        if bootstrapped || !is_leader {
-            return Ok(());
-        }
-        let detail = format!("{voters} of the {seeds} first control hosts vote so far");
-        Err(Error::new(Kind::NoQuorum, detail))
-    }
 }
 
 /// Polls until there is a result; fails with the last error after the time limit.
