--- a/lagoongauge/src/route/mod.rs
+++ b/lagoongauge/src/route/mod.rs
@@ -11,6 +11,7 @@
 mod home;
 mod isolated;
 mod message;
+mod peer;
 mod plan;
 mod planner;
 mod record;
--- a/lagoongauge/src/route/planner.rs
+++ b/lagoongauge/src/route/planner.rs
@@ -7,6 +7,7 @@
 use super::admit::Admit;
 use super::follower::{LEASE_MARGIN, SERVING_LEASE};
 use super::message::{Action, Event, Heartbeat, HoldReport, Message, Steps};
+use super::peer::Peer;
 use super::plan::{Stamp, Step};
 use super::state::RouterState;
 use crate::id::{HostId, ServiceId, TargetId};
@@ -18,44 +19,9 @@
 /// First and longest retransmission interval of steps.
 const RESEND_INTERVALS: (Span, Span) = (Span::millis(150), Span::millis(1_200));
 
-/// Time without heartbeats after which a home without a lease counts as lost.
-const HEARTBEAT_TIMEOUT: Span = Span::millis(2_000);
-
-/// Time without a lease after which a home counts as lost although its heartbeats arrive.
-const UNLEASED_TIMEOUT: Span = Span::seconds(10);
-
 /// Time after which an unfinished fetch of the newest plan is abandoned for another host.
 const FETCH_TIMEOUT: Span = Span::seconds(1);
 
-/// State of another host of the group, from its heartbeats.
-#[derive(Debug, Default)]
-pub(super) struct Peer {
-    pub stamp: Stamp,
-    pub prior_epoch: u64,
-    pub incarnation: u32,
-    /// Sending time of the last heartbeat, by the host's clock.
-    pub last_sent: Instant,
-    pub last_heard: Instant,
-    /// Whether a heartbeat of this epoch has been received.
-    pub answered: bool,
-    pub granted_until: Instant,
-    pub leaving: bool,
-    pub pending: u32,
-    pub resend_at: Instant,
-    pub backoff: Span,
-    pub counts: IndexMap<(ServiceId, u16), u32>,
-}
-
-impl Peer {
-    /// Returns whether the host's lease has ended and is not expected to be renewed.
-    pub fn is_lost(&self, now: Instant) -> bool {
-        let ended = self.granted_until + LEASE_MARGIN;
-        now >= ended
-            && (now.since(self.last_heard) > HEARTBEAT_TIMEOUT
-                || now.since(ended) > UNLEASED_TIMEOUT)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Collecting heartbeats to find the host with the newest plan.
