--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -296,7 +296,7 @@
     ///
     /// Without lease reads, a replica retries within a heartbeat interval while it had no leader
     /// since its start, as most hosts can't reach each other when a whole group starts, and after
-    /// pre-votes, which cost no sync and disturb no leader.
+    /// failed pre-votes, which cost no sync and disturb no leader.
     pub(super) fn reset_election_deadline(&mut self) {
         let Timing { election_min, election_max, .. } = self.setup.timing;
         let is_retry = matches!(self.role, Role::PreCandidate(_)) || !self.had_leader;
--- /dev/null
+++ b/lagoongauge/tests/replica/group.rs
@@ -0,0 +1,45 @@
+//! Groups of replicas as the programs run them, without leases and operators.
+
+use lagoongauge::replica::Timing;
+use lagoongauge::time::Span;
+
+use crate::world::{Host, World};
+
+/// Rounds of 50 ms in which a group starts, or elects another leader and settles.
+pub const SETTLING_ROUNDS: usize = 200;
+
+/// Rounds of 50 ms after which a host that started counts as caught up: 4 s.
+pub const CATCH_UP_ROUNDS: usize = 80;
+
+/// Returns the timeouts of the programs.
+pub fn program_timing() -> Timing {
+    Timing {
+        heartbeat: Span::millis(200),
+        append_interval: Span::millis(30),
+        election_min: Span::millis(700),
+        election_max: Span::millis(1200),
+        clock_drift: 10,
+    }
+}
+
+/// Builds a group of `count` running voters with the timeouts of the programs; `spares` further
+/// hosts have not been started.
+pub fn group_with_spares(count: usize, spares: usize, disk_losses: usize) -> World {
+    let mut world = World::growing(count + spares);
+    world.timing = program_timing();
+    world.lease_reads = false;
+    world.retire_after = Some(Span::seconds(9));
+    world.disk_losses = disk_losses;
+    world.restart_all();
+    for host in count..count + spares {
+        world.crash(host, usize::MAX);
+    }
+    world.run(SETTLING_ROUNDS);
+    world
+}
+
+/// Returns the index of a host that leads.
+pub fn find_leader(world: &World) -> Option<usize> {
+    let leads = |host: &Host| host.core.as_ref().is_some_and(|core| core.is_leader());
+    world.hosts.iter().position(leads)
+}
--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the replicated log with network and disk faults; see `world`.
 
 mod codec;
+mod group;
 mod model;
 mod paths;
+mod random_faults;
 mod replacement;
 mod rules;
 mod unattended;
--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -5,6 +5,7 @@
 use lagoongauge::replica::{Change, Limits, Timing};
 use lagoongauge::time::{Instant, Span};
 
+use crate::group::{CATCH_UP_ROUNDS, find_leader, program_timing};
 use crate::world::{World, identity};
 
 /// Rounds of 50 ms within which a leader is always elected.
@@ -18,17 +19,6 @@
     world
 }
 
-/// Returns the timeouts of the programs.
-fn program_timing() -> Timing {
-    Timing {
-        heartbeat: Span::millis(200),
-        append_interval: Span::millis(30),
-        election_min: Span::millis(700),
-        election_max: Span::millis(1200),
-        clock_drift: 10,
-    }
-}
-
 /// Builds a group of one voter, which the other hosts join once time advances, with the timeouts of
 /// the programs.
 fn growing_world(count: usize) -> World {
@@ -40,11 +30,6 @@
     world
 }
 
-fn find_leader(world: &World) -> Option<usize> {
-    (0..world.hosts.len())
-        .find(|&host| world.hosts[host].core.as_ref().is_some_and(|core| core.is_leader()))
-}
-
 fn voters(world: &World) -> usize {
     let leader = find_leader(world).expect("one host leads");
     world.hosts[leader].core.as_ref().unwrap().configuration().voters.len()
@@ -242,9 +227,6 @@
     assert_eq!(voters(&world), 3);
 }
 
-/// Rounds of 50 ms after which a new host has caught up, so that another may be lost.
-const CATCH_UP_ROUNDS: usize = 80;
-
 /// A lost voter must be removed once a replacement has joined: four voters need a quorum of three,
 /// so the next lost disk would lose the quorum for good.
 #[test]
