--- a/lagoongauge/tests/replica/group.rs
+++ b/lagoongauge/tests/replica/group.rs
@@ -22,8 +22,8 @@
     }
 }
 
-/// Builds a group of `count` running voters with the timeouts of the programs; `spares` further
-/// hosts have not been started.
+/// Builds a group of `count` running voters with the timeouts of the programs, which has to bear
+/// the loss of `disk_losses` disks at once; `spares` further hosts have not been started.
 pub fn group_with_spares(count: usize, spares: usize, disk_losses: usize) -> World {
     let mut world = World::growing(count + spares);
     world.timing = program_timing();
