--- a/lagoongauge/src/catalog/mod.rs
+++ b/lagoongauge/src/catalog/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::time::Span;
 
-pub use self::raw::{RawCatalog, RawRoute, RawWeightedService};
+pub use self::raw::{RawCatalog, RawRoute, RawService, RawWeightedService};
 pub use self::store::{CatalogStore, Document};
 
 /// Index of a service in its catalog.
@@ -56,13 +56,17 @@
     pub objective: Span,
     /// Priority for load shedding; 0 is the highest.
     pub priority: u8,
+    /// Whether its requests have bodies of many packets, such as uploads.
+    pub bulk: bool,
 }
 
 /// A validated catalog.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Catalog {
     version: u64,
     services: Vec<String>,
+    /// New flows per second that a warming target of a service bears, for services that limit them.
+    warmup_rates: IndexMap<String, f64>,
     routes: IndexMap<SocketAddrV4, Route>,
     idle_timeout: Span,
 }
@@ -78,6 +82,18 @@
         &self.services
     }
 
+    /// Returns how many new flows per second a target of this service bears while it warms up, or
+    /// `None` if the service sets no limit.
+    pub fn warmup_rate(&self, service: &str) -> Option<f64> {
+        self.warmup_rates.get(service).copied()
+    }
+
+    /// Returns whether any route carries bulk requests, which compete with all others for the links
+    /// of entry hosts.
+    pub fn has_bulk_routes(&self) -> bool {
+        self.routes.values().any(|route| route.bulk)
+    }
+
     /// Iterates over all routes with their frontend addresses.
     pub fn routes(&self) -> impl Iterator<Item = (SocketAddrV4, &Route)> + '_ {
         self.routes.iter().map(|(address, route)| (*address, route))
--- a/lagoongauge/src/catalog/raw.rs
+++ b/lagoongauge/src/catalog/raw.rs
@@ -9,18 +9,27 @@
 use crate::time::Span;
 
 /// A decoded catalog before validation.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct RawCatalog {
     /// The operator's version.
     pub version: u64,
-    /// Names of all services.
-    pub services: Vec<String>,
+    /// All services.
+    pub services: Vec<RawService>,
     /// All routes.
     pub routes: Vec<RawRoute>,
     /// Time without packets after which a flow may be dropped from tracking.
     pub idle_timeout: Span,
 }
 
+/// A decoded service before validation.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RawService {
+    /// The service's name.
+    pub name: String,
+    /// New flows per second that one of its targets bears while it warms up; `None` for no limit.
+    pub warmup_rate: Option<f64>,
+}
+
 /// A decoded route before validation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RawRoute {
@@ -38,6 +47,8 @@
     pub objective: Span,
     /// Priority for load shedding; 0 is the highest.
     pub priority: u8,
+    /// Whether its requests have bodies of many packets, such as uploads.
+    pub bulk: bool,
 }
 
 /// A service by name, with its weight.
@@ -49,17 +60,27 @@
     pub weight: u32,
 }
 
+impl From<&str> for RawService {
+    fn from(name: &str) -> Self {
+        Self { name: name.into(), warmup_rate: None }
+    }
+}
+
 impl TryFrom<RawCatalog> for Catalog {
     type Error = Error;
 
     fn try_from(raw: RawCatalog) -> Result<Self> {
         let mut keys = IndexMap::new();
-        for name in &raw.services {
+        let mut warmup_rates = IndexMap::new();
+        for RawService { name, warmup_rate } in &raw.services {
             let key = u16::try_from(keys.len()).map(ServiceKey);
             let key = key.map_err(|_| invalid("there are too many services"))?;
             if keys.insert(name.as_str(), key).is_some() {
                 return Err(invalid(format!("service {name:?} is named twice")));
             }
+            if let Some(rate) = check_rate(name, *warmup_rate)? {
+                warmup_rates.insert(name.clone(), rate);
+            }
         }
         let mut routes = IndexMap::with_capacity(raw.routes.len());
         for raw in raw.routes {
@@ -74,13 +95,31 @@
         let Some(version) = Some(raw.version).filter(|version| *version > 0) else {
             return Err(invalid("version is 0; accepted: whole numbers from 1"));
         };
-        Ok(Self { version, services: raw.services, routes, idle_timeout: raw.idle_timeout })
+        let services = raw.services.into_iter().map(|service| service.name).collect();
+        Ok(Self { version, services, warmup_rates, routes, idle_timeout: raw.idle_timeout })
+    }
+}
+
+fn check_rate(service: &str, rate: Option<f64>) -> Result<Option<f64>> {
+    match rate {
+        Some(rate) if !rate.is_finite() || rate < 0.0 => {
+            let detail = format!("service {service:?} has a warm-up rate of {rate} flows a second");
+            Err(invalid(detail))
+        }
+        rate => Ok(rate),
     }
 }
 
 fn check_route(raw: RawRoute, keys: &IndexMap<&str, ServiceKey>) -> Result<Route> {
     let RawRoute {
-        name, services: raw_services, idempotency, timeout, objective, priority, ..
+        name,
+        services: raw_services,
+        idempotency,
+        timeout,
+        objective,
+        priority,
+        bulk,
+        ..
     } = raw;
     if timeout == Span(0) {
         return Err(invalid(format!("route {name:?} has a timeout of 0 ms")));
@@ -97,7 +136,7 @@
     if services.is_empty() {
         return Err(invalid(format!("route {name:?} leads to no service")));
     }
-    Ok(Route { name, services, idempotency, timeout, objective, priority })
+    Ok(Route { name, services, idempotency, timeout, objective, priority, bulk })
 }
 
 fn invalid(detail: impl Into<String>) -> Error {
--- a/lagoongauge/src/mark/frontend.rs
+++ b/lagoongauge/src/mark/frontend.rs
@@ -24,6 +24,10 @@
     objective: Span,
     /// Whether callers may retry its requests.
     pub(super) idempotency: Idempotency,
+    /// Priority of its requests; 0 is the highest.
+    pub(super) priority: u8,
+    /// Whether its requests have bodies of many packets.
+    pub(super) bulk: bool,
     /// Recently opened flows.
     flows: u32,
     /// Requests recently received on its flows.
@@ -38,6 +42,8 @@
             timeout: Span(0),
             objective: route.objective,
             idempotency: route.idempotency,
+            priority: route.priority,
+            bulk: route.bulk,
             flows: 0,
             requests: 0,
         };
@@ -55,6 +61,8 @@
         self.timeout = route.timeout;
         self.objective = route.objective;
         self.idempotency = route.idempotency;
+        self.priority = route.priority;
+        self.bulk = route.bulk;
         for (name, _) in &self.services {
             if !self.allowed_services.contains(name) {
                 self.allowed_services.push(name.clone());
--- a/lagoongauge/src/mark/load.rs
+++ b/lagoongauge/src/mark/load.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Mark;
+use crate::error::{Error, Kind, Result};
 
 /// Load of one entry host on a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,3 +28,22 @@
         self.flows = self.flows.saturating_add(other.flows);
     }
 }
+
+impl LoadReport {
+    /// Encodes the report for other entry hosts.
+    ///
+    /// Sections for later additions follow the counts; hosts of earlier versions ignore them.
+    /// Fails with `Internal` if the report can't be encoded.
+    pub fn to_bytes(&self) -> Result<Vec<u8>> {
+        postcard::to_stdvec(self)
+            .map_err(|error| Error::new(Kind::Internal, format!("load report: {error}")))
+    }
+
+    /// Decodes a report of another host, which may be of an earlier version; fails with
+    /// `Malformed`.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        let (report, _sections) = postcard::take_from_bytes(bytes)
+            .map_err(|error| Error::new(Kind::Malformed, format!("load report: {error}")))?;
+        Ok(report)
+    }
+}
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 mod centre;
+mod features;
 mod flow;
 mod flow_table;
 mod frontend;
@@ -28,6 +29,7 @@
 use crate::id::TargetId;
 use crate::time::Instant;
 
+pub use self::features::{Features, WarmupLimit};
 pub use self::load::{LoadCount, LoadReport};
 pub use self::router::{Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -2,13 +2,19 @@
 
 mod admission;
 mod continuation;
+mod evacuation;
+mod evidence;
+mod link;
 mod losses;
+mod placing;
+mod warmup;
 
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
 
 use super::centre::{CentreKey, Centres};
+use super::features::Features;
 use super::flow::Flow;
 use super::flow_table::FlowTable;
 use super::frontend::Frontend;
@@ -18,9 +24,9 @@
 use super::target::TargetKey;
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
-use super::{FlowKey, PacketTimes, Segment, SegmentKind};
+use super::{PacketTimes, Segment, SegmentKind};
 use crate::catalog::Catalog;
-use crate::flow::{FlowHash, HashKey, Protocol, Tuple};
+use crate::flow::HashKey;
 use crate::id::{HostId, TargetId};
 use crate::roster::{Entry, Phase};
 use crate::time::{Instant, Span};
@@ -47,6 +53,8 @@
     pub hash_key: HashKey,
     /// Maximum number of tracked flows.
     pub max_flows: usize,
+    /// Optional parts that are switched on.
+    pub features: Features,
 }
 
 /// Decides on each packet from a caller; see the module's documentation.
@@ -64,6 +72,8 @@
     response_times: Vec<Span>,
     losses: LossLedger,
     version: u64,
+    /// Whether the settings or the catalog ask for the parts for contended deployments.
+    contended: bool,
     current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
@@ -90,6 +100,7 @@
         let mut centres = Centres::default();
         let own_centre = centres.key(&config.centre);
         let flows = FlowTable::new(config.max_flows);
+        let contended = config.features.contended;
         Self {
             config,
             policy,
@@ -102,6 +113,7 @@
             response_times: Vec::new(),
             losses: LossLedger::default(),
             version: 0,
+            contended,
             current: false,
             local_hosts: 0,
             confirmed_at: Instant::default(),
@@ -156,6 +168,7 @@
             return;
         }
         self.version = catalog.version();
+        self.contended = self.config.features.contended || catalog.has_bulk_routes();
         let mut kept: IndexMap<SocketAddrV4, Frontend> = IndexMap::new();
         for (address, route) in catalog.routes() {
             let frontend = match self.frontends.swap_remove(&address) {
@@ -279,7 +292,8 @@
             }
             let waited = now.since(flow.opened_at) >= MIN_RETRANSMIT_DELAY;
             let dead = target.silent || (waited && !target.is_active_since(flow.opened_at));
-            if retransmitted && (flow.established || (target.accepts_flows() && !dead)) {
+            let may_stay = self.accepts_new_flows(now, flow.target) && !dead;
+            if retransmitted && (flow.established || may_stay) {
                 self.flows.count_repeated_syn(segment.flow_key);
                 return self.forward(flow.target, false);
             }
@@ -289,6 +303,9 @@
             }
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
+        } else if let Some(cause) = self.refuse_for_link(times, segment) {
+            self.record_refusal(segment, cause);
+            return Verdict::Reset(cause);
         }
         self.flows.remove(&mut self.targets, segment.flow_key);
         let Some(key) = self.place_flow(now, segment, avoided) else {
@@ -307,36 +324,6 @@
         self.forward(key, true)
     }
 
-    /// Chooses the target of a new flow; `avoided` is chosen only if there is no other.
-    fn place_flow(
-        &mut self,
-        now: Instant,
-        segment: &Segment,
-        avoided: Option<TargetKey>,
-    ) -> Option<TargetKey> {
-        let flow_hash = self.flow_hash(segment.flow_key);
-        let frontend = self.frontends.get(&segment.flow_key.frontend)?;
-        let (service, pattern) = (frontend.pick_service(flow_hash)?, frontend.traffic_pattern());
-        self.candidates.clear();
-        for key in self.targets.keys_of_service(service) {
-            let target = &self.targets[*key];
-            if target.accepts_flows() {
-                let mut candidate = target.candidate(now);
-                candidate.suspect |=
-                    avoided == Some(*key) || self.centres.is_unreachable(target.centre);
-                self.candidates.push((*key, candidate));
-            }
-        }
-        self.policy.choose(&self.candidates, pattern, flow_hash)
-    }
-
-    /// Returns the hash of a flow, the same on every entry host.
-    fn flow_hash(&self, flow_key: FlowKey) -> u64 {
-        let protocol = Protocol::Tcp;
-        let (caller, service) = (flow_key.caller.into(), flow_key.frontend.into());
-        FlowHash::new(&self.config.hash_key, &Tuple { protocol, caller, service }).0
-    }
-
     fn forward(&self, key: TargetKey, new_flow: bool) -> Verdict {
         let target = &self.targets[key];
         Verdict::Forward { target: target.id, address: target.address, mark: target.mark, new_flow }
--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -28,11 +28,15 @@
     Stale,
     /// The packet arrived before this host had a catalog, and could not be held until then.
     Starting,
+    /// The request could not be served in time, as requests of its priority have no room left.
+    Overloaded,
+    /// This host's link is full.
+    LinkFull,
 }
 
 impl Cause {
     /// All causes, in the order of declaration.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::NoRoute,
         Self::RouteRemoved,
         Self::NoTarget,
@@ -43,6 +47,8 @@
         Self::NoMark,
         Self::Stale,
         Self::Starting,
+        Self::Overloaded,
+        Self::LinkFull,
     ];
 
     /// Returns the cause's name in logs and metrics.
@@ -58,6 +64,8 @@
             Self::NoMark => "no_mark",
             Self::Stale => "stale",
             Self::Starting => "starting",
+            Self::Overloaded => "overloaded",
+            Self::LinkFull => "link_full",
         }
     }
 }
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -5,7 +5,9 @@
 use lagoongauge::catalog::{Catalog, Idempotency, RawCatalog, RawRoute, RawWeightedService};
 use lagoongauge::flow::HashKey;
 use lagoongauge::id::TargetId;
-use lagoongauge::mark::{FlowKey, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict};
+use lagoongauge::mark::{
+    Features, FlowKey, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict,
+};
 use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::{Instant, Span};
 
@@ -44,8 +46,12 @@
 
     /// Creates a host that has just started and knows its targets, but no routes.
     pub fn without_catalog(targets: &[u64]) -> Self {
-        let config =
-            RouterConfig { centre: "a".into(), hash_key: HashKey([1; 16]), max_flows: 10_000 };
+        let config = RouterConfig {
+            centre: "a".into(),
+            hash_key: HashKey([1; 16]),
+            max_flows: 10_000,
+            features: Features::default(),
+        };
         let mut fixture = Self { router: Router::new(config), mark: None, now: Instant(100_000) };
         fixture.router.set_current(fixture.now, true);
         for target in targets {
@@ -238,6 +244,7 @@
         timeout: Span(1500),
         objective: Span(150),
         priority: 1,
+        bulk: false,
     };
     let routes = routes.iter().map(route).collect();
     let services = vec!["desk".into(), "rival".into()];
--- a/lagoongauged/src/ctl/explain.rs
+++ b/lagoongauged/src/ctl/explain.rs
@@ -209,6 +209,11 @@
         Some(Cause::Starting) => {
             "the host had just started, and the packet was too old once it had a catalog"
         }
+        Some(Cause::Overloaded) => {
+            "requests of this priority had no room left at the service's targets; no request was \
+             executed"
+        }
+        Some(Cause::LinkFull) => "the link of the entry host was full; no request was executed",
         None => "unknown cause, written by another version",
     }
 }
--- a/lagoongauged/src/mark_entry/load_reports.rs
+++ b/lagoongauged/src/mark_entry/load_reports.rs
@@ -30,7 +30,7 @@
         if report == sent && !round.is_multiple_of(KEEPALIVE_ROUNDS) {
             continue;
         }
-        let bytes = match postcard::to_stdvec(&report) {
+        let bytes = match report.to_bytes() {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("failed to encode load report: {error}");
@@ -62,7 +62,7 @@
             }
         };
         let SocketAddr::V4(from) = from else { continue };
-        match postcard::from_bytes::<LoadReport>(&bytes[..length]) {
+        match LoadReport::from_bytes(&bytes[..length]) {
             Ok(report) => {
                 let now = state.clock.now();
                 state.router().set_report(now, host_id(*from.ip()), report);
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -10,7 +10,7 @@
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::flow::HashKey;
 use lagoongauge::id::HostId;
-use lagoongauge::mark::{Codec, Router, RouterConfig};
+use lagoongauge::mark::{Codec, Features, Router, RouterConfig};
 use lagoongauge::time::Span;
 
 use super::data_plane::DataPlane;
@@ -52,6 +52,8 @@
     pub packet_address: SocketAddrV4,
     /// Time for which packets are still forwarded after a stop request.
     pub linger: Span,
+    /// Optional parts of routing.
+    pub features: Features,
 }
 
 /// Runs an entry host until `stop` is raised; `serve` receives its state after the setup and starts
@@ -79,8 +81,10 @@
         announce_interval,
         packet_address,
         linger,
+        features,
     } = options;
-    let config = RouterConfig { centre: centre.clone(), hash_key: HASH_KEY, max_flows: MAX_FLOWS };
+    let config =
+        RouterConfig { centre: centre.clone(), hash_key: HASH_KEY, max_flows: MAX_FLOWS, features };
     // The clock includes suspended time: packets queued before a suspend are old after the resume.
     let clock = Clock::start_boottime();
     let decisions = DecisionLog::start(clock.now()).map_err(|error| start_error(&error))?;
--- a/lagoongauged/src/measure/burst/simulation.rs
+++ b/lagoongauged/src/measure/burst/simulation.rs
@@ -9,7 +9,7 @@
 use lagoongauge::mark::placement::Policy;
 use lagoongauge::mark::reporting::ReportScheduler;
 use lagoongauge::mark::{
-    FlowKey, LoadReport, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict,
+    Features, FlowKey, LoadReport, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict,
 };
 use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::{Instant, Span};
@@ -206,6 +206,7 @@
             centre: centre.to_string(),
             hash_key: HashKey([7; 16]),
             max_flows: 100_000,
+            features: Features::default(),
         };
         let mut router = Router::with_policy(config, policy);
         router.set_catalog(&catalog(self.load));
@@ -401,6 +402,7 @@
         timeout: Span(10 * load.objective),
         objective: Span(load.objective),
         priority: 1,
+        bulk: false,
     };
     let routes = vec![route(443), route(8080)];
     let raw = RawCatalog {
--- a/lagoongauged/src/measure/path/mark_router.rs
+++ b/lagoongauged/src/measure/path/mark_router.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use lagoongauge::catalog::{Catalog, Idempotency, RawCatalog, RawRoute, RawWeightedService};
-use lagoongauge::mark::{FlowKey, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict};
+use lagoongauge::mark::{
+    Features, FlowKey, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict,
+};
 use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::{Instant, Span};
 
@@ -35,8 +37,12 @@
     pub fn new(flows: &Flows, keep_records: bool) -> Self {
         let now = Instant(Span::seconds(3600).0);
         let max_flows = if keep_records { flows.len() } else { 0 };
-        let mut router =
-            Router::new(RouterConfig { centre: CENTRE_NAME.into(), hash_key: HASH_KEY, max_flows });
+        let mut router = Router::new(RouterConfig {
+            centre: CENTRE_NAME.into(),
+            hash_key: HASH_KEY,
+            max_flows,
+            features: Features::default(),
+        });
         router.set_catalog(&catalog());
         router.set_current(now, true);
         for index in 0..TARGETS {
@@ -109,6 +115,7 @@
         timeout: Span::seconds(3),
         objective: Span::millis(150),
         priority: 0,
+        bulk: false,
     };
     let (version, idle_timeout) = (1, Span::seconds(15));
     let raw = RawCatalog {
--- a/lagoongauged/tests/entry_start.rs
+++ b/lagoongauged/tests/entry_start.rs
@@ -14,7 +14,7 @@
 use lagoongauge::catalog::{RawCatalog, RawRoute, RawWeightedService};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::{Codec, Mark, Segment};
+use lagoongauge::mark::{Codec, Features, Mark, Segment};
 use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::Span;
 use lagoongauged::cluster::CompressedDocument;
@@ -64,6 +64,7 @@
             timeout: Span(1500),
             objective: Span(150),
             priority: 1,
+            bulk: false,
         };
         Catalog::try_from(RawCatalog {
             version: document.version,
@@ -175,6 +176,7 @@
         announce_interval: Span(1200),
         packet_address,
         linger: Span(0),
+        features: Features::default(),
     };
     let (stop, started) = (Stop::default(), Instant::now());
     let held_after = Rc::new(Cell::new(None));
