Limit new flows to warming targets over all entry hosts

Cause: a target that has just started, or whose data centre has just returned from an evacuation, bears only a few new flows a second, and each entry host placed flows on it as on any idle one at one and a half times its cost.

Ruled out: a part of the budget for each host (a budget of five flows among sixty hosts is none), one owner per target (hosts that own none refuse all), leases from control hosts (a message a target and host, and callers wait).

Change: where the settings hold a tolerance and the catalog a rate, a warming target takes no new flow while a warm one can; otherwise hosts of its data centre divide half of its budget by rendezvous order, if they are settled and in touch. Catalogs carry the warm-up time. No change without the limit.

--- a/lagoongauge/src/catalog/mod.rs
+++ b/lagoongauge/src/catalog/mod.rs
@@ -67,6 +67,8 @@
     services: Vec<String>,
     /// New flows per second that a warming target of a service bears, for services that limit them.
     warmup_rates: IndexMap<String, f64>,
+    /// Warm-up time of a service's targets, for services that declare it.
+    warmup_times: IndexMap<String, Span>,
     routes: IndexMap<SocketAddrV4, Route>,
     idle_timeout: Span,
 }
@@ -88,6 +90,12 @@
         self.warmup_rates.get(service).copied()
     }
 
+    /// Returns the time from a start until a target of this service is warm, or `None` if the service
+    /// does not declare it.
+    pub fn warmup_time(&self, service: &str) -> Option<Span> {
+        self.warmup_times.get(service).copied()
+    }
+
     /// Returns whether any route carries bulk requests, which compete with all others for the links
     /// of entry hosts.
     pub fn has_bulk_routes(&self) -> bool {
--- a/lagoongauge/src/catalog/raw.rs
+++ b/lagoongauge/src/catalog/raw.rs
@@ -28,6 +28,8 @@
     pub name: String,
     /// New flows per second that one of its targets bears while it warms up; `None` for no limit.
     pub warmup_rate: Option<f64>,
+    /// Time from a start until one of its targets is warm, if it is declared.
+    pub warmup_time: Option<Span>,
 }
 
 /// A decoded route before validation.
@@ -62,7 +64,7 @@
 
 impl From<&str> for RawService {
     fn from(name: &str) -> Self {
-        Self { name: name.into(), warmup_rate: None }
+        Self { name: name.into(), warmup_rate: None, warmup_time: None }
     }
 }
 
@@ -72,7 +74,8 @@
     fn try_from(raw: RawCatalog) -> Result<Self> {
         let mut keys = IndexMap::new();
         let mut warmup_rates = IndexMap::new();
-        for RawService { name, warmup_rate } in &raw.services {
+        let mut warmup_times = IndexMap::new();
+        for RawService { name, warmup_rate, warmup_time } in &raw.services {
             let key = u16::try_from(keys.len()).map(ServiceKey);
             let key = key.map_err(|_| invalid("there are too many services"))?;
             if keys.insert(name.as_str(), key).is_some() {
@@ -81,6 +84,9 @@
             if let Some(rate) = check_rate(name, *warmup_rate)? {
                 warmup_rates.insert(name.clone(), rate);
             }
+            if let Some(time) = warmup_time {
+                warmup_times.insert(name.clone(), *time);
+            }
         }
         let mut routes = IndexMap::with_capacity(raw.routes.len());
         for raw in raw.routes {
@@ -96,7 +102,8 @@
             return Err(invalid("version is 0; accepted: whole numbers from 1"));
         };
         let services = raw.services.into_iter().map(|service| service.name).collect();
-        Ok(Self { version, services, warmup_rates, routes, idle_timeout: raw.idle_timeout })
+        let idle_timeout = raw.idle_timeout;
+        Ok(Self { version, services, warmup_rates, warmup_times, routes, idle_timeout })
     }
 }
 
--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/centre.rs
@@ -30,6 +30,18 @@
 #[derive(Debug, Default)]
 pub(super) struct Centres {
     unreachable: IndexMap<String, bool>,
+    /// Evacuations by the index of the data centre; empty where no limit on warming targets needs
+    /// them.
+    evacuations: Vec<Evacuation>,
+}
+
+/// What this host saw of evacuations of a data centre.
+#[derive(Debug, Clone, Copy, Default)]
+struct Evacuation {
+    /// Whether it was evacuated when this was last checked.
+    active: bool,
+    /// When this host learned that the latest evacuation had ended.
+    ended_at: Option<Instant>,
 }
 
 /// Evidence from callers' packets about a data centre.
@@ -56,6 +68,28 @@
         self.unreachable[key.0]
     }
 
+    /// Iterates over the keys of all data centres.
+    pub(super) fn keys(&self) -> impl Iterator<Item = CentreKey> + use<> {
+        (0..self.unreachable.len()).map(CentreKey)
+    }
+
+    /// Returns when this host learned that the latest evacuation of a data centre had ended.
+    pub(super) fn returned_at(&self, key: CentreKey) -> Option<Instant> {
+        self.evacuations.get(key.0)?.ended_at
+    }
+
+    /// Records whether a data centre is evacuated now.
+    pub(super) fn set_evacuated(&mut self, now: Instant, key: CentreKey, active: bool) {
+        if self.evacuations.len() <= key.0 {
+            self.evacuations.resize(key.0 + 1, Evacuation::default());
+        }
+        let evacuation = &mut self.evacuations[key.0];
+        if evacuation.active && !active {
+            evacuation.ended_at = Some(now);
+        }
+        evacuation.active = active;
+    }
+
     /// Re-evaluates which data centres are unreachable; this host's own never is.
     pub(super) fn update<'a>(
         &mut self,
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -21,6 +21,7 @@
 mod target;
 mod target_table;
 mod verdict;
+pub mod warmup;
 
 use std::net::SocketAddrV4;
 
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -24,6 +24,7 @@
 use super::target::TargetKey;
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
+use super::warmup::WarmupBudget;
 use super::{PacketTimes, Segment, SegmentKind};
 use crate::catalog::Catalog;
 use crate::flow::HashKey;
@@ -71,6 +72,7 @@
     candidates: Vec<(TargetKey, Candidate)>,
     response_times: Vec<Span>,
     losses: LossLedger,
+    warmup: WarmupBudget,
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
@@ -112,6 +114,7 @@
             candidates: Vec::new(),
             response_times: Vec::new(),
             losses: LossLedger::default(),
+            warmup: WarmupBudget::default(),
             version: 0,
             contended,
             current: false,
@@ -169,6 +172,7 @@
         }
         self.version = catalog.version();
         self.contended = self.config.features.contended || catalog.has_bulk_routes();
+        self.warmup.set_catalog(self.config.features.warmup_limit.as_ref(), catalog);
         let mut kept: IndexMap<SocketAddrV4, Frontend> = IndexMap::new();
         for (address, route) in catalog.routes() {
             let frontend = match self.frontends.swap_remove(&address) {
@@ -192,6 +196,9 @@
         if self.current || current {
             self.confirmed_at = now;
         }
+        if current {
+            self.warmup.record_contact(now);
+        }
         self.current = current;
     }
 
@@ -227,6 +234,7 @@
         if !self.has_stalled(now) {
             return;
         }
+        self.warmup.record_disturbance(now);
         self.last_tick = Some(now);
         self.stale_until = now + STALL_RECOVERY;
         let running = self.targets.iter_mut().filter(|target| target.phase != Phase::Gone);
@@ -239,6 +247,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.handle_stall(now);
         self.last_tick = Some(now);
+        self.record_returns(now);
         let unopened = self.flows.remove_expired(now, &mut self.targets);
         self.record_unopened(now, &unopened);
         let overdue = self.flows.end_overdue_requests(now, &mut self.targets, &self.frontends);
@@ -282,6 +291,7 @@
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
     fn open_flow(&mut self, times: PacketTimes, segment: &Segment) -> Verdict {
         let PacketTimes { now, arrived } = times;
+        self.record_returns(now);
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         if let Some(flow) = self.flows.get(segment.flow_key) {
@@ -292,9 +302,12 @@
             }
             let waited = now.since(flow.opened_at) >= MIN_RETRANSMIT_DELAY;
             let dead = target.silent || (waited && !target.is_active_since(flow.opened_at));
-            let may_stay = self.accepts_new_flows(now, flow.target) && !dead;
+            let may_stay = self.accepts_new_flows(flow.target)
+                && self.may_repeat_syn(now, flow.target)
+                && !dead;
             if retransmitted && (flow.established || may_stay) {
                 self.flows.count_repeated_syn(segment.flow_key);
+                self.count_warmup_flow(now, flow.target);
                 return self.forward(flow.target, false);
             }
             if retransmitted && dead {
@@ -313,6 +326,7 @@
             return Verdict::Reset(Cause::NoTarget);
         };
         self.targets[key].record_trial(now);
+        self.count_warmup_flow(now, key);
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
             frontend.count_flow();
         }
--- a/lagoongauge/src/mark/router/placing.rs
+++ b/lagoongauge/src/mark/router/placing.rs
@@ -2,7 +2,7 @@
 
 use super::Router;
 use crate::flow::{FlowHash, Protocol, Tuple};
-use crate::mark::placement::Policy;
+use crate::mark::placement::{Candidate, Policy};
 use crate::mark::target::TargetKey;
 use crate::mark::{FlowKey, Segment};
 use crate::time::Instant;
@@ -18,30 +18,39 @@
         let flow_hash = self.flow_hash(segment.flow_key);
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
         let (service, pattern) = (frontend.pick_service(flow_hash)?, frontend.traffic_pattern());
+        let limit = self.warmup.limit(service);
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
         for key in self.targets.keys_of_service(service) {
-            if !self.accepts_new_flows(now, *key) {
+            let is_warming = limit.is_some_and(|limit| self.is_warming(now, *key, limit));
+            if is_warming || !self.accepts_new_flows(*key) {
                 continue;
             }
-            let target = &self.targets[*key];
-            let mut candidate = target.candidate(now);
-            candidate.suspect |= avoided == Some(*key)
-                || self.centres.is_unreachable(target.centre)
-                || self.is_ejected(now, *key);
+            let mut candidate = self.placement_candidate(now, *key);
+            candidate.suspect |= avoided == Some(*key);
             candidates.push((*key, candidate));
         }
+        if limit.is_some() {
+            self.add_warming_targets(now, service, &mut candidates);
+        }
         let chosen = self.policy.choose(&candidates, pattern, flow_hash);
         self.candidates = candidates;
         chosen
     }
 
+    /// Returns a target as a placement candidate.
+    pub(super) fn placement_candidate(&self, now: Instant, key: TargetKey) -> Candidate {
+        let target = &self.targets[key];
+        let mut candidate = target.candidate(now);
+        candidate.suspect |=
+            self.centres.is_unreachable(target.centre) || self.is_ejected(now, key);
+        candidate
+    }
+
     /// Returns whether new flows may be placed on this target at all.
-    pub(super) fn accepts_new_flows(&self, now: Instant, key: TargetKey) -> bool {
+    pub(super) fn accepts_new_flows(&self, key: TargetKey) -> bool {
         let target = &self.targets[key];
-        target.accepts_flows()
-            && !self.is_evacuated(target.centre)
-            && self.has_warmup_room(now, key)
+        target.accepts_flows() && !self.is_evacuated(target.centre)
     }
 
     /// Returns the hash of a flow, the same on every entry host.
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -51,6 +51,10 @@
     pub(super) silent: bool,
     /// When its warm-up after a start ends.
     pub(super) warm_at: Instant,
+    /// When this host learned of it.
+    pub(super) learned_at: Instant,
+    /// Until when this host may send it no new flow while it is warming up.
+    pub(super) paced_until: Instant,
     /// When this host learned that it is gone; later than its end if this was inferred from a
     /// successor at its address.
     pub(super) gone_at: Instant,
@@ -83,6 +87,8 @@
             phase: entry.phase,
             silent: false,
             warm_at: now + entry.warmup,
+            learned_at: now,
+            paced_until: now,
             gone_at: now,
             own_load: LoadCount::default(),
             opening: 0,
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -5,6 +5,7 @@
 mod losses;
 mod place;
 mod share;
+mod warmup;
 mod world;
 
 use lagoongauge::mark::{Cause, Mark, SegmentKind, Verdict};
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -27,6 +27,14 @@
     pub now: Instant,
 }
 
+/// What a fixture starts with.
+pub struct FixtureOptions<'a> {
+    /// Targets of the service "desk".
+    pub targets: &'a [u64],
+    /// Optional parts that are switched on.
+    pub features: Features,
+}
+
 impl Fixture {
     /// Creates a host that has been running for some time, with targets of the service "desk".
     pub fn new(targets: &[u64]) -> Self {
@@ -46,11 +54,17 @@
 
     /// Creates a host that has just started and knows its targets, but no routes.
     pub fn without_catalog(targets: &[u64]) -> Self {
+        Self::with_options(FixtureOptions { targets, features: Features::default() })
+    }
+
+    /// Creates a host with optional parts that has just started and knows no routes.
+    pub fn with_options(options: FixtureOptions<'_>) -> Self {
+        let FixtureOptions { targets, features } = options;
         let config = RouterConfig {
             centre: "a".into(),
             hash_key: HashKey([1; 16]),
             max_flows: 10_000,
-            features: Features::default(),
+            features,
         };
         let mut fixture = Self { router: Router::new(config), mark: None, now: Instant(100_000) };
         fixture.router.set_current(fixture.now, true);
@@ -236,6 +250,19 @@
 }
 
 pub fn catalog(version: u64, routes: &[(SocketAddrV4, &str)], idempotency: Idempotency) -> Catalog {
+    raw_catalog_of(version, routes, idempotency).try_into().unwrap()
+}
+
+/// Returns a catalog with one route to the service "desk".
+pub fn raw_catalog(version: u64) -> RawCatalog {
+    raw_catalog_of(version, &[(FRONTEND, "desk")], Idempotency::Idempotent)
+}
+
+fn raw_catalog_of(
+    version: u64,
+    routes: &[(SocketAddrV4, &str)],
+    idempotency: Idempotency,
+) -> RawCatalog {
     let route = |(address, service): &(SocketAddrV4, &str)| RawRoute {
         name: address.to_string(),
         address: *address,
@@ -248,7 +275,7 @@
     };
     let routes = routes.iter().map(route).collect();
     let services = vec!["desk".into(), "rival".into()];
-    Catalog::try_from(RawCatalog { version, services, routes, idle_timeout: Span(15_000) }).unwrap()
+    RawCatalog { version, services, routes, idle_timeout: Span(15_000) }
 }
 
 /// Finds two targets with the same mark.
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -92,7 +92,8 @@
         Error::new(Kind::Internal, format!("failed to register metrics: {error}"))
     })?;
     let router = Router::new(config);
-    let (state, wakeups) = State::new(clock, router, decisions, metrics, announce_interval, seeds);
+    let (state, wakeups) =
+        State::new(host, clock, router, decisions, metrics, announce_interval, seeds);
     let state = Arc::new(state);
     let socket =
         UdpSocket::bind(packet_address).map_err(|error| bind_error(packet_address, &error))?;
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -10,6 +10,7 @@
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::mark::Router;
 use lagoongauge::mark::held::HeldPackets;
+use lagoongauge::mark::warmup::HostGroup;
 use lagoongauge::roster::{Entry, FeedStatuses, MergeOutcome, Roster, TargetRecord};
 use lagoongauge::time::{Instant, Span};
 
@@ -63,6 +64,8 @@
 /// State of an entry host.
 #[derive(Debug)]
 pub struct State {
+    /// Id of this host.
+    host: HostId,
     /// Clock of the process.
     pub clock: Clock,
     /// Packet counters of the data path.
@@ -85,6 +88,7 @@
 impl State {
     /// Creates the state, and the receiver of the wake-ups to release held packets.
     pub(super) fn new(
+        host: HostId,
         clock: Clock,
         router: Router,
         decisions: DecisionLog,
@@ -102,6 +106,7 @@
             synced: false,
         };
         let state = Self {
+            host,
             clock,
             counters: Counters::default(),
             decisions,
@@ -251,11 +256,17 @@
         }
         cluster.neighbours = neighbours;
         let confirmed = cluster.feed_statuses.is_current();
-        let local_hosts = cluster.neighbours.iter().filter(|neighbour| neighbour.local).count();
+        let local = cluster.neighbours.iter().filter(|neighbour| neighbour.local);
+        let others: Vec<HostId> = local.map(|neighbour| neighbour.host).collect();
+        let local_hosts = others.len();
+        // A full list may leave out hosts.
+        let complete = local_hosts < Neighbour::MAX_COUNT;
+        let group = complete.then_some(HostGroup { own: self.host, others });
         drop(cluster);
         let mut router = self.router();
         router.set_current(self.clock.now(), confirmed);
         router.set_local_hosts(local_hosts as u32);
+        router.set_host_group(group);
     }
 
     /// Records that a feed was connected or lost.
