--- a/lagoongauge/tests/marks/warmup.rs
+++ b/lagoongauge/tests/marks/warmup.rs
@@ -4,8 +4,9 @@
 
 use lagoongauge::catalog::{Catalog, RawService};
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::warmup::{HostGroup, ServiceLimit, WarmupBudget};
+use lagoongauge::mark::warmup::HostGroup;
 use lagoongauge::mark::{Cause, Features, SegmentKind, Verdict, WarmupLimit};
+use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::{Instant, Span};
 use proptest::prelude::*;
 
@@ -41,7 +42,7 @@
 }
 
 fn warm_up(fixture: &mut Fixture, target: u64) {
-    let warming = lagoongauge::roster::Entry { warmup: WARMUP, ..entry(target, "desk") };
+    let warming = Entry { warmup: WARMUP, ..entry(target, "desk") };
     fixture.set_entry(&warming);
 }
 
@@ -170,7 +171,7 @@
     assert_eq!(target_of(fixture.open(10)), TargetId(2));
 }
 
-/// Everything that may happen to one of several hosts.
+/// Everything that may happen to several hosts and their targets.
 #[derive(Debug, Clone, Copy)]
 enum Event {
     /// All hosts go on for this many tenths of a second.
@@ -179,141 +180,206 @@
     Pause(u8),
     Cut(u8),
     Reconnect(u8),
+    /// These targets, as bits, end and others start in their place.
+    Replace(u8),
 }
 
 fn event() -> impl Strategy<Value = Event> {
+    let host = 0..HOSTS;
     prop_oneof![
-        6 => (1..25u8).prop_map(Event::Run),
-        1 => (0..HOSTS).prop_map(Event::Start),
-        1 => (0..HOSTS).prop_map(Event::Pause),
-        1 => (0..HOSTS).prop_map(Event::Cut),
-        1 => (0..HOSTS).prop_map(Event::Reconnect),
+        8 => (1..40u8).prop_map(Event::Run),
+        1 => host.clone().prop_map(Event::Start),
+        1 => host.clone().prop_map(Event::Pause),
+        1 => host.clone().prop_map(Event::Cut),
+        1 => host.prop_map(Event::Reconnect),
+        3 => (1..ALL_TARGETS).prop_map(Event::Replace),
+        1 => Just(Event::Replace(ALL_TARGETS)),
     ]
 }
 
-const HOSTS: u8 = 6;
+const HOSTS: u8 = 5;
 
-/// Time after its last contact for which other hosts still list a host.
+const TARGETS: u8 = 3;
+
+/// All targets, as bits.
+const ALL_TARGETS: u8 = (1 << TARGETS) - 1;
+
+/// Interval between the packets that each host receives.
+const STEP: Span = Span::millis(20);
+
+/// Interval of the control hosts' status messages.
+const STATUS_INTERVAL: Span = Span::millis(400);
+
+/// Time after its last contact for which others list a host.
 const LISTED: Span = Span::seconds(4);
 
 /// Delay with which hosts learn of a change of the list.
 const LIST_DELAY: Span = Span::millis(1200);
 
-/// One entry host with its share of the budgets.
-#[derive(Debug, Clone, Default)]
+const PAUSE: Span = Span::millis(2500);
+
 struct Host {
-    budget: WarmupBudget,
-    started_at: Option<Instant>,
+    fixture: Fixture,
     paused_until: Instant,
     cut: bool,
     last_contact: Instant,
     /// Lists of hosts on their way here.
     lists: VecDeque<(Instant, Vec<HostId>)>,
-    paced_until: Instant,
+    /// Number of targets that it knows to have ended.
+    known_ended: usize,
 }
 
-impl Host {
-    fn is_running(&self, now: Instant) -> bool {
-        now >= self.paused_until
-    }
-}
-
-/// Several hosts that all receive more flows than the only target, which is warming, may take.
+/// Several hosts that receive more flows than warming targets may take.
 struct Group {
     now: Instant,
     hosts: Vec<Host>,
-    limit: ServiceLimit,
-    flows: Vec<Instant>,
+    rate: f64,
+    /// Running targets, each with the instant at which it is warm.
+    targets: Vec<(u64, Instant)>,
+    next_target: u64,
+    ended: Vec<u64>,
+    /// New flows to warming targets.
+    flows: Vec<(u64, Instant)>,
+    callers: u16,
 }
 
 impl Group {
     fn new(rate: f64) -> Self {
         let now = Instant(100_000);
-        let limit = ServiceLimit { flows: LIMIT.flows_per_second(rate), warmup: WARMUP };
-        let hosts = vec![Host::default(); usize::from(HOSTS)];
-        Self { now, hosts, limit, flows: Vec::new() }
+        let targets = (1..=u64::from(TARGETS)).map(|target| (target, now)).collect();
+        let (hosts, flows, ended) = (Vec::new(), Vec::new(), Vec::new());
+        let next_target = u64::from(TARGETS) + 1;
+        let mut group = Self { now, hosts, rate, targets, next_target, ended, flows, callers: 0 };
+        group.hosts = (0..HOSTS).map(|host| group.start_host(host)).collect();
+        group
+    }
+
+    fn start_host(&self, host: u8) -> Host {
+        let mut fixture = limited_host(u32::from(host), 0, &[], self.rate);
+        fixture.router.set_host_group(None);
+        fixture.now = self.now;
+        fixture.tick();
+        let mut host = Host {
+            fixture,
+            paused_until: self.now,
+            cut: false,
+            last_contact: Instant::default(),
+            lists: VecDeque::new(),
+            known_ended: self.ended.len(),
+        };
+        host.learn_targets(self.now, &self.targets, &[]);
+        host
     }
 
     fn apply(&mut self, event: Event) {
         match event {
-            Event::Run(tenths) => (0..u32::from(tenths) * 10).for_each(|_| self.step()),
-            Event::Start(host) => {
-                let started_at = Some(self.now);
-                self.hosts[usize::from(host)] = Host { started_at, ..Host::default() };
-            }
-            Event::Pause(host) => {
-                let host = &mut self.hosts[usize::from(host)];
-                host.paused_until = self.now + Span::millis(2500);
-            }
+            Event::Run(tenths) => (0..u64::from(tenths) * 100 / STEP.0).for_each(|_| self.step()),
+            Event::Start(host) => self.hosts[usize::from(host)] = self.start_host(host),
+            Event::Pause(host) => self.hosts[usize::from(host)].paused_until = self.now + PAUSE,
             Event::Cut(host) => self.hosts[usize::from(host)].cut = true,
             Event::Reconnect(host) => self.hosts[usize::from(host)].cut = false,
+            Event::Replace(bits) => self.replace(bits),
+        }
+    }
+
+    fn replace(&mut self, bits: u8) {
+        for index in (0..usize::from(TARGETS)).filter(|index| bits & (1 << index) != 0) {
+            let started = (self.next_target, self.now + WARMUP);
+            self.next_target += 1;
+            self.ended.push(std::mem::replace(&mut self.targets[index], started).0);
         }
     }
 
     fn step(&mut self) {
-        self.now = self.now + Span::millis(10);
+        self.now = self.now + STEP;
         let now = self.now;
-        let is_listed = |host: &&(usize, Host)| {
-            host.1.started_at.is_some() && now.since(host.1.last_contact) < LISTED
-        };
-        let hosts: Vec<(usize, Host)> = self.hosts.iter().cloned().enumerate().collect();
-        let listed: Vec<HostId> =
-            hosts.iter().filter(is_listed).map(|(index, _)| HostId(*index as u32)).collect();
-        for (index, host) in self.hosts.iter_mut().enumerate() {
-            let running = host.started_at.is_some() && host.is_running(now);
-            if running && !host.cut && now.0.is_multiple_of(400) {
-                // A pause that has just ended shows as a stall before anything else is handled.
-                if now.since(host.last_contact) >= SECOND {
-                    host.budget.record_disturbance(now);
-                }
-                host.budget.record_contact(now);
-                host.last_contact = now;
-                host.lists.push_back((now + LIST_DELAY, listed.clone()));
+        let listed: Vec<HostId> = (0u32..)
+            .zip(&self.hosts)
+            .filter(|(_, host)| now.since(host.last_contact) < LISTED)
+            .map(|(index, _)| HostId(index))
+            .collect();
+        for (own, host) in (0u32..).zip(&mut self.hosts) {
+            if now < host.paused_until {
+                continue;
+            }
+            host.fixture.now = now;
+            host.exchange(now, HostId(own), &listed);
+            if !host.cut && host.known_ended < self.ended.len() {
+                host.learn_targets(now, &self.targets, &self.ended[host.known_ended..]);
+                host.known_ended = self.ended.len();
             }
-            while host.lists.front().is_some_and(|(at, _)| running && *at <= now) {
-                let Some((_, list)) = host.lists.pop_front() else { break };
-                let own = HostId(index as u32);
-                let others = list.into_iter().filter(|host| *host != own).collect();
-                host.budget.set_group(Some(HostGroup { own, others }));
+            self.callers = self.callers.wrapping_add(1);
+            let verdict = host.fixture.open(self.callers);
+            if let Verdict::Forward { target, .. } = verdict
+                && self.targets.iter().any(|(id, warm_at)| *id == target.0 && now < *warm_at)
+            {
+                self.flows.push((target.0, now));
             }
-            let spacing = host.budget.spacing(now, self.limit, TargetId(7));
-            if let Some(spacing) = spacing.filter(|_| running && now >= host.paced_until) {
-                host.paced_until = now + spacing;
-                self.flows.push(now);
+            if now.0.is_multiple_of(100) {
+                host.fixture.tick();
             }
         }
     }
 
-    /// Returns the most flows in any second.
+    /// Returns the most flows to a warming target in any second.
     fn worst_second(&self) -> usize {
-        let in_second = |start: &Instant| {
-            let flows = self.flows.iter().filter(|at| **at >= *start && **at <= *start + SECOND);
-            flows.count()
+        let in_second = |(target, start): &(u64, Instant)| {
+            let flows = self.flows.iter().filter(|(other, _)| other == target);
+            flows.filter(|(_, at)| *at >= *start && *at <= *start + SECOND).count()
         };
         self.flows.iter().map(in_second).max().unwrap_or(0)
     }
 }
 
+impl Host {
+    /// Receives what control hosts report.
+    fn exchange(&mut self, now: Instant, own: HostId, listed: &[HostId]) {
+        if !self.cut && now.0.is_multiple_of(STATUS_INTERVAL.0) {
+            self.fixture.router.set_current(now, true);
+            self.last_contact = now;
+            self.lists.push_back((now + LIST_DELAY, listed.to_vec()));
+        }
+        while self.lists.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, list)) = self.lists.pop_front() else { return };
+            let others = list.into_iter().filter(|host| *host != own).collect();
+            self.fixture.router.set_host_group(Some(HostGroup { own, others }));
+        }
+    }
+
+    /// Receives the latest announcements of all targets, and which have ended.
+    fn learn_targets(&mut self, now: Instant, targets: &[(u64, Instant)], ended: &[u64]) {
+        for (target, warm_at) in targets {
+            let warmup = warm_at.since(now);
+            self.fixture.set_entry(&Entry { warmup, ..entry(*target, "desk") });
+        }
+        for target in ended {
+            self.fixture.set_phase(TargetId(*target), Phase::Gone);
+        }
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 100, ..ProptestConfig::default() })]
 
+    /// Load pattern: targets return together while hosts join, restart, pause and are cut off.
     #[test]
     fn no_second_exceeds_the_limit(
         rate in 0.0..30.0f64,
-        events in proptest::collection::vec(event(), 1..60),
+        events in proptest::collection::vec(event(), 1..40),
     ) {
         let mut group = Group::new(rate);
-        (0..HOSTS).for_each(|host| group.apply(Event::Start(host)));
+        group.apply(Event::Run(80));
         events.iter().for_each(|event| group.apply(*event));
         group.apply(Event::Run(10));
-        prop_assert!(group.worst_second() as f64 <= group.limit.flows);
+        prop_assert!(group.worst_second() as f64 <= LIMIT.flows_per_second(rate));
     }
 }
 
 #[test]
 fn settled_hosts_use_the_shared_part_of_the_budget() {
     let mut group = Group::new(4.0);
-    (0..HOSTS).for_each(|host| group.apply(Event::Start(host)));
-    group.apply(Event::Run(100));
+    group.apply(Event::Run(80));
+    group.apply(Event::Replace(ALL_TARGETS));
+    group.apply(Event::Run(15));
     assert_eq!(group.worst_second(), 5, "half of 11 flows a second");
 }
