Evacuate data centres on operators' orders

Cause: the calls to evacuate a data centre and to take it back were answered 404, and nothing kept or obeyed such an order.

Change: orders go through the replicated log beside the catalog document, feeds carry the evacuated data centres to entry hosts, and routers place no new flows there; see docs/design/evacuation.md.

Ruled out: soft state as for targets, which power-offs lose; a field of the catalog document, which operators replace as a whole.

--- a/lagoongauge/src/catalog/mod.rs
+++ b/lagoongauge/src/catalog/mod.rs
@@ -3,10 +3,11 @@
 //!
 //! An operator submits a complete document with its own version. [`Catalog`] is the validated
 //! content, [`CatalogStore`] the replicated state that keeps the newest accepted document as it was
-//! submitted. See "Catalog" in docs/PLATFORM.md.
+//! submitted, and beside it the [`Evacuations`] of data centres. See "Catalog" in docs/PLATFORM.md.
 //!
 //! Errors: `InvalidValue` from validation, `StorageCorrupt` for a state that can't be decoded.
 
+mod evacuation;
 mod raw;
 mod store;
 
@@ -16,6 +17,9 @@
 
 use crate::time::Span;
 
+pub use self::evacuation::{
+    CentreState, EvacuatedCentres, EvacuationOrder, Evacuations, OrderOutcome,
+};
 pub use self::raw::{RawCatalog, RawRoute, RawService, RawWeightedService};
 pub use self::store::{CatalogStore, Document};
 
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -21,7 +21,7 @@
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::placement::{Candidate, LeastCost, Policy};
-use super::target::TargetKey;
+use super::target::{Target, TargetKey};
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
 use super::{PacketTimes, Segment, SegmentKind};
@@ -67,6 +67,8 @@
     centres: Centres,
     /// The data centre of this host.
     own_centre: CentreKey,
+    /// Evacuated data centres.
+    evacuated: Vec<CentreKey>,
     flows: FlowTable,
     candidates: Vec<(TargetKey, Candidate)>,
     response_times: Vec<Span>,
@@ -108,6 +110,7 @@
             targets: TargetTable::default(),
             centres,
             own_centre,
+            evacuated: Vec::new(),
             flows,
             candidates: Vec::new(),
             response_times: Vec::new(),
@@ -135,7 +138,10 @@
 
     /// Returns the number of targets that accept new flows.
     pub fn serving_count(&self) -> usize {
-        self.targets.iter().filter(|target| target.accepts_flows() && !target.silent).count()
+        let serves = |target: &&Target| {
+            target.accepts_flows() && !target.silent && !self.is_evacuated(target.centre)
+        };
+        self.targets.iter().filter(serves).count()
     }
 
     /// Returns the time since a target's last activity, or `None` for an unknown target.
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -32,7 +32,7 @@
     }
 
     fn demand(&self, now: Instant, service: &str) -> Demand {
-        let (slots, waiting) = self.targets.slots_and_waiting(now, service);
+        let (slots, waiting) = self.targets.slots_and_waiting(now, service, &self.evacuated);
         Demand { slots, waiting, hosts: self.local_hosts + 1 }
     }
 }
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -46,12 +46,18 @@
 
     /// Returns the slots of a service's targets in this host's data centre, and the requests of this
     /// host that wait at any of its targets or are about to.
-    /// Targets that don't answer are left out.
-    pub(super) fn slots_and_waiting(&self, now: Instant, service: &str) -> (u32, u32) {
+    /// Targets that don't answer are left out, as are the slots of evacuated data centres.
+    pub(super) fn slots_and_waiting(
+        &self,
+        now: Instant,
+        service: &str,
+        evacuated: &[CentreKey],
+    ) -> (u32, u32) {
         let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
         let answering = targets.filter(|target| !target.silent && !target.is_suspect(now));
         answering.fold((0, 0), |(slots, waiting), target| {
-            let serves = target.local && target.accepts_flows();
+            let serves =
+                target.local && target.accepts_flows() && !evacuated.contains(&target.centre);
             let own = u32::from(target.own_load.waiting) + u32::from(target.opening);
             (slots + if serves { u32::from(target.slots) } else { 0 }, waiting + own)
         })
--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -1,4 +1,4 @@
-//! Feeds: streams of the catalog and the targets to entry hosts.
+//! Feeds: streams of the catalog, the targets and the evacuated data centres to entry hosts.
 
 use std::cell::Cell;
 use std::io::Result;
@@ -44,7 +44,8 @@
     let (mut reader, mut writer) = stream.split();
     let entry_version = Cell::new(version);
     let opened = Instant::now();
-    let mut sent = SentState { revision: 0, version, secondary, opened, caught_up: opened };
+    let mut sent =
+        SentState { revision: 0, evacuations: 0, version, secondary, opened, caught_up: opened };
     let mut wakeups = host.add_feed();
     host.record_entry_host(entry, centre.clone());
     let sender_task = async {
@@ -74,6 +75,8 @@
 struct SentState {
     /// Revision of the roster.
     revision: u64,
+    /// Revision of the evacuated data centres.
+    evacuations: u64,
     /// Version of the catalog.
     version: u64,
     /// Whether another feed of the entry host is its primary source of catalogs.
@@ -113,6 +116,11 @@
     sent: &mut SentState,
     writer: &mut W,
 ) -> Result<()> {
+    let evacuated = host.evacuated_centres();
+    if evacuated.revision > sent.evacuations {
+        sent.evacuations = evacuated.revision;
+        frame::write(writer, &FeedMessage::Evacuated(evacuated), IO_TIMEOUT).await?;
+    }
     while sent.may_send_targets()
         && let Some(batch) = host.target_batch(sent.revision)?
     {
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod documents;
+mod evacuation;
 mod gossip;
 
 use std::cell::{Cell, RefCell, RefMut};
@@ -12,7 +13,7 @@
 use async_std::task::sleep;
 use futures::channel::mpsc;
 use indexmap::IndexMap;
-use lagoongauge::catalog::{CatalogStore, Document};
+use lagoongauge::catalog::{CatalogStore, Document, EvacuatedCentres};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::{Message, Store, VoterHealth};
@@ -24,6 +25,7 @@
 use super::link::Link;
 use super::message::{Neighbour, PeerMessage};
 use super::metrics::Metrics;
+use super::stall::StallDetector;
 use super::target_batches::{TargetBatch, TargetBatches};
 use crate::daemon::Clock;
 use crate::engine::Engine;
@@ -57,6 +59,8 @@
     pub bounds: Bounds,
     /// Number of control hosts that may lose their disks at the same time.
     pub disk_losses: usize,
+    /// Names of the data centres, as far as the settings tell.
+    pub centres: Vec<String>,
 }
 
 /// Entry host fed by a control host.
@@ -72,6 +76,8 @@
     pub setup: Setup,
     /// Its clock.
     pub clock: Clock,
+    /// Clock that includes the time for which the machine is suspended.
+    boot_clock: Clock,
     pub(super) engine: RefCell<Engine<S, CatalogStore>>,
     pub(super) roster: RefCell<Roster>,
     batches: RefCell<TargetBatches>,
@@ -81,6 +87,11 @@
     heartbeats: RefCell<IndexMap<TargetId, Heartbeat>>,
     /// Senders that wake the feeds.
     feeds: RefCell<Vec<mpsc::Sender<()>>>,
+    stall: Cell<StallDetector>,
+    /// When the host started, on its clock.
+    started_at: Instant,
+    /// The evacuated data centres that were logged last.
+    logged_evacuated: RefCell<EvacuatedCentres>,
     /// Whether the host was in contact with a quorum at the previous tick.
     was_current: Cell<bool>,
     /// The latest document in the form that is sent to entry hosts.
@@ -99,6 +110,7 @@
         metrics: Metrics,
     ) -> Self {
         let roster = RefCell::new(Roster::new(setup.announce_interval));
+        let boot_clock = Clock::start_boottime();
         Self {
             setup,
             clock,
@@ -109,6 +121,10 @@
             entry_hosts: RefCell::default(),
             heartbeats: RefCell::default(),
             feeds: RefCell::default(),
+            stall: Cell::new(StallDetector::new(boot_clock.now())),
+            boot_clock,
+            started_at: clock.now(),
+            logged_evacuated: RefCell::default(),
             was_current: Cell::new(false),
             compressed: RefCell::default(),
             metrics,
@@ -158,6 +174,18 @@
         Rc::clone(&self.compressed.borrow())
     }
 
+    /// Returns the evacuated data centres known to be accepted.
+    pub fn evacuated_centres(&self) -> EvacuatedCentres {
+        self.engine.borrow().state().evacuations().evacuated()
+    }
+
+    /// Returns the version of the document and the revision of the evacuations.
+    fn state_versions(&self) -> (u64, u64) {
+        let engine = self.engine.borrow();
+        let state = engine.state();
+        (state.document().version, state.evacuations().revision())
+    }
+
     /// Returns all known control hosts, including this one.
     pub fn controls(&self) -> Vec<HostId> {
         let mut hosts: Vec<HostId> = vec![self.setup.host];
@@ -232,10 +260,10 @@
             }
             PeerMessage::Log(bytes) => match Message::from_bytes(&bytes) {
                 Ok(message) => {
-                    let version = self.document().version;
+                    let versions = self.state_versions();
                     self.engine.borrow_mut().handle_message(now, message);
                     self.flush();
-                    if self.check_quorum() || self.document().version != version {
+                    if self.check_quorum() || self.state_versions() != versions {
                         self.wake_feeds();
                     }
                 }
@@ -300,16 +328,19 @@
     /// changed.
     pub(super) fn tick(&self) {
         let now = self.clock.now();
-        let version = self.document().version;
+        self.record_tick();
+        let versions = self.state_versions();
         self.engine.borrow_mut().tick(now);
         self.flush();
         let newly_silent = self.roster.borrow_mut().tick(now);
         for target in &newly_silent {
             log::warn!("target {target} is silent: several announcements missed");
         }
-        if self.check_quorum() || !newly_silent.is_empty() || self.document().version != version {
+        let changed = self.state_versions() != versions;
+        if self.check_quorum() || !newly_silent.is_empty() || changed {
             self.wake_feeds();
         }
+        self.log_evacuated();
     }
 
     /// Returns whether contact with a quorum was gained or lost since the last call.
--- a/lagoongauged/src/cluster/message.rs
+++ b/lagoongauged/src/cluster/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use lagoongauge::catalog::EvacuatedCentres;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::roster::{Entry, Heartbeat};
 use serde::{Deserialize, Serialize};
@@ -76,6 +77,9 @@
     /// Many changed targets. Entry hosts of earlier versions can't read it, see "Upgrades" in
     /// docs/OPERATIONS.md.
     CompressedTargets(CompressedTargets),
+    /// Evacuated data centres. They are sent only once there was an order, as entry hosts of earlier
+    /// versions can't read them.
+    Evacuated(EvacuatedCentres),
 }
 
 /// Another entry host with which an entry host shares its load counts.
--- a/lagoongauged/src/cluster/metrics.rs
+++ b/lagoongauged/src/cluster/metrics.rs
@@ -22,6 +22,7 @@
     current: IntGauge,
     entry_hosts: IntGauge,
     targets: IntGaugeVec,
+    evacuated_centres: IntGauge,
 }
 
 /// Values of the label `state`, in the order of `Host::count_targets`.
@@ -50,6 +51,8 @@
             leads: registry.gauge("leads", "1 while this host leads, else 0.")?,
             current: registry.gauge("current", current_help)?,
             entry_hosts: registry.gauge("entry_hosts", entry_hosts_help)?,
+            evacuated_centres: registry
+                .gauge("evacuated_centres", "Data centres that operators have evacuated.")?,
             targets: registry.gauge_vec("targets", "Targets that are known, by state.", "state")?,
             registry,
         })
@@ -69,6 +72,7 @@
         self.spare_voters.set(health.spare() as i64);
         self.leads.set(i64::from(host.leader() == Some(host.setup.host)));
         self.current.set(i64::from(host.is_current()));
+        self.evacuated_centres.set(host.evacuated_centres().centres.len() as i64);
         self.entry_hosts.set(host.entry_hosts().len() as i64);
         for (state, count) in TARGET_STATES.iter().zip(host.count_targets()) {
             self.targets.with_label_values(&[state]).set(count);
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -1,7 +1,7 @@
 //! Control hosts that discover each other from a few seeds and feed entry hosts.
 //!
-//! The catalog is replicated through the consensus log, the roster of targets is soft state, and
-//! both are sent to the entry hosts that subscribe. No list of hosts has to be maintained: a host
+//! The catalog and the evacuated data centres are replicated through the consensus log, the roster of
+//! targets is soft state, and all are sent to the entry hosts that subscribe. No list of hosts has to be maintained: a host
 //! joins on its own request, and one that stays silent is removed. See "Control hosts" in
 //! docs/PLATFORM.md.
 
@@ -15,6 +15,7 @@
 mod metrics;
 mod roster_file;
 mod run;
+pub mod stall;
 pub mod target_batches;
 
 pub use self::bounds::{Bounds, ExceededBound};
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -9,7 +9,7 @@
 use async_std::task::sleep;
 use futures::future::pending;
 use futures::{AsyncReadExt, AsyncWrite, FutureExt, pin_mut, select};
-use lagoongauge::catalog::{Catalog, Document};
+use lagoongauge::catalog::{Catalog, Document, EvacuatedCentres};
 use lagoongauge::id::HostId;
 
 use super::state::{Decode, FEED_COUNT, PRIMARY_FEED, SharedState};
@@ -135,6 +135,7 @@
     frame::write(&mut writer, &hello, FEED_TIMEOUT).await?;
     let mut last_current = Instant::now();
     let mut pending_catalog = None;
+    let mut pending_evacuated: Option<EvacuatedCentres> = None;
     loop {
         match frame::read(&mut reader, FEED_TIMEOUT).await? {
             FeedMessage::Catalog(data) => pending_catalog = decode(decoder, &data.decompress()?),
@@ -142,6 +143,7 @@
             FeedMessage::CompressedTargets(targets) => {
                 state.set_targets(feed, targets.decompress()?);
             }
+            FeedMessage::Evacuated(evacuated) => pending_evacuated = Some(evacuated),
             FeedMessage::Status { current, controls, neighbours } => {
                 state.set_status(feed, current, controls, neighbours);
                 if current {
@@ -150,6 +152,13 @@
                 send_ack(&mut writer, state.version()).await?;
             }
         }
+        // Evacuated data centres come before the catalog, without which no packet is forwarded.
+        if let Some(evacuated) = &pending_evacuated {
+            state.set_evacuated(feed, evacuated);
+            if evacuated.revision <= state.evacuated_revision() {
+                pending_evacuated = None;
+            }
+        }
         // The first catalog may be rejected until the control host is known to be in contact with a
         // quorum, see `State::set_catalog`; it is offered again after each message.
         if let Some(catalog) = &pending_catalog {
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -28,6 +28,7 @@
     flows: IntGauge,
     targets: IntGauge,
     ready: IntGauge,
+    evacuated_centres: IntGauge,
 }
 
 impl Metrics {
@@ -64,6 +65,8 @@
             flows: registry.gauge("flows", "Flows that are remembered.")?,
             targets: registry.gauge("serving_targets", "Targets that take new flows.")?,
             ready: registry.gauge("ready", "1 while the fabric may send packets here, else 0.")?,
+            evacuated_centres: registry
+                .gauge("evacuated_centres", "Data centres that get no new flows from here.")?,
             registry,
         })
     }
@@ -94,6 +97,7 @@
         self.flows.set(flows as i64);
         self.targets.set(targets as i64);
         self.ready.set(i64::from(state.is_ready()));
+        self.evacuated_centres.set(state.evacuated_count() as i64);
         self.registry.render()
     }
 }
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexSet;
-use lagoongauge::catalog::{Catalog, Document};
+use lagoongauge::catalog::{Catalog, Document, EvacuatedCentres};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::mark::Router;
@@ -45,6 +45,7 @@
     feed_statuses: FeedStatuses<FEED_COUNT>,
     controls: Vec<HostId>,
     neighbours: Vec<Neighbour>,
+    evacuated: EvacuatedCentres,
     /// Whether each feed has delivered targets.
     has_targets: [bool; FEED_COUNT],
     /// Whether a feed has delivered the full state of its control host. During `STARTUP_GRACE` only
@@ -98,6 +99,7 @@
             feed_statuses: FeedStatuses::default(),
             controls: seeds,
             neighbours: Vec::new(),
+            evacuated: EvacuatedCentres::default(),
             has_targets: [false; FEED_COUNT],
             synced: false,
         };
@@ -137,6 +139,16 @@
         self.router().version()
     }
 
+    /// Returns the number of evacuated data centres.
+    pub fn evacuated_count(&self) -> usize {
+        self.cluster().evacuated.centres.len()
+    }
+
+    /// Returns the revision of the evacuated data centres in force.
+    pub(super) fn evacuated_revision(&self) -> u64 {
+        self.cluster().evacuated.revision
+    }
+
     /// Returns the numbers of tracked flows and of targets that accept new flows.
     pub fn counts(&self) -> (usize, usize) {
         let router = self.router();
@@ -193,10 +205,9 @@
     /// with a quorum, or once `STARTUP_GRACE` has passed. Otherwise it might start with an older
     /// version than was active before.
     pub(super) fn set_catalog(&self, feed: usize, catalog: &Catalog) -> bool {
-        let now = self.clock.now();
         let current = self.cluster().feed_statuses.is_current_feed(feed);
         let mut router = self.router();
-        let early = router.version() == 0 && now.since(self.start_time) < STARTUP_GRACE;
+        let early = router.version() == 0 && self.is_early();
         if (early && !current) || catalog.version() <= router.version() {
             return false;
         }
@@ -206,6 +217,35 @@
         true
     }
 
+    /// Replaces the evacuated data centres if they are newer than those in force.
+    ///
+    /// A host that has just started applies them under the same conditions as a catalog, see
+    /// [`Self::set_catalog`].
+    pub(super) fn set_evacuated(&self, feed: usize, evacuated: &EvacuatedCentres) {
+        let mut cluster = self.cluster();
+        let early = self.is_early() && cluster.evacuated.revision == 0;
+        let trusted = !early || cluster.feed_statuses.is_current_feed(feed);
+        if !trusted || evacuated.revision <= cluster.evacuated.revision {
+            return;
+        }
+        let former = std::mem::replace(&mut cluster.evacuated, evacuated.clone());
+        self.router().set_evacuated(&evacuated.centres);
+        drop(cluster);
+        if former.centres != evacuated.centres {
+            log::info!(
+                belief = "evacuated", revision = evacuated.revision,
+                centres = evacuated.centres.join(" ").as_str();
+                "evacuated data centres changed"
+            );
+        }
+    }
+
+    /// Returns whether the host has just started, so that only control hosts in contact with a quorum
+    /// are trusted.
+    fn is_early(&self) -> bool {
+        self.clock.now().since(self.start_time) < STARTUP_GRACE
+    }
+
     /// Merges targets received from a feed.
     pub(super) fn set_targets(&self, feed: usize, targets: Vec<(Entry, bool)>) {
         let now = self.clock.now();
@@ -242,7 +282,7 @@
         if cluster.feed_statuses.is_current_feed(feed) != current {
             self.update_silent(now, &mut cluster, |statuses| statuses.set_current(feed, current));
         }
-        let early = self.clock.now().since(self.start_time) < STARTUP_GRACE;
+        let early = self.is_early();
         // The secondary feed reports its status before it sends the targets.
         let complete = feed == PRIMARY_FEED || cluster.has_targets[feed];
         cluster.synced |= complete && (current || !early);
