--- a/lagoongauged/tests/entry_start.rs
+++ b/lagoongauged/tests/entry_start.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use lagoongauge::catalog::{Catalog, Document, Idempotency};
+use lagoongauge::catalog::{Catalog, Document, EvacuatedCentres, Idempotency};
 use lagoongauge::catalog::{RawCatalog, RawRoute, RawWeightedService};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
@@ -114,6 +114,11 @@
         self.send(&FeedMessage::Catalog(CompressedDocument::compress(&document).unwrap()))
     }
 
+    fn send_evacuated(&mut self, revision: u64, centres: &[&str]) -> Option<()> {
+        let centres = centres.iter().map(ToString::to_string).collect();
+        self.send(&FeedMessage::Evacuated(EvacuatedCentres { revision, centres }))
+    }
+
     /// Sends statuses until the feed is closed, or for some time.
     fn repeat_status(&mut self, current: bool, duration: Duration) -> Option<()> {
         let started = Instant::now();
@@ -231,3 +236,46 @@
     let serving_after = run_until(101, script, TEST_LIMIT, |state| state.counts().1 == 1);
     assert!(serving_after.is_some(), "the target still counts as silent after {TEST_LIMIT:?}");
 }
+
+/// The target's data centre is evacuated, so that the host has no target for new flows when it is
+/// ready; the former state of a control host that was cut off does not undo that.
+#[test]
+fn a_host_is_ready_with_the_newest_evacuation_and_keeps_it() {
+    let script: Script = Arc::new(|mut feed, secondary| {
+        if secondary {
+            feed.send_evacuated(2, &[])?;
+            return feed.repeat_status(false, TEST_LIMIT);
+        }
+        feed.send_evacuated(3, &["a"])?;
+        feed.send_target(false)?;
+        feed.send_status(true)?;
+        feed.send_catalog()?;
+        feed.repeat_status(true, 3 * STATUS_INTERVAL)?;
+        feed.send_evacuated(1, &[])?;
+        feed.repeat_status(true, TEST_LIMIT)
+    });
+    let (ready, obeyed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(true)));
+    let (seen, kept) = (Arc::clone(&ready), Arc::clone(&obeyed));
+    let ended = run_until(102, script, TEST_LIMIT / 2, move |state| {
+        seen.fetch_or(state.is_ready(), Ordering::SeqCst);
+        let evacuated = state.counts().1 == 0 && state.evacuated_count() == 1;
+        kept.fetch_and(evacuated || !state.is_ready(), Ordering::SeqCst);
+        false
+    });
+    assert!(ended.is_none() && ready.load(Ordering::SeqCst), "the host did not become ready");
+    assert!(obeyed.load(Ordering::SeqCst), "the host was ready without the evacuation");
+}
+
+/// At its start a host trusts no control host without a quorum, whose state may be older than what
+/// was in force before; only after a while is that better than nothing.
+#[test]
+fn a_starting_host_takes_no_evacuation_from_a_control_host_without_quorum_at_first() {
+    let script: Script = Arc::new(|mut feed, _| {
+        feed.send_evacuated(3, &["a"])?;
+        feed.send_target(false)?;
+        feed.repeat_status(false, TEST_LIMIT)
+    });
+    let taken_after = run_until(103, script, TEST_LIMIT, |state| state.evacuated_count() == 1);
+    let taken_after = taken_after.expect("the evacuation is never taken");
+    assert!(taken_after > Duration::from_millis(1000), "taken after {taken_after:?}");
+}
