Let the soak evacuate a data centre and take it back

Half of the targets stand in a second data centre, which operators evacuate and take back in turns while faults go on. Judged: a flow begins there later than its bound after the order was acknowledged, an order is refused or not acknowledged in time, and the newest acknowledged order is not in force at the end. Whether a service has a target counts only targets that all hosts may use, so refusals and missing answers are judged as before. New mutant: control hosts that forget orders at each start.

--- a/soak/src/context.rs
+++ b/soak/src/context.rs
@@ -50,6 +50,8 @@
     pub packets: u64,
     /// Accepted configurations.
     pub configurations: u64,
+    /// Accepted orders to evacuate a data centre or to withdraw that.
+    pub orders: u64,
     /// Reads of the configuration.
     pub reads: u64,
     /// Targets whose draining was acknowledged.
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -21,6 +21,9 @@
 /// Time after which a target whose draining was acknowledged receives no new flow.
 pub const DRAIN_DEADLINE: Millis = 3000;
 
+/// Time after which no target in an evacuated data centre receives a new flow.
+pub const EVACUATION_DEADLINE: Millis = 5000;
+
 /// Time for which packets in flight may still be routed by an older configuration.
 const IN_FLIGHT_TIME: Millis = 250;
 
@@ -41,6 +44,8 @@
     Route,
     /// A draining target receives no new flow.
     Drain,
+    /// No target in an evacuated data centre receives a new flow.
+    Evacuated,
     /// An accepted configuration becomes active in time.
     Applied,
     /// A host never returns to an older configuration.
@@ -48,8 +53,8 @@
     /// A read returns the content of a version unchanged, and never a version older than one that
     /// was accepted at least [`APPLY_DEADLINE`] earlier.
     Read,
-    /// Invalid configurations are rejected; valid ones are accepted in time, and not rejected when
-    /// they are repeated.
+    /// Invalid configurations are rejected; valid ones and orders are accepted in time, and not
+    /// rejected when they are repeated.
     Answer,
     /// A flow is not reset while its target is alive.
     Reset,
@@ -61,7 +66,7 @@
     Served,
     /// A process exits only when it is asked to, and then in time and with success.
     Ended,
-    /// Accepted configurations survive all faults.
+    /// Accepted configurations and orders survive all faults.
     Kept,
 }
 
@@ -114,6 +119,13 @@
     }
 }
 
+/// The newest order about the data centre that operators evacuate.
+#[derive(Debug, Clone, Copy)]
+struct Order {
+    evacuated: bool,
+    accepted_at: Option<Millis>,
+}
+
 /// Collects the observations of a run and reports violated invariants.
 #[derive(Debug, Default)]
 pub struct Judge {
@@ -127,6 +139,7 @@
     observed_versions: IndexMap<Ipv4Addr, (u64, Millis)>,
     /// Targets whose draining was acknowledged, with the time.
     drained_targets: IndexMap<u64, Millis>,
+    order: Option<Order>,
     /// When a target last crashed.
     last_crash: Option<Millis>,
     findings: Vec<Finding>,
@@ -204,6 +217,46 @@
         self.drained_targets.entry(target).or_insert(now);
     }
 
+    /// Records that an order to evacuate the data centre, or to withdraw that, is sent.
+    pub fn record_order_sent(&mut self, evacuated: bool) {
+        self.order = Some(Order { evacuated, accepted_at: None });
+    }
+
+    /// Records that the order sent last was accepted.
+    pub fn record_order_accepted(&mut self, now: Millis) {
+        if let Some(order) = &mut self.order {
+            order.accepted_at.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether the data centre is evacuated, or `None` while that is uncertain.
+    pub fn is_evacuated(&self) -> Option<bool> {
+        match self.order {
+            None => Some(false),
+            Some(order) => order.accepted_at.map(|_| order.evacuated),
+        }
+    }
+
+    /// Returns whether all entry hosts may use the targets of that data centre.
+    pub fn takes_flows(&self, now: Millis) -> bool {
+        self.order.is_none_or(|order| {
+            let settled = order.accepted_at.is_some_and(|at| at + EVACUATION_DEADLINE <= now);
+            !order.evacuated && settled
+        })
+    }
+
+    /// Checks a flow whose first packet reached a target in that data centre.
+    pub fn check_evacuated(&mut self, packet: FirstPacket) {
+        let FirstPacket { host, sent_at, seen_at } = packet;
+        let Some(Order { evacuated: true, accepted_at: Some(at) }) = self.order else { return };
+        let late = sent_at > at && seen_at > at + EVACUATION_DEADLINE;
+        if late && self.is_stable(host, seen_at) {
+            let detail =
+                format!("entry host {host} opened a flow in a data centre evacuated at {at}");
+            self.record_finding(seen_at, Promise::Evacuated, detail);
+        }
+    }
+
     /// Records that a target crashed.
     pub fn record_crash(&mut self, now: Millis) {
         self.last_crash = Some(now);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -24,7 +24,7 @@
     /// Runs a host with a deliberate bug; started by runs with --wrong.
     #[bpaf(command, hide)]
     Host {
-        /// The bug: marks, catalog or disk
+        /// The bug: marks, catalog, disk or orders
         #[bpaf(long, argument("VARIANT"))]
         wrong: Mutant,
         /// Port on which the host listens for other hosts
@@ -53,7 +53,7 @@
         /// Folder for the settings, disks and logs of each seed
         #[bpaf(long, argument("FOLDER"), fallback("target/soak".into()))]
         logs: PathBuf,
-        /// Runs hosts with a deliberate bug, which the run must find: marks, catalog or disk
+        /// Runs hosts with a deliberate bug, which the run must find: marks, catalog, disk or orders
         #[bpaf(long, argument("VARIANT"))]
         wrong: Option<Mutant>,
     },
--- a/soak/src/mutant.rs
+++ b/soak/src/mutant.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::fs;
+use std::path::Path;
 use std::str::FromStr;
 
 use lagoon_platform::configuration::ConfigDecoder;
@@ -12,8 +13,11 @@
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::id::TargetId;
 use lagoongauge::mark::{Codec, Mark, Segment};
+use lagoongauge::replica::{Payload, Recovered, Store};
+use lagoongauged::cluster::message::host_id;
 use lagoongauged::daemon::{Reload, Stop};
 use lagoongauged::mark_entry::Decode;
+use lagoongauged::store::open_or_format;
 
 /// The bug of a variant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +28,8 @@
     Catalog,
     /// Control hosts delete their data at each start.
     Disk,
+    /// Control hosts forget orders to evacuate a data centre at each start.
+    Orders,
 }
 
 impl Mutant {
@@ -33,6 +39,7 @@
             Self::Marks => "marks",
             Self::Catalog => "catalog",
             Self::Disk => "disk",
+            Self::Orders => "orders",
         }
     }
 }
@@ -41,9 +48,11 @@
     type Err = String;
 
     fn from_str(text: &str) -> std::result::Result<Self, String> {
-        let all = [Self::Marks, Self::Catalog, Self::Disk];
+        let all = [Self::Marks, Self::Catalog, Self::Disk, Self::Orders];
         let found = all.into_iter().find(|mutant| mutant.name() == text);
-        found.ok_or_else(|| format!("unknown variant {text:?}, expected marks, catalog or disk"))
+        found.ok_or_else(|| {
+            format!("unknown variant {text:?}, expected marks, catalog, disk or orders")
+        })
     }
 }
 
@@ -58,23 +67,49 @@
             let decoder = FirstDocumentDecoder(RefCell::default());
             entry::run_with((PacketCodec, decoder), settings, flags, reload, &stop)
         }
-        Mutant::Disk => entry::run(settings, flags, reload, &stop),
+        Mutant::Disk | Mutant::Orders => entry::run(settings, flags, reload, &stop),
     }
 }
 
 /// Runs a control host with a bug.
 pub fn run_control(mutant: Mutant, listen: u16) -> Result<()> {
     let (settings, flags, reload, stop) = prepare(listen)?;
-    if mutant == Mutant::Disk {
-        let data_dir = ControlSettings::try_from(&settings)?.data_dir;
-        let emptied = fs::remove_dir_all(&data_dir).and_then(|()| fs::create_dir_all(&data_dir));
-        emptied.map_err(|error| {
-            Error::new(Kind::Internal, format!("cannot empty {data_dir:?}: {error}"))
-        })?;
+    match mutant {
+        Mutant::Disk => empty_folder(&ControlSettings::try_from(&settings)?.data_dir)?,
+        Mutant::Orders => forget_orders(&ControlSettings::try_from(&settings)?)?,
+        Mutant::Marks | Mutant::Catalog => {}
     }
     control::run(settings, flags, reload, &stop)
 }
 
+fn empty_folder(folder: &Path) -> Result<()> {
+    fs::remove_dir_all(folder)
+        .and_then(|()| fs::create_dir_all(folder))
+        .map_err(|error| Error::new(Kind::Internal, format!("cannot empty {folder:?}: {error}")))
+}
+
+/// Rewrites the log of a control host without orders to evacuate a data centre.
+fn forget_orders(settings: &ControlSettings) -> Result<()> {
+    let folder = &settings.data_dir;
+    if fs::read_dir(folder).is_ok_and(|mut files| files.next().is_none()) {
+        return Ok(());
+    }
+    let host = host_id(settings.common.address);
+    let store = open_or_format(folder, host, 0, |_| Recovered::default())?;
+    let (identity, mut recovered) = (store.identity(), store.recover()?);
+    drop(store);
+    let nothing = Document::default().to_bytes();
+    for entry in &mut recovered.entries {
+        if let Payload::Command(command) = &mut entry.payload
+            && command.starts_with(&nothing)
+        {
+            *command = nothing.clone();
+        }
+    }
+    empty_folder(folder)?;
+    open_or_format(folder, host, identity.incarnation, |_| recovered).map(drop)
+}
+
 fn prepare(listen: u16) -> Result<(SettingsFile, Flags, Reload, Stop)> {
     let signal_error = |error: std::io::Error| {
         Error::new(Kind::Internal, format!("cannot install signal handlers: {error}"))
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -25,6 +25,12 @@
 /// Share of responses to changes that are dropped.
 const LOST_RESPONSE_SHARE: f64 = 0.05;
 
+/// Path of the data centre that operators evacuate and take back.
+const EVACUATION_PATH: &str = "/lagoongauge/evacuation/b";
+
+/// Shortest and longest time between two orders.
+const ORDER_INTERVAL: (Millis, Millis) = (2000, 14_000);
+
 /// Shortest and longest time between two changes.
 const CHANGE_INTERVAL: (Millis, Millis) = (300, 2500);
 
@@ -68,28 +74,68 @@
 
 /// Sends a version until it is accepted.
 pub async fn put_version(context: SharedContext, version: u64) {
-    let (body, sent_at) = (configuration_text(version), context.now());
+    let body = configuration_text(version);
     context.judge.borrow_mut().record_sent(version);
+    let change =
+        Change { method: Method::Put, path: CONFIG_PATH, body, name: format!("version {version}") };
+    if let Some(now) = send_until_accepted(&context, &change).await {
+        context.judge.borrow_mut().record_accepted(version, now);
+        context.counts.borrow_mut().configurations += 1;
+    }
+}
+
+/// Evacuates a data centre and takes it back in turns until the run is over.
+pub async fn evacuate_in_turns(context: SharedContext) {
+    let mut evacuated = false;
+    while !context.finished.get() {
+        sleep_ms(context.random_range(ORDER_INTERVAL.0..ORDER_INTERVAL.1)).await;
+        evacuated = !evacuated;
+        let method = if evacuated { Method::Post } else { Method::Delete };
+        let name = format!("order {method}");
+        let change = Change { method, path: EVACUATION_PATH, body: String::new(), name };
+        context.judge.borrow_mut().record_order_sent(evacuated);
+        if let Some(now) = send_until_accepted(&context, &change).await {
+            context.judge.borrow_mut().record_order_accepted(now);
+            context.counts.borrow_mut().orders += 1;
+        }
+    }
+}
+
+/// Reads whether the data centre is evacuated.
+pub async fn read_evacuated(context: &Context) -> Option<bool> {
+    let host = context.choose(&context.control_addresses())?;
+    let response = request(host, Method::Get, EVACUATION_PATH, "").await?;
+    serde_json::from_str::<Value>(&response.body).ok()?.get("Evacuated")?.as_bool()
+}
+
+/// A change that an operator sends.
+struct Change {
+    method: Method,
+    path: &'static str,
+    body: String,
+    /// Its name in findings.
+    name: String,
+}
+
+/// Sends a change until it is accepted; returns the time of the response, or `None` if the change was
+/// rejected or the run is over.
+async fn send_until_accepted(context: &Context, change: &Change) -> Option<Millis> {
+    let (name, sent_at) = (&change.name, context.now());
     let mut delay = INITIAL_RETRY_DELAY;
     let mut overdue = false;
     while !context.finished.get() {
-        let Some(host) = context.choose(&context.control_addresses()) else { return };
-        let response = request(host, Method::Put, CONFIG_PATH, &body).await;
+        let host = context.choose(&context.control_addresses())?;
+        let response = request(host, change.method, change.path, &change.body).await;
         let now = context.now();
         match response
             .filter(|_| !context.random_bool(LOST_RESPONSE_SHARE))
             .map(|response| response.status)
         {
-            Some(StatusCode::Ok) => {
-                context.judge.borrow_mut().record_accepted(version, now);
-                context.counts.borrow_mut().configurations += 1;
-                return;
-            }
+            Some(StatusCode::Ok) => return Some(now),
             Some(status) if status.is_client_error() => {
-                let detail =
-                    format!("control host {host} rejected valid version {version}: {status}");
+                let detail = format!("control host {host} rejected valid {name}: {status}");
                 context.record_finding(Promise::Answer, detail);
-                return;
+                return None;
             }
             _ => {}
         }
@@ -99,15 +145,15 @@
             && sent_at < window_start
             && context.judge.borrow().is_control_stable(window_start)
         {
-            let detail = format!(
-                "version {version}, sent at {sent_at}, was not accepted within {ACCEPT_DEADLINE} ms"
-            );
+            let detail =
+                format!("{name}, sent at {sent_at}, was not accepted within {ACCEPT_DEADLINE} ms");
             context.record_finding(Promise::Answer, detail);
             overdue = true;
         }
         sleep_ms(delay).await;
         delay = (delay * 3 / 2).min(ACCEPT_DEADLINE / 5);
     }
+    None
 }
 
 /// Sends an invalid version, which must be rejected.
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -80,7 +80,8 @@
             "NodeName=host-{ip}\nIp={ip}\nZone=a\nListen.DatagramAddress={ip}:{PACKET_PORT}\n\
              Listen.ReadinessAddress={ip}:{READINESS_PORT}\nListen.Control={ip}:{API_PORT}\n\
              InternalPorts={PROXY_PORT},{PROXY_PORT}\nSeeds={seeds}\nBootstrap={bootstrap}\n\
-             DataDir={}\nHeartbeatIntervalMs=1200\nBounds.GraceS=6\n",
+             DataDir={}\nHeartbeatIntervalMs=1200\nBounds.GraceS=6\n\
+             Zones.a=\nZones.b=\n",
             data_dir.display()
         );
         let temporary = self.file_path("new");
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -87,6 +87,7 @@
     }
     spawn_local(operator::change_configuration(SharedContext::clone(&context), 1));
     spawn_local(operator::read_configuration(SharedContext::clone(&context)));
+    spawn_local(operator::evacuate_in_turns(SharedContext::clone(&context)));
     spawn_local(callers::maintain_flows(
         SharedContext::clone(&context),
         usize::from(entry_count) * FLOWS_PER_ENTRY,
@@ -103,6 +104,7 @@
     sleep_ms((offset + config.duration).saturating_sub(context.now())).await;
     sleep_ms(RECOVERY_TIME).await;
     check_durability(&context).await;
+    check_order_kept(&context).await;
     context.finished.set(true);
     let findings = context.judge.borrow().findings().to_vec();
     let counts = context.counts.borrow().clone();
@@ -195,6 +197,25 @@
     );
 }
 
+/// Checks that the newest accepted order is in force after all faults.
+async fn check_order_kept(context: &Context) {
+    let deadline = context.now() + FINAL_READ_TIMEOUT;
+    let mut observed = None;
+    while context.now() < deadline {
+        let wanted = context.judge.borrow().is_evacuated();
+        observed = operator::read_evacuated(context).await.or(observed);
+        if wanted.is_none() || observed == wanted {
+            return;
+        }
+        sleep_ms(200).await;
+    }
+    let wanted = context.judge.borrow().is_evacuated();
+    context.record_finding(
+        Promise::Kept,
+        format!("evacuated: {wanted:?} was accepted, but reads return {observed:?}"),
+    );
+}
+
 /// Prints a run's outcome as JSON lines.
 pub fn print_outcome(config: &RunConfig, outcome: &Outcome) {
     for Finding { at, promise, detail } in &outcome.findings {
--- a/soak/src/targets.rs
+++ b/soak/src/targets.rs
@@ -18,6 +18,12 @@
 /// Names of the services.
 pub const SERVICES: [&str; 2] = ["blue", "green"];
 
+/// Data centres of the targets; that of the entry hosts comes first.
+const CENTRES: [&str; 2] = ["a", EVACUATED_CENTRE];
+
+/// The data centre that operators evacuate and take back.
+pub const EVACUATED_CENTRE: &str = "b";
+
 /// Interval at which targets announce themselves.
 const ANNOUNCE_INTERVAL: Millis = 1200;
 
@@ -47,6 +53,8 @@
 pub struct Target {
     /// Index of its service.
     pub service: usize,
+    /// Name of its data centre.
+    pub centre: &'static str,
     /// When its first announcement was acknowledged.
     pub known_since: Option<Millis>,
     /// Whether it receives no new flows.
@@ -62,20 +70,22 @@
     fn next_announcement(&mut self) -> String {
         self.sequence += 1;
         let Self { address, draining, sequence, incarnation, .. } = *self;
-        let (service, centre) = (SERVICES[self.service].into(), "a".into());
+        let (service, centre) = (SERVICES[self.service].into(), self.centre.into());
         Announcement { service, address, centre, slots: 2, draining, sequence, incarnation }
             .to_body()
     }
 }
 
 impl Context {
-    /// Returns whether a service has a target that was announced at least [`DRAIN_DEADLINE`] ago
-    /// and is not draining.
+    /// Returns whether a service has a target that was announced at least [`DRAIN_DEADLINE`] ago,
+    /// is not draining, and whose data centre is not evacuated.
     pub fn has_open_target(&self, service: usize) -> bool {
         let now = self.now();
+        let taken_back = self.judge.borrow().takes_flows(now);
         self.targets.borrow().values().any(|target| {
             let known = target.known_since.is_some_and(|at| at + DRAIN_DEADLINE <= now);
-            target.service == service && known && !target.draining
+            let in_use = target.centre != EVACUATED_CENTRE || taken_back;
+            target.service == service && known && !target.draining && in_use
         })
     }
 
@@ -101,9 +111,16 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |elapsed| elapsed.as_millis() as u64);
     let id = id.unwrap_or_else(|| context.random_range(1 << 32..1 << 40));
-    let (known_since, flows) = (None, IndexSet::new());
-    let target =
-        Target { service, known_since, draining: false, flows, address, sequence: 0, incarnation };
+    let target = Target {
+        service,
+        centre: CENTRES[id as usize % CENTRES.len()],
+        known_since: None,
+        draining: false,
+        flows: IndexSet::new(),
+        address,
+        sequence: 0,
+        incarnation,
+    };
     context.targets.borrow_mut().insert(id, target);
     spawn_local(receive_packets(SharedContext::clone(context), id, incarnation, socket));
     spawn_local(run_lifecycle(SharedContext::clone(context), id, incarnation));
@@ -215,10 +232,13 @@
         callers::record_arrival(context, id, holds_flow, packet);
         return;
     }
-    let service = target.service;
+    let (service, centre) = (target.service, target.centre);
     target.flows.insert(source);
     drop(targets);
     let first_packet = FirstPacket { host: *from.ip(), sent_at, seen_at: context.now() };
     context.judge.borrow_mut().check_opened(first_packet, frontend, id, service);
+    if centre == EVACUATED_CENTRE {
+        context.judge.borrow_mut().check_evacuated(first_packet);
+    }
     callers::record_opened(context, id, packet);
 }
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 
 use lagoon_soak::judge::{
-    APPLY_DEADLINE, DRAIN_DEADLINE, FirstPacket, Frontend, Judge, Millis, Promise,
-    STABILIZATION_TIME,
+    APPLY_DEADLINE, DRAIN_DEADLINE, EVACUATION_DEADLINE, FirstPacket, Frontend, Judge, Millis,
+    Promise, STABILIZATION_TIME,
 };
 
 const HOST: Ipv4Addr = Ipv4Addr::new(127, 0, 1, 1);
@@ -151,3 +151,24 @@
     assert!(!judge.is_stable(HOST, STABLE_AT + 2 * STABILIZATION_TIME - 1));
     assert!(judge.is_stable(HOST, STABLE_AT + 2 * STABILIZATION_TIME));
 }
+
+#[test]
+fn new_flow_in_an_evacuated_data_centre_is_reported_after_deadline() {
+    let mut judge = judge();
+    let late = STABLE_AT + EVACUATION_DEADLINE + 1;
+    assert!(judge.takes_flows(STABLE_AT));
+    judge.record_order_sent(true);
+    judge.check_evacuated(first_packet(late, late));
+    assert_eq!(judge.is_evacuated(), None, "the order was not accepted yet");
+    judge.record_order_accepted(STABLE_AT);
+    judge.check_evacuated(first_packet(STABLE_AT + 1, late - 1));
+    judge.check_evacuated(first_packet(STABLE_AT, late));
+    assert!(judge.findings().is_empty() && !judge.takes_flows(late));
+    judge.check_evacuated(first_packet(STABLE_AT + 1, late));
+    assert_eq!(found_promises(&judge), [Promise::Evacuated]);
+    judge.record_order_sent(false);
+    judge.check_evacuated(first_packet(late, late));
+    judge.record_order_accepted(late);
+    assert_eq!((judge.findings().len(), judge.is_evacuated()), (1, Some(false)));
+    assert!(!judge.takes_flows(late) && judge.takes_flows(late + EVACUATION_DEADLINE));
+}
