Ignore replica messages with numbers out of range

Cause: a replica added to terms, indices and rounds of messages that it had not checked; one message with the highest term made the next election overflow, which is a panic in debug builds and term 0 in release builds. Change: messages with numbers that no group reaches are ignored. Property tests feed replicas and entry hosts whatever can be decoded; the one of replicas failed before, the one of entry hosts did not.

--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -225,11 +225,12 @@
         Ok(id)
     }
 
-    /// Handles a message from another replica.
+    /// Handles a message from another replica; one with numbers out of range is ignored.
     pub fn handle_message(&mut self, now: Instant, message: Message) {
         self.advance(now);
         let own = self.setup.identity;
-        if message.to.host != own.host || message.from.host == own.host {
+        let addressed = message.to.host == own.host && message.from.host != own.host;
+        if !addressed || !message.is_plausible() {
             return;
         }
         if matches!(message.body, Body::Join) {
--- a/lagoongauge/src/replica/message.rs
+++ b/lagoongauge/src/replica/message.rs
@@ -4,6 +4,10 @@
 use super::entry::{Entry, Position};
 use crate::time::Instant;
 
+/// Highest term, index and round that a group reaches: a billion per second for thirty years. Beyond
+/// it, a message is damaged or forged, and arithmetic on its numbers could overflow.
+const MAX_NUMBER: u64 = 1 << 60;
+
 /// A message with sender and receiver; a receiver of another incarnation ignores it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Message {
@@ -17,6 +21,29 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Returns whether all numbers of the message are in the range that a group can reach.
+    pub(super) fn is_plausible(&self) -> bool {
+        let is_reachable = |position: &Position| position.term.max(position.index) <= MAX_NUMBER;
+        let body = match &self.body {
+            Body::PreVote { last } | Body::Vote { last } => is_reachable(last),
+            Body::Append { previous, commit, round, entries } => {
+                let last = entries.last().map_or(previous, |entry| &entry.position);
+                is_reachable(previous) && is_reachable(last) && round.0.max(*commit) <= MAX_NUMBER
+            }
+            Body::AppendAnswer { round, index, .. } => round.0.max(*index) <= MAX_NUMBER,
+            Body::Chunk(Chunk { position, round, total, offset, .. }) => {
+                is_reachable(position) && round.0.max(*total).max(*offset) <= MAX_NUMBER
+            }
+            Body::ChunkAnswer { round, position, offset } => {
+                is_reachable(position) && round.0.max(*offset) <= MAX_NUMBER
+            }
+            Body::PreVoteAnswer { .. } | Body::VoteAnswer { .. } | Body::Join => true,
+        };
+        body && self.term <= MAX_NUMBER
+    }
+}
+
 /// Content of a message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Body {
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod held;
+mod hostile;
 mod losses;
 mod place;
 mod share;
--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod group;
+mod messages;
 mod model;
 mod paths;
 mod random_faults;
