End the process after a panic of a task or thread, except on outside data

Cause: the executor drops a task that panics and goes on, and a thread that panicked ended alone: an entry host without its packet thread or its feeds, or a control host without its listener or links, would have lived on and reported itself ready. Change: long-lived tasks and threads end the process with a log line and the exit code of an internal error; a packet, a load report, a feed and a connection are isolated, so one malformed message costs only itself.

--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -6,7 +6,6 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use async_std::task::spawn_local;
 use futures::channel::mpsc;
 use futures::{AsyncReadExt, FutureExt, StreamExt, pin_mut, select};
 use lagoongauge::id::HostId;
@@ -14,7 +13,7 @@
 
 use super::host::SharedHost;
 use super::message::{Hello, PeerMessage, host_address};
-use crate::daemon::Backoff;
+use crate::daemon::{Backoff, spawn_task};
 use crate::frame;
 
 /// Timeout for connecting to a control host.
@@ -80,7 +79,7 @@
     let mut links = host.links.borrow_mut();
     for (peer, link) in links.iter_mut().filter(|(_, link)| !link.running) {
         link.running = true;
-        spawn_local(keep_connected(SharedHost::clone(host), *peer));
+        spawn_task("link", keep_connected(SharedHost::clone(host), *peer));
     }
 }
 
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -16,7 +16,7 @@
 use super::metrics::Metrics;
 use super::roster_file::{RosterFile, persist_changes};
 use super::{feed, link};
-use crate::daemon::{Clock, Stop};
+use crate::daemon::{Clock, Stop, isolate_task, spawn_task};
 use crate::engine::Engine;
 use crate::frame;
 
@@ -88,13 +88,13 @@
     let host = Rc::new(Host::new(setup, clock, engine, metrics));
     host.add_controls(&host.setup.seeds.clone());
     serve(Rc::clone(&host)).await?;
-    spawn_local(accept_connections(Rc::clone(&host), listener));
+    spawn_task("listener", accept_connections(Rc::clone(&host), listener));
     host.restore_targets(roster_file.read());
     let writer = roster_file.start_writer().map_err(|error| {
         Error::new(Kind::Internal, format!("failed to start the roster writer: {error}"))
     })?;
-    spawn_local(persist_changes(Rc::clone(&host), writer));
-    spawn_local(gossip(Rc::clone(&host)));
+    spawn_task("roster", persist_changes(Rc::clone(&host), writer));
+    spawn_task("gossip", gossip(Rc::clone(&host)));
     let mut change_log = ChangeLog::default();
     while !stop.is_raised() {
         host.tick();
@@ -113,7 +113,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(handle_connection(Rc::clone(&host), stream));
+                let task = handle_connection(Rc::clone(&host), stream);
+                spawn_local(isolate_task("connection from another host", task));
             }
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
--- a/lagoongauged/src/daemon/mod.rs
+++ b/lagoongauged/src/daemon/mod.rs
@@ -14,4 +14,4 @@
 pub use self::exit::{exit_code, report_error};
 pub use self::log::{LogLevel, LogOutput, LogSetup, init_log};
 pub use self::signal::{Reload, Stop};
-pub use self::thread::spawn;
+pub use self::thread::{isolate, isolate_task, spawn, spawn_task};
--- a/lagoongauged/src/mark_entry/data_plane.rs
+++ b/lagoongauged/src/mark_entry/data_plane.rs
@@ -12,11 +12,12 @@
 use lagoongauge::time::{Instant, Span};
 
 use super::state::SharedState;
+use crate::daemon::isolate;
 
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2048;
 
-/// Delay after a failed receive, which also limits the rate of the warnings about it.
+/// Delay after a failed receive or a panic, which also limits the rate of the log lines about it.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Interval at which packets that are still held are offered to the router.
@@ -55,19 +56,25 @@
                 }
             };
             let bytes = &mut buffer[..C::HEADROOM + length];
-            match self.codec.decode(&bytes[C::HEADROOM..]) {
-                Some(segment) => {
-                    let now = self.state.clock.now();
-                    if !self.process(PacketTimes { now, arrived: now }, &segment, bytes, &mut reply)
-                    {
-                        self.hold(now, &segment, &bytes[C::HEADROOM..]);
-                    }
-                }
-                None => self.state.counters.count_unreadable(),
+            if !isolate("routing of a packet", || self.handle_datagram(bytes, &mut reply)) {
+                self.state.counters.count_unreadable();
+                thread::sleep(RETRY_DELAY);
             }
         }
     }
 
+    /// Routes or holds the packet that `bytes` hold behind the codec's headroom.
+    fn handle_datagram(&self, bytes: &mut [u8], reply: &mut Vec<u8>) {
+        let Some(segment) = self.codec.decode(&bytes[C::HEADROOM..]) else {
+            self.state.counters.count_unreadable();
+            return;
+        };
+        let now = self.state.clock.now();
+        if !self.process(PacketTimes { now, arrived: now }, &segment, bytes, reply) {
+            self.hold(now, &segment, &bytes[C::HEADROOM..]);
+        }
+    }
+
     /// Routes the held packets once the first catalog is active, and later ones as targets have room
     /// for them. Waits without polling while nothing is held.
     pub(super) fn release_packets(&self, wakeups: &Receiver<()>) {
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -15,7 +15,7 @@
 use super::state::{Decode, FEED_COUNT, PRIMARY_FEED, SharedState};
 use crate::cluster::FEED_TIMEOUT;
 use crate::cluster::message::{FeedAck, FeedMessage, Hello, host_address};
-use crate::daemon::Backoff;
+use crate::daemon::{Backoff, isolate_task};
 use crate::frame;
 
 /// Time limit for connecting to a control host.
@@ -108,11 +108,12 @@
     log::info!("subscribed to control host {control}");
     state.set_connected(feed, true);
     let result = {
-        let receiver_task = receive_feed(feed, entry, state, decoder, stream).fuse();
+        let receiver_task = receive_feed(feed, entry, state, decoder, stream);
+        let receiver_task = isolate_task("feed", receiver_task).fuse();
         let watcher_task = wait_until_behind(feed, state).fuse();
         pin_mut!(receiver_task, watcher_task);
         select! {
-            result = receiver_task => result,
+            result = receiver_task => result.unwrap_or_else(|| Err(panicked())),
             () = watcher_task => Err(not_current()),
         }
     };
@@ -182,6 +183,10 @@
     pending::<()>().await;
 }
 
+fn panicked() -> Error {
+    Error::new(ErrorKind::InvalidData, "a message of the control host led to a panic")
+}
+
 fn not_current() -> Error {
     Error::new(ErrorKind::NotConnected, "control host is not in contact with a quorum")
 }
--- a/lagoongauged/src/mark_entry/load_reports.rs
+++ b/lagoongauged/src/mark_entry/load_reports.rs
@@ -1,6 +1,6 @@
 //! Load reports that entry hosts send each other.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::time::Duration;
 
 use async_std::task::sleep;
@@ -9,6 +9,7 @@
 
 use super::state::SharedState;
 use crate::cluster::message::{host_address, host_id};
+use crate::daemon::isolate;
 
 /// Interval at which the load counts are checked for changes, and delay after a failed receive.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -62,12 +63,18 @@
             }
         };
         let SocketAddr::V4(from) = from else { continue };
-        match LoadReport::from_bytes(&bytes[..length]) {
-            Ok(report) => {
-                let now = state.clock.now();
-                state.router().set_report(now, host_id(*from.ip()), report);
-            }
-            Err(error) => log::debug!("invalid load report from {from}: {error}"),
+        if !isolate("load report", || store_report(state, from, &bytes[..length])) {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
+
+fn store_report(state: &SharedState, from: SocketAddrV4, bytes: &[u8]) {
+    match LoadReport::from_bytes(bytes) {
+        Ok(report) => {
+            let now = state.clock.now();
+            state.router().set_report(now, host_id(*from.ip()), report);
         }
+        Err(error) => log::debug!("invalid load report from {from}: {error}"),
     }
 }
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
-use async_std::task::{sleep, spawn_local};
+use async_std::task::sleep;
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::flow::HashKey;
 use lagoongauge::id::HostId;
@@ -21,7 +21,7 @@
 use super::metrics::Metrics;
 use super::state::{Decode, FEED_COUNT, State};
 use crate::cluster::message::host_address;
-use crate::daemon::{Clock, Stop, spawn};
+use crate::daemon::{Clock, Stop, spawn, spawn_task};
 
 /// Interval at which the router removes expired state and the stop flag is checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -106,19 +106,14 @@
     let shared = Arc::clone(&state);
     spawn("load", move || load_reports::receive_reports(&shared, &receiver))
         .map_err(|error| start_error(&error))?;
-    spawn_local(load_reports::send_reports(Arc::clone(&state), report_socket, port));
+    spawn_task("load reports", load_reports::send_reports(Arc::clone(&state), report_socket, port));
     serve(Arc::clone(&state)).await?;
     let (decoder, active) = (Rc::new(decoder), ActiveControls::default());
     for feed in 0..FEED_COUNT {
         let entry = EntryInfo { host, centre: centre.clone(), port };
         let decoder = Rc::clone(&decoder);
-        spawn_local(feed::keep_connected(
-            feed,
-            entry,
-            Arc::clone(&state),
-            decoder,
-            Rc::clone(&active),
-        ));
+        let (state, active) = (Arc::clone(&state), Rc::clone(&active));
+        spawn_task("feed", feed::keep_connected(feed, entry, state, decoder, active));
     }
     let mut response_times = Vec::new();
     let mut loss_log = LossLog::new();
