Answer the requests under way before a control host stops

Cause: a control host returned at once on a stop request, so operators and targets whose requests it had accepted got no answer.

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -25,7 +25,7 @@
 use super::message::{Neighbour, PeerMessage};
 use super::metrics::Metrics;
 use super::target_batches::{TargetBatch, TargetBatches};
-use crate::daemon::Clock;
+use crate::daemon::{Clock, OpenRequests};
 use crate::engine::Engine;
 
 pub(super) use self::documents::CONFIRM_TIMEOUT;
@@ -57,6 +57,8 @@
     pub bounds: Bounds,
     /// Number of control hosts that may lose their disks at the same time.
     pub disk_losses: usize,
+    /// Time for which requests that were accepted before a stop request are still served.
+    pub linger: Span,
 }
 
 /// Entry host fed by a control host.
@@ -72,6 +74,8 @@
     pub setup: Setup,
     /// Its clock.
     pub clock: Clock,
+    /// Requests of targets and operators that are being served.
+    pub open_requests: OpenRequests,
     pub(super) engine: RefCell<Engine<S, CatalogStore>>,
     pub(super) roster: RefCell<Roster>,
     batches: RefCell<TargetBatches>,
@@ -102,6 +106,7 @@
         Self {
             setup,
             clock,
+            open_requests: OpenRequests::default(),
             engine: RefCell::new(engine),
             roster,
             batches: RefCell::default(),
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -8,7 +8,7 @@
 use async_std::task::{sleep, spawn_local};
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::replica::{Identity, Limits, Setup as ReplicaSetup, Store, Timing};
-use lagoongauge::time::Span;
+use lagoongauge::time::{Instant, Span};
 
 use super::change_log::ChangeLog;
 use super::host::{Host, Setup, SharedHost, gossip};
@@ -23,6 +23,9 @@
 /// Interval between two ticks of the host, and delay after a failed accept.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Minimum time from a stop request to the end, in which new requests are refused.
+const STOP_DELAY: Span = Span::millis(200);
+
 /// Timeout for the hello message on an accepted connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -96,7 +99,8 @@
     spawn_task("roster", persist_changes(Rc::clone(&host), writer));
     spawn_task("gossip", gossip(Rc::clone(&host)));
     let mut change_log = ChangeLog::default();
-    while !stop.is_raised() {
+    let mut stopped_at = None;
+    while !may_end(&host, &mut stopped_at, stop) {
         host.tick();
         link::start_links(&host);
         if let Some(error) = host.engine.borrow().failure() {
@@ -109,6 +113,25 @@
     Ok(())
 }
 
+/// Returns whether the host may end: it was asked to, and the requests that it had accepted before
+/// have been answered or have taken too long.
+///
+/// New ones are refused for [`STOP_DELAY`] at least, so that callers whose connection was accepted
+/// learn that nothing ran.
+fn may_end<S: Store + 'static>(
+    host: &Host<S>,
+    stopped_at: &mut Option<Instant>,
+    stop: &Stop,
+) -> bool {
+    if !stop.is_raised() {
+        return false;
+    }
+    host.open_requests.close();
+    let now = host.clock.now();
+    let waited = now.since(*stopped_at.get_or_insert(now));
+    waited >= host.setup.linger || (waited >= STOP_DELAY && host.open_requests.is_empty())
+}
+
 async fn accept_connections<S: Store + 'static>(host: SharedHost<S>, listener: TcpListener) {
     loop {
         match listener.accept().await {
