Keep silent targets silent over a restart of a control host

Cause: the stored roster did not say which targets were silent, and a restart counted every last announcement as received just then. Shown by a test that failed before. Change: the stored roster lists the silent targets after the entries; files of earlier versions are read as before, and earlier versions ignore the list.

--- a/lagoongauge/src/roster/mod.rs
+++ b/lagoongauge/src/roster/mod.rs
@@ -8,6 +8,7 @@
 
 mod entry;
 mod feed_status;
+mod stored;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 
 pub use self::entry::{Entry, Phase};
 pub use self::feed_status::FeedStatuses;
+pub use self::stored::StoredRoster;
 
 /// Time for which a gone or silent target is kept; longer than a delayed message can be under way.
 const TOMBSTONE_LIFETIME: Span = Span::seconds(90);
@@ -133,14 +135,24 @@
     /// Restores the entries of a previous process of this host.
     ///
     /// Their last announcement counts as received now, so targets have the usual time to announce
-    /// themselves again.
-    pub fn restore(&mut self, now: Instant, entries: Vec<Entry>) {
-        for entry in entries {
+    /// themselves again. Those that were silent remain so until they do.
+    pub fn restore(&mut self, now: Instant, stored: StoredRoster) {
+        for entry in stored.entries {
             self.merge(now, entry);
         }
+        for target in stored.silent {
+            self.update_record(target, |record| record.silent = true);
+        }
+    }
+
+    /// Returns what a later process restores.
+    pub fn to_stored(&self) -> StoredRoster {
+        let silent = self.targets.values().filter(|record| record.silent);
+        let silent = silent.map(|record| record.entry.target).collect();
+        StoredRoster { entries: self.entries(), silent }
     }
 
-    /// Returns all entries, for other hosts or for a restart.
+    /// Returns all entries, for other hosts.
     pub fn entries(&self) -> Vec<Entry> {
         self.targets.values().map(|record| record.entry.clone()).collect()
     }
--- a/lagoongauge/tests/roster.rs
+++ b/lagoongauge/tests/roster.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use lagoongauge::id::TargetId;
-use lagoongauge::roster::{Entry, FeedStatuses, Heartbeat, MergeOutcome, Phase, Roster};
+use lagoongauge::roster::{
+    Entry, FeedStatuses, Heartbeat, MergeOutcome, Phase, Roster, StoredRoster,
+};
 use lagoongauge::time::{Instant, Span};
 use proptest::prelude::*;
 
@@ -31,10 +33,53 @@
     Entry { address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last_octet), 80), ..entry }
 }
 
+/// Restarts a control host on what it has stored.
+fn restart(roster: &Roster, now: Instant) -> Roster {
+    let bytes = roster.to_stored().to_bytes().unwrap();
+    let mut restarted = self::roster();
+    restarted.restore(now, StoredRoster::from_bytes(&bytes).unwrap());
+    restarted
+}
+
 fn phase(roster: &Roster, target: u64) -> Phase {
     roster.get(TargetId(target)).unwrap().entry.phase
 }
 
+/// A target that crashed without notice must not count as running after a restart.
+#[test]
+fn a_silent_target_remains_silent_over_a_restart() {
+    let mut roster = roster();
+    roster.merge(NOW, entry(1, 5, 3));
+    roster.merge(NOW, with_address(entry(2, 5, 3), 2));
+    let later = NOW + Span(3600);
+    roster.merge(later, with_address(entry(2, 5, 4), 2));
+    assert_eq!(roster.tick(later), [TargetId(1)]);
+    let mut restarted = restart(&roster, later);
+    let silent = |roster: &Roster, target| roster.get(TargetId(target)).unwrap().silent;
+    assert!(silent(&restarted, 1));
+    assert!(!silent(&restarted, 2));
+    restarted.merge(later, entry(1, 5, 4));
+    assert!(!silent(&restarted, 1), "it announced itself");
+}
+
+#[test]
+fn a_target_that_left_remains_gone_over_a_restart() {
+    let mut roster = roster();
+    roster.merge(NOW, entry(1, 5, 3));
+    roster.leave(NOW, TargetId(1));
+    let mut restarted = restart(&roster, NOW);
+    assert_eq!(restarted.merge(NOW, entry(1, 5, 9)), MergeOutcome::Stale);
+    assert_eq!(phase(&restarted, 1), Phase::Gone);
+}
+
+#[test]
+fn a_roster_stored_by_an_earlier_version_is_read() {
+    let entries = vec![entry(1, 5, 3), with_address(entry(2, 5, 3), 2)];
+    let bytes = postcard::to_stdvec(&entries).unwrap();
+    let stored = StoredRoster { entries, silent: Vec::new() };
+    assert_eq!(StoredRoster::from_bytes(&bytes), Ok(stored));
+}
+
 #[test]
 fn draining_is_final_within_an_incarnation() {
     let mut roster = roster();
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -16,7 +16,7 @@
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::{Message, Store, VoterHealth};
-use lagoongauge::roster::{Entry, Heartbeat, Phase, Roster};
+use lagoongauge::roster::{Heartbeat, Phase, Roster, StoredRoster};
 use lagoongauge::time::{Instant, Span};
 
 use super::bounds::Bounds;
@@ -121,9 +121,9 @@
     }
 
     /// Restores the targets known to the previous process.
-    pub(super) fn restore_targets(&self, entries: Vec<Entry>) {
-        log::info!("restored {} targets from the stored roster", entries.len());
-        self.roster.borrow_mut().restore(self.clock.now(), entries);
+    pub(super) fn restore_targets(&self, stored: StoredRoster) {
+        log::info!("restored {} targets from the stored roster", stored.entries.len());
+        self.roster.borrow_mut().restore(self.clock.now(), stored);
     }
 
     /// Returns the leader, if it is known.
--- a/lagoongauged/src/cluster/roster_file.rs
+++ b/lagoongauged/src/cluster/roster_file.rs
@@ -12,7 +12,7 @@
 
 use async_std::task::sleep;
 use lagoongauge::replica::Store;
-use lagoongauge::roster::Entry;
+use lagoongauge::roster::StoredRoster;
 
 use super::host::SharedHost;
 use crate::daemon::spawn;
@@ -43,23 +43,23 @@
     }
 
     /// Reads the roster of the previous process; empty if the file is missing or corrupted.
-    pub(super) fn read(&self) -> Vec<Entry> {
+    pub(super) fn read(&self) -> StoredRoster {
         let bytes = match fs::read(self.folder.join(FILE_NAME)) {
             Ok(bytes) => bytes,
-            Err(error) if error.kind() == ErrorKind::NotFound => return Vec::new(),
+            Err(error) if error.kind() == ErrorKind::NotFound => return StoredRoster::default(),
             Err(error) => {
                 log::warn!("failed to read the stored roster: {error}");
-                return Vec::new();
+                return StoredRoster::default();
             }
         };
         decode(&bytes).unwrap_or_else(|error| {
             log::warn!("ignoring the corrupted stored roster: {error}");
-            Vec::new()
+            StoredRoster::default()
         })
     }
 
-    fn write(&self, entries: &[Entry]) -> Result<()> {
-        let mut bytes = postcard::to_stdvec(entries).map_err(|error| invalid_data(&error))?;
+    fn write(&self, roster: &StoredRoster) -> Result<()> {
+        let mut bytes = roster.to_bytes().map_err(|error| invalid_data(&error))?;
         let checksum = crc32fast::hash(&bytes);
         bytes.extend_from_slice(&checksum.to_be_bytes());
         let temporary = self.folder.join(TEMPORARY_NAME);
@@ -71,10 +71,10 @@
     }
 
     /// Writes each roster received, on a thread of its own: a slow disk must not block other tasks.
-    fn run_writer(&self, rosters: &Receiver<Vec<Entry>>) {
+    fn run_writer(&self, rosters: &Receiver<StoredRoster>) {
         let mut failing = false;
-        while let Ok(entries) = rosters.recv() {
-            match self.write(&entries) {
+        while let Ok(roster) = rosters.recv() {
+            match self.write(&roster) {
                 Ok(()) => failing = false,
                 Err(error) if !failing => {
                     log::warn!("failed to store the roster: {error}");
@@ -86,7 +86,7 @@
     }
 
     /// Starts the writer thread.
-    pub(super) fn start_writer(self) -> Result<SyncSender<Vec<Entry>>> {
+    pub(super) fn start_writer(self) -> Result<SyncSender<StoredRoster>> {
         let (sender, receiver) = sync_channel(1);
         spawn("roster", move || self.run_writer(&receiver))?;
         Ok(sender)
@@ -96,7 +96,7 @@
 /// Sends the roster to the writer thread whenever it has changed and the thread is idle.
 pub(super) async fn persist_changes<S: Store + 'static>(
     host: SharedHost<S>,
-    writer: SyncSender<Vec<Entry>>,
+    writer: SyncSender<StoredRoster>,
 ) {
     let mut written = 0;
     loop {
@@ -105,20 +105,20 @@
         if revision == written {
             continue;
         }
-        let entries = host.roster.borrow().entries();
-        if writer.try_send(entries).is_ok() {
+        let roster = host.roster.borrow().to_stored();
+        if writer.try_send(roster).is_ok() {
             written = revision;
         }
     }
 }
 
-fn decode(bytes: &[u8]) -> Result<Vec<Entry>> {
+fn decode(bytes: &[u8]) -> Result<StoredRoster> {
     let (bytes, checksum) =
         bytes.split_last_chunk::<4>().ok_or_else(|| invalid_data(&"file is truncated"))?;
     if crc32fast::hash(bytes) != u32::from_be_bytes(*checksum) {
         return Err(invalid_data(&"checksum mismatch"));
     }
-    postcard::from_bytes(bytes).map_err(|error| invalid_data(&error))
+    StoredRoster::from_bytes(bytes).map_err(|error| invalid_data(&error))
 }
 
 fn invalid_data(error: &dyn std::fmt::Display) -> Error {
