Count suspension in the clock of all processes

Cause: control hosts, and entry hosts that move flows by buckets, used a clock that stops while the machine is suspended. After a resume a control host took itself for current and for the leader, and its targets for alive, for as long as if no time had passed; leases of entry hosts went on as well. The clock of entry hosts that route by marks counted suspension already. Ruled out: a test without a suspended machine can't tell the clocks apart; a test of the replica shows what the decisions make of the jump. Change: one clock, which counts suspension.

--- a/lagoongauge/tests/replica/rules.rs
+++ b/lagoongauge/tests/replica/rules.rs
@@ -246,3 +246,18 @@
     replica.sync();
     assert_eq!(replica.core.status().term, 5);
 }
+
+/// The clock of control hosts counts suspension.
+#[test]
+fn a_leader_that_was_suspended_holds_no_permission() {
+    let mut replica = TestReplica::new(Ballot::default(), &[]);
+    replica.elect();
+    assert!(replica.core.is_leader());
+    replica.now = replica.now + Span::seconds(5);
+    let now = replica.now;
+    assert!(!replica.core.has_leader_within(now, Span::seconds(1)));
+    assert!(replica.core.propose(now, vec![1]).is_err(), "its lease has expired");
+    assert!(replica.core.read_after(now).is_err());
+    replica.advance(0);
+    assert!(!replica.core.is_leader());
+}
--- a/lagoongauged/src/daemon/clock.rs
+++ b/lagoongauged/src/daemon/clock.rs
@@ -5,13 +5,13 @@
 use lagoongauge::time::Instant;
 use rustix::time::{ClockId, clock_gettime};
 
-/// Monotonic clock of one process.
+/// Monotonic clock of one process, which goes on while the machine is suspended: what was permitted
+/// until an instant has expired after a resume, and what was received before it is old.
 ///
 /// It starts at one hour instead of zero, so that subtracting a duration from an early instant does
 /// not saturate at zero.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    id: ClockId,
     start: Duration,
 }
 
@@ -19,23 +19,14 @@
 const START_OFFSET_MS: u64 = 3_600_000;
 
 impl Clock {
-    /// Starts a clock that stops while the machine is suspended.
+    /// Starts the clock.
     pub fn start() -> Self {
-        Self::with_id(ClockId::Monotonic)
-    }
-
-    /// Starts a clock that keeps running while the machine is suspended.
-    pub fn start_boottime() -> Self {
-        Self::with_id(ClockId::Boottime)
-    }
-
-    fn with_id(id: ClockId) -> Self {
-        Self { id, start: read(id) }
+        Self { start: read() }
     }
 
     /// Returns the current instant.
     pub fn now(&self) -> Instant {
-        Instant(START_OFFSET_MS + read(self.id).saturating_sub(self.start).as_millis() as u64)
+        Instant(START_OFFSET_MS + read().saturating_sub(self.start).as_millis() as u64)
     }
 
     /// Returns the milliseconds since the Unix epoch, for timestamps and for numbers that increase
@@ -45,7 +36,7 @@
     }
 }
 
-fn read(id: ClockId) -> Duration {
-    let time = clock_gettime(id);
+fn read() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -85,8 +85,7 @@
     } = options;
     let config =
         RouterConfig { centre: centre.clone(), hash_key: HASH_KEY, max_flows: MAX_FLOWS, features };
-    // The clock includes suspended time: packets queued before a suspend are old after the resume.
-    let clock = Clock::start_boottime();
+    let clock = Clock::start();
     let decisions = DecisionLog::start(clock.now()).map_err(|error| start_error(&error))?;
     let metrics = Metrics::new().map_err(|error| {
         Error::new(Kind::Internal, format!("failed to register metrics: {error}"))
