Let the confirmation of an entry host's state expire

Cause: a confirmation by control hosts held until the feed was found lost, so a host that had been paused reset SYNs to routes that were added meanwhile. Shown by a test that failed before. The fixture of the marks' tests confirms its host after its uptime, as control hosts do. Change: a confirmation is valid for 1.5 s of a clock that counts suspension.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -35,6 +35,10 @@
 /// Time without contact with a quorum of control hosts after which this host counts as cut off.
 const CUT_OFF_TIMEOUT: Span = Span::millis(1000);
 
+/// Time for which a confirmation by a quorum of control hosts is valid; it is renewed several times
+/// within it.
+const CONFIRMATION_LIFETIME: Span = Span::millis(1500);
+
 /// Minimum delay at which a copy of a SYN shows that the first was not answered; with a shorter
 /// delay both may have been queued at this host.
 const MIN_RETRANSMIT_DELAY: Span = Span::millis(100);
@@ -207,6 +211,12 @@
         self.local_hosts = count;
     }
 
+    /// Returns whether a quorum of control hosts confirms that this host's state is current. A
+    /// confirmation expires, as this host may have been suspended since.
+    fn is_current(&self, now: Instant) -> bool {
+        self.current && now.since(self.confirmed_at) < CONFIRMATION_LIFETIME
+    }
+
     /// Returns whether this host has been without contact with a quorum for some time.
     fn is_cut_off(&self, now: Instant) -> bool {
         !self.current && now.since(self.confirmed_at) >= CUT_OFF_TIMEOUT
@@ -269,7 +279,7 @@
             return Verdict::Hold;
         }
         let idempotency = match self.frontends.get(&segment.flow_key.frontend) {
-            None if self.current && segment.kind == SegmentKind::Syn => {
+            None if self.is_current(now) && segment.kind == SegmentKind::Syn => {
                 return Verdict::Reset(Cause::NoRoute);
             }
             None => return Verdict::Drop(Cause::NoRoute),
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -63,6 +63,17 @@
     assert_eq!(fixture.send_data(1, 1, 0), Verdict::Reset(Cause::TargetGone));
 }
 
+/// While the host was paused, a route may have been added.
+#[test]
+fn a_host_that_was_paused_resets_no_unknown_route_until_it_is_confirmed_again() {
+    let mut fixture = Fixture::new(&[1]);
+    assert_eq!(fixture.open_to(1, OTHER_FRONTEND), Verdict::Reset(Cause::NoRoute));
+    fixture.stall(3000);
+    assert_eq!(fixture.open_to(2, OTHER_FRONTEND), Verdict::Drop(Cause::NoRoute));
+    fixture.confirm();
+    assert_eq!(fixture.open_to(3, OTHER_FRONTEND), Verdict::Reset(Cause::NoRoute));
+}
+
 /// The callers of such packets have retried elsewhere since, and a second answer would mislead
 /// them.
 #[test]
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -40,6 +40,7 @@
     pub fn new(targets: &[u64]) -> Self {
         let mut fixture = Self::just_started(targets);
         fixture.now = fixture.now + UPTIME;
+        fixture.confirm();
         fixture
     }
 
@@ -98,6 +99,11 @@
         }
     }
 
+    /// Has a quorum of control hosts confirm the host's state.
+    pub fn confirm(&mut self) {
+        self.router.set_current(self.now, true);
+    }
+
     /// Ends the contact with a quorum of control hosts.
     pub fn lose_quorum(&mut self) {
         self.router.set_current(self.now, false);
