--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -17,7 +17,7 @@
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::{Message, Store, VoterHealth};
-use lagoongauge::roster::{Entry, Heartbeat, Phase, Roster};
+use lagoongauge::roster::{Heartbeat, Phase, Roster, StoredRoster};
 use lagoongauge::time::{Instant, Span};
 
 use super::bounds::Bounds;
@@ -27,7 +27,7 @@
 use super::metrics::Metrics;
 use super::stall::StallDetector;
 use super::target_batches::{TargetBatch, TargetBatches};
-use crate::daemon::Clock;
+use crate::daemon::{Clock, OpenRequests};
 use crate::engine::Engine;
 
 pub(super) use self::documents::CONFIRM_TIMEOUT;
@@ -61,6 +61,8 @@
     pub disk_losses: usize,
     /// Names of the data centres, as far as the settings tell.
     pub centres: Vec<String>,
+    /// Time for which requests that were accepted before a stop request are still served.
+    pub linger: Span,
 }
 
 /// Entry host fed by a control host.
@@ -76,8 +78,8 @@
     pub setup: Setup,
     /// Its clock.
     pub clock: Clock,
-    /// Clock that includes the time for which the machine is suspended.
-    boot_clock: Clock,
+    /// Requests of targets and operators that are being served.
+    pub open_requests: OpenRequests,
     pub(super) engine: RefCell<Engine<S, CatalogStore>>,
     pub(super) roster: RefCell<Roster>,
     batches: RefCell<TargetBatches>,
@@ -110,10 +112,10 @@
         metrics: Metrics,
     ) -> Self {
         let roster = RefCell::new(Roster::new(setup.announce_interval));
-        let boot_clock = Clock::start_boottime();
         Self {
             setup,
             clock,
+            open_requests: OpenRequests::default(),
             engine: RefCell::new(engine),
             roster,
             batches: RefCell::default(),
@@ -121,8 +123,7 @@
             entry_hosts: RefCell::default(),
             heartbeats: RefCell::default(),
             feeds: RefCell::default(),
-            stall: Cell::new(StallDetector::new(boot_clock.now())),
-            boot_clock,
+            stall: Cell::new(StallDetector::new(clock.now())),
             started_at: clock.now(),
             logged_evacuated: RefCell::default(),
             was_current: Cell::new(false),
@@ -132,9 +133,9 @@
     }
 
     /// Restores the targets known to the previous process.
-    pub(super) fn restore_targets(&self, entries: Vec<Entry>) {
-        log::info!("restored {} targets from the stored roster", entries.len());
-        self.roster.borrow_mut().restore(self.clock.now(), entries);
+    pub(super) fn restore_targets(&self, stored: StoredRoster) {
+        log::info!("restored {} targets from the stored roster", stored.entries.len());
+        self.roster.borrow_mut().restore(self.clock.now(), stored);
     }
 
     /// Returns the leader, if it is known.
--- a/lagoongauged/src/cluster/host/evacuation.rs
+++ b/lagoongauged/src/cluster/host/evacuation.rs
@@ -64,7 +64,7 @@
     /// Rejects an order that may have been read or may have waited since before a stall of this host:
     /// the operator has sent it to another host, and perhaps a newer one after it.
     fn check_not_stalled(&self) -> Result<()> {
-        if self.stall.get().is_recent(self.boot_clock.now()) {
+        if self.stall.get().is_recent(self.clock.now()) {
             return Err(Error::new(Kind::NotCurrent, "this host has just been stalled"));
         }
         Ok(())
@@ -97,7 +97,7 @@
     /// Records a tick of this host.
     pub(super) fn record_tick(&self) {
         let mut stall = self.stall.get();
-        if stall.tick(self.boot_clock.now()) {
+        if stall.tick(self.clock.now()) {
             log::warn!(
                 "this host was stalled; orders that may have waited meanwhile are not taken"
             );
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -8,7 +8,7 @@
 use async_std::task::{sleep, spawn_local};
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::replica::{Identity, Limits, Setup as ReplicaSetup, Store, Timing};
-use lagoongauge::time::Span;
+use lagoongauge::time::{Instant, Span};
 
 use super::change_log::ChangeLog;
 use super::host::{Host, Setup, SharedHost, gossip};
@@ -16,13 +16,16 @@
 use super::metrics::Metrics;
 use super::roster_file::{RosterFile, persist_changes};
 use super::{feed, link};
-use crate::daemon::{Clock, Stop};
+use crate::daemon::{Clock, Stop, isolate_task, spawn_task};
 use crate::engine::Engine;
 use crate::frame;
 
 /// Interval between two ticks of the host, and delay after a failed accept.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Minimum time from a stop request to the end, in which new requests are refused.
+const STOP_DELAY: Span = Span::millis(200);
+
 /// Timeout for the hello message on an accepted connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -88,15 +91,16 @@
     let host = Rc::new(Host::new(setup, clock, engine, metrics));
     host.add_controls(&host.setup.seeds.clone());
     serve(Rc::clone(&host)).await?;
-    spawn_local(accept_connections(Rc::clone(&host), listener));
+    spawn_task("listener", accept_connections(Rc::clone(&host), listener));
     host.restore_targets(roster_file.read());
     let writer = roster_file.start_writer().map_err(|error| {
         Error::new(Kind::Internal, format!("failed to start the roster writer: {error}"))
     })?;
-    spawn_local(persist_changes(Rc::clone(&host), writer));
-    spawn_local(gossip(Rc::clone(&host)));
+    spawn_task("roster", persist_changes(Rc::clone(&host), writer));
+    spawn_task("gossip", gossip(Rc::clone(&host)));
     let mut change_log = ChangeLog::default();
-    while !stop.is_raised() {
+    let mut stopped_at = None;
+    while !may_end(&host, &mut stopped_at, stop) {
         host.tick();
         link::start_links(&host);
         if let Some(error) = host.engine.borrow().failure() {
@@ -109,11 +113,31 @@
     Ok(())
 }
 
+/// Returns whether the host may end: it was asked to, and the requests that it had accepted before
+/// have been answered or have taken too long.
+///
+/// New ones are refused for [`STOP_DELAY`] at least, so that callers whose connection was accepted
+/// learn that nothing ran.
+fn may_end<S: Store + 'static>(
+    host: &Host<S>,
+    stopped_at: &mut Option<Instant>,
+    stop: &Stop,
+) -> bool {
+    if !stop.is_raised() {
+        return false;
+    }
+    host.open_requests.close();
+    let now = host.clock.now();
+    let waited = now.since(*stopped_at.get_or_insert(now));
+    waited >= host.setup.linger || (waited >= STOP_DELAY && host.open_requests.is_empty())
+}
+
 async fn accept_connections<S: Store + 'static>(host: SharedHost<S>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(handle_connection(Rc::clone(&host), stream));
+                let task = handle_connection(Rc::clone(&host), stream);
+                spawn_local(isolate_task("connection from another host", task));
             }
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
