Conclude nothing about targets from a full link of the host's own

Cause: a host took a data centre as unreachable when callers repeated packets to two of its targets and none of the few that it uses there had an answer acknowledged for 700 ms. While the host's own link was full, repeats and acknowledgements waited on that link.

Change: where the deployment is contended and the link limited, a host measures its link and concludes nothing from silence while it was busy, and for two seconds after.

--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/centre.rs
@@ -56,6 +56,11 @@
         self.unreachable[key.0]
     }
 
+    /// Takes all data centres as reachable, as there is no evidence.
+    pub(super) fn set_reachable(&mut self) {
+        self.unreachable.values_mut().for_each(|unreachable| *unreachable = false);
+    }
+
     /// Re-evaluates which data centres are unreachable; this host's own never is.
     pub(super) fn update<'a>(
         &mut self,
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -13,6 +13,7 @@
 mod flow_table;
 mod frontend;
 pub mod held;
+mod link;
 mod load;
 pub mod loss;
 pub mod placement;
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -18,6 +18,7 @@
 use super::flow::Flow;
 use super::flow_table::FlowTable;
 use super::frontend::Frontend;
+use super::link::LinkMeter;
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::placement::{Candidate, LeastCost, Policy};
@@ -74,6 +75,8 @@
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
+    /// Use of this host's link, if it is limited and the deployment is contended.
+    link: Option<LinkMeter>,
     current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
@@ -114,6 +117,7 @@
             losses: LossLedger::default(),
             version: 0,
             contended,
+            link: None,
             current: false,
             local_hosts: 0,
             confirmed_at: Instant::default(),
@@ -169,6 +173,7 @@
         }
         self.version = catalog.version();
         self.contended = self.config.features.contended || catalog.has_bulk_routes();
+        self.measure_link();
         let mut kept: IndexMap<SocketAddrV4, Frontend> = IndexMap::new();
         for (address, route) in catalog.routes() {
             let frontend = match self.frontends.swap_remove(&address) {
@@ -245,7 +250,11 @@
         self.record_overdue(now, &overdue);
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
-        self.centres.update(now, self.own_centre, self.targets.iter());
+        if self.is_link_busy(now) {
+            self.centres.set_reachable();
+        } else {
+            self.centres.update(now, self.own_centre, self.targets.iter());
+        }
     }
 
     /// Decides on a packet that has just arrived.
@@ -259,6 +268,11 @@
         if self.version == 0 {
             return Verdict::Hold;
         }
+        if let Some(link) = &mut self.link
+            && now == arrived
+        {
+            link.record_packet(now, segment.length);
+        }
         let idempotency = match self.frontends.get(&segment.flow_key.frontend) {
             None if self.current && segment.kind == SegmentKind::Syn => {
                 return Verdict::Reset(Cause::NoRoute);
@@ -280,10 +294,12 @@
     ///
     /// A retransmission goes to the same target, unless that target had time to answer and has
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
+    /// While this host's link is busy, the answer may be on its way.
     fn open_flow(&mut self, times: PacketTimes, segment: &Segment) -> Verdict {
         let PacketTimes { now, arrived } = times;
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
+        let link_busy = self.is_link_busy(now);
         if let Some(flow) = self.flows.get(segment.flow_key) {
             let retransmitted = flow.initial_sequence == segment.sequence;
             let target = &mut self.targets[flow.target];
@@ -291,7 +307,8 @@
                 target.record_retransmit(now);
             }
             let waited = now.since(flow.opened_at) >= MIN_RETRANSMIT_DELAY;
-            let dead = target.silent || (waited && !target.is_active_since(flow.opened_at));
+            let unanswered = waited && !target.is_active_since(flow.opened_at);
+            let dead = target.silent || (unanswered && !link_busy);
             let may_stay = self.accepts_new_flows(now, flow.target) && !dead;
             if retransmitted && (flow.established || may_stay) {
                 self.flows.count_repeated_syn(segment.flow_key);
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -79,9 +79,11 @@
         }
     }
 
-    /// Returns whether a flow's target, or its whole data centre, is unreachable.
+    /// Returns whether a flow's target, or its whole data centre, is unreachable. A host whose own
+    /// link was busy may have received neither answers nor messages of control hosts.
     fn is_unreachable(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
-        self.targets[key].is_unreachable(now, self.is_cut_off(now))
+        let cut_off = self.is_cut_off(now) && !self.is_link_busy(now);
+        self.targets[key].is_unreachable(now, cut_off)
             || self.waits_for_unreachable_centre(now, key, flow)
     }
 
--- /dev/null
+++ b/lagoongauge/tests/marks/link.rs
@@ -0,0 +1,83 @@
+//! A host whose own link is full: what it concludes from repeats and missing answers.
+
+use lagoongauge::id::TargetId;
+use lagoongauge::mark::{Cause, Features, Mark, SegmentKind, Verdict};
+
+use crate::retransmit_to;
+use crate::world::{Fixture, target_of};
+
+/// Bytes per second of the host's link.
+const LINK_RATE: u64 = 600_000;
+
+/// Caller of an upload that fills the link.
+const UPLOADER: u16 = 90;
+
+/// Packets of 1,200 bytes that fill the link for 100 ms.
+const PACKETS_PER_STEP: u32 = 48;
+
+const LOCAL: TargetId = TargetId(1);
+
+/// Creates a host with a limited link, two targets in its own data centre and two in another one.
+fn limited_host() -> Fixture {
+    let features = Features { contended: true, link_rate: Some(LINK_RATE), ..Features::default() };
+    let mut fixture = Fixture::with_features(&[1, 2, 3, 4], features);
+    fixture.set_centre(&[3, 4], "b");
+    fixture
+}
+
+/// Sends what fills the link for 100 ms to a target of this data centre, which answers.
+fn fill_link(fixture: &mut Fixture) {
+    let mark = fixture.mark.replace(Mark::of(LOCAL));
+    for packet in 0..PACKETS_PER_STEP {
+        let verdict = fixture.send(UPLOADER, SegmentKind::Data, 1200 * packet, 1, 1200);
+        assert_eq!(target_of(verdict), LOCAL);
+    }
+    fixture.mark = mark;
+    fixture.acknowledge_answer(LOCAL);
+}
+
+/// Fills the link for as long as its use is measured.
+fn keep_link_full(fixture: &mut Fixture) {
+    for _ in 0..2 {
+        fill_link(fixture);
+        fixture.advance(100);
+    }
+}
+
+/// During a burst of uploads, repeats and acknowledgements of all callers wait on the host's own
+/// link. The few targets that it uses in another data centre then seem to answer nobody.
+#[test]
+fn a_full_link_resets_no_flow_of_another_data_centre() {
+    let verdicts = retransmit_to(&mut limited_host(), [3, 4], fill_link);
+    assert_eq!(verdicts.map(target_of), [TargetId(3), TargetId(4)]);
+}
+
+#[test]
+fn a_cut_off_data_centre_is_noticed_once_the_link_is_free() {
+    let mut fixture = limited_host();
+    keep_link_full(&mut fixture);
+    fixture.advance(2000);
+    let verdicts = retransmit_to(&mut fixture, [3, 4], |host| host.acknowledge_answer(LOCAL));
+    assert_eq!(verdicts, [Verdict::Reset(Cause::TargetLost); 2]);
+}
+
+/// Messages of control hosts wait on the full link as well.
+#[test]
+fn a_host_with_a_full_link_does_not_take_itself_as_cut_off() {
+    let mut fixture = limited_host();
+    fixture.lose_quorum();
+    keep_link_full(&mut fixture);
+    fixture.retransmit_unanswered(10, TargetId(3));
+    fixture.mark = Some(Mark::of(TargetId(3)));
+    assert_eq!(target_of(fixture.send_data(10, 1, 0)), TargetId(3));
+}
+
+/// The answer to the first SYN waits on the full link, and a second target would answer as well.
+#[test]
+fn a_copy_of_a_syn_keeps_its_target_while_the_link_is_full() {
+    let mut fixture = limited_host();
+    let mut flows = (10..30).map(|caller| (caller, target_of(fixture.open(caller))));
+    let (caller, target) = flows.find(|(_, target)| *target != LOCAL).unwrap();
+    keep_link_full(&mut fixture);
+    assert_eq!(target_of(fixture.open(caller)), target);
+}
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod held;
+mod link;
 mod losses;
 mod place;
 mod share;
