--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/centre.rs
@@ -90,6 +90,11 @@
         evacuation.active = active;
     }
 
+    /// Takes all data centres as reachable, as there is no evidence.
+    pub(super) fn set_reachable(&mut self) {
+        self.unreachable.values_mut().for_each(|unreachable| *unreachable = false);
+    }
+
     /// Re-evaluates which data centres are unreachable; this host's own never is.
     pub(super) fn update<'a>(
         &mut self,
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod held;
 mod hostile;
+mod link;
 mod losses;
 mod place;
 mod share;
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -58,6 +58,16 @@
         Self::with_options(FixtureOptions { targets, features: Features::default() })
     }
 
+    /// Creates a host that has been running for some time, with optional parts of routing.
+    pub fn with_features(targets: &[u64], features: Features) -> Self {
+        let mut fixture = Self::with_options(FixtureOptions { targets, features });
+        fixture.set_routes(1, &[(FRONTEND, "desk")]);
+        fixture.send(1, SegmentKind::Rst, 0, 0, 0);
+        fixture.now = fixture.now + UPTIME;
+        fixture.router.set_current(fixture.now, true);
+        fixture
+    }
+
     /// Creates a host with optional parts that has just started and knows no routes.
     pub fn with_options(options: FixtureOptions<'_>) -> Self {
         let FixtureOptions { targets, features } = options;
