Admit new flows by priority while there is too little room

Cause: a request waited only in the two seconds after a host's start; at any other time it was placed at once, however full the targets were, and a route's priority was read and not used. In a burst of 1.3 times what all slots serve, targets rejected requests whatever their priority, and the tries that followed kept them full.

Ruled out: processor time and links of the entry hosts (0.0064 cores of 0.038 on the mean); counts of each target from all hosts, as they are seconds old; waiting at the host, which a target's queue does already; a budget for repeats by the caller's address, as a repeat reaches another host.

Change: where the deployment asks for it, a host admits a flow only while its share of its data centre's room lasts, or an even part of what other data centres reported to be spare. The highest priority in use has five requests a slot, others three, late requests one less; one admitted flow in eight may be of a lower priority. All else is refused at once with `overloaded`. News of spare room is the demand section of load reports.

--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/centre.rs
@@ -42,7 +42,19 @@
     last_activity: Instant,
 }
 
+impl CentreKey {
+    /// Returns the index of the data centre, in the order in which they were added.
+    pub(super) fn index(self) -> usize {
+        self.0
+    }
+}
+
 impl Centres {
+    /// Returns the names of all data centres by index.
+    pub(super) fn names(&self) -> impl ExactSizeIterator<Item = &str> {
+        self.unreachable.keys().map(String::as_str)
+    }
+
     /// Returns the key of a data centre, which is added if it is new.
     pub(super) fn key(&mut self, name: &str) -> CentreKey {
         if let Some(index) = self.unreachable.get_index_of(name) {
--- a/lagoongauge/src/mark/load.rs
+++ b/lagoongauge/src/mark/load.rs
@@ -4,6 +4,13 @@
 
 use super::Mark;
 use crate::error::{Error, Kind, Result};
+use crate::time::Span;
+
+/// Evidence section of a report that carries none: an empty list.
+const EMPTY_EVIDENCE: u8 = 0;
+
+/// Maximum number of pressures that are read from a report.
+const MAX_PRESSURES: usize = 32;
 
 /// Load of one entry host on a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,11 +21,26 @@
     pub flows: u16,
 }
 
-/// Load counts of one entry host for all targets with open flows.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// How full the targets of a service in one data centre are, as measured by one of its entry hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServicePressure {
+    /// Hash of the data centre's name.
+    pub centre: u32,
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Part of the room that is taken, in percent.
+    pub pressure: u8,
+    /// Time since it was measured.
+    pub age: Span,
+}
+
+/// Load counts of one entry host for all targets with open flows, and its news of pressure.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LoadReport {
     /// Load counts by target mark.
     pub counts: Vec<(Mark, LoadCount)>,
+    /// Demand section; empty where callers do not compete for room.
+    pub pressures: Vec<ServicePressure>,
 }
 
 impl LoadCount {
@@ -35,15 +57,30 @@
     /// Sections for later additions follow the counts; hosts of earlier versions ignore them.
     /// Fails with `Internal` if the report can't be encoded.
     pub fn to_bytes(&self) -> Result<Vec<u8>> {
-        postcard::to_stdvec(self)
-            .map_err(|error| Error::new(Kind::Internal, format!("load report: {error}")))
+        let encode_error =
+            |error| Error::new(Kind::Internal, format!("failed to encode load report: {error}"));
+        let mut bytes = postcard::to_stdvec(&self.counts).map_err(encode_error)?;
+        if !self.pressures.is_empty() {
+            bytes.push(EMPTY_EVIDENCE);
+            bytes.extend(postcard::to_stdvec(&self.pressures).map_err(encode_error)?);
+        }
+        Ok(bytes)
     }
 
     /// Decodes a report of another host, which may be of an earlier version; fails with
     /// `Malformed`.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
-        let (report, _sections) = postcard::take_from_bytes(bytes)
+        let (counts, sections) = postcard::take_from_bytes(bytes)
             .map_err(|error| Error::new(Kind::Malformed, format!("load report: {error}")))?;
-        Ok(report)
+        Ok(Self { counts, pressures: decode_pressures(sections) })
     }
 }
+
+/// Decodes the demand section; one that is absent or unreadable counts as no news.
+fn decode_pressures(sections: &[u8]) -> Vec<ServicePressure> {
+    let Some((&EMPTY_EVIDENCE, section)) = sections.split_first() else { return Vec::new() };
+    let decoded = postcard::take_from_bytes::<Vec<ServicePressure>>(section);
+    let mut pressures = decoded.map(|(pressures, _)| pressures).unwrap_or_default();
+    pressures.truncate(MAX_PRESSURES);
+    pressures
+}
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 mod centre;
+pub mod contention;
 mod features;
 mod flow;
 mod flow_table;
@@ -17,6 +18,7 @@
 pub mod loss;
 pub mod placement;
 pub mod reporting;
+pub mod room;
 mod router;
 mod target;
 mod target_table;
@@ -30,7 +32,7 @@
 use crate::time::Instant;
 
 pub use self::features::{Features, WarmupLimit};
-pub use self::load::{LoadCount, LoadReport};
+pub use self::load::{LoadCount, LoadReport, ServicePressure};
 pub use self::router::{Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
 
--- /dev/null
+++ b/lagoongauge/src/mark/room.rs
@@ -0,0 +1,165 @@
+//! Room that one entry host may use in each data centre.
+//!
+//! Load pattern: callers crowd in one data centre while others have slots to spare, or the targets
+//! of a data centre are evacuated, dead or slow. A host's share of its own data centre follows from
+//! its own counts alone and needs no news. Of another data centre a host uses only what the hosts
+//! there have recently reported to be spare; reports are seconds old, so what nobody reported
+//! recently is not used.
+
+use indexmap::IndexMap;
+
+use super::load::ServicePressure;
+use crate::time::{Instant, Span};
+
+/// Age at which news of a data centre no longer counts.
+const NEWS_LIFETIME: Span = Span::seconds(4);
+
+/// Maximum number of data centres and services of which news is kept.
+const MAX_NEWS: usize = 32;
+
+/// Interval at which this host updates its own pressure.
+const UPDATE_INTERVAL: Span = Span::millis(200);
+
+/// Weight of the former pressure in the average, in eighths.
+const FORMER_EIGHTHS: u32 = 6;
+
+/// Pressure at which a data centre has nothing to spare, in percent.
+const FULL_PRESSURE: u8 = 100;
+
+/// Part of its own data centre's slots that the hosts there may use.
+pub(super) const OWN_CENTRE_PERCENT: u32 = 100;
+
+/// Slots of a service in one data centre, and this host's requests there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CentreDemand {
+    /// Requests that the targets can process concurrently.
+    pub slots: u32,
+    /// Requests of this host that wait for an answer.
+    pub waiting: u32,
+    /// Part of the slots that hosts of this one's data centre may use, in percent.
+    pub usable_percent: u32,
+    /// Whether the flow that is being placed has room here.
+    pub open: bool,
+}
+
+/// News of how full a service's targets in a data centre are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct News {
+    /// In percent of the room.
+    pressure: u8,
+    measured_at: Instant,
+}
+
+/// Identifies a service in a data centre on the wire, by hashes of their names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct NewsKey {
+    centre: u32,
+    service: u32,
+}
+
+/// Latest news of all data centres, each measured by one of its hosts and passed on by others.
+#[derive(Debug, Clone, Default)]
+pub struct PressureNews {
+    news: IndexMap<NewsKey, News>,
+}
+
+impl CentreDemand {
+    /// Returns whether one of `hosts` has room for another request if each slot may have this many.
+    /// Each may have one request at least in its own data centre.
+    pub fn has_room(&self, requests_per_slot: u32, hosts: u32) -> bool {
+        let room = u64::from(requests_per_slot) * u64::from(self.slots);
+        let share = room * u64::from(self.usable_percent) / (100 * u64::from(hosts.max(1)));
+        let is_own = self.usable_percent == OWN_CENTRE_PERCENT && self.slots > 0;
+        u64::from(self.waiting) < share.max(u64::from(is_own))
+    }
+}
+
+/// Returns the part that hosts of one data centre may use of what another has to spare, if those of
+/// all others among `centres` may use as much.
+pub(super) fn even_percent(spare_percent: u32, centres: usize) -> u32 {
+    spare_percent / (centres as u32).saturating_sub(1).max(1)
+}
+
+/// Returns how much of its part of the room one of `hosts` has taken, in percent, if each slot may
+/// have this many requests.
+pub(super) fn pressure_percent(
+    (slots, waiting): (u32, u32),
+    requests_per_slot: u32,
+    hosts: u32,
+) -> u8 {
+    let room = u64::from(requests_per_slot) * u64::from(slots);
+    let taken = 100 * u64::from(waiting) * u64::from(hosts);
+    let full = u64::from(FULL_PRESSURE);
+    taken.checked_div(room).map_or(FULL_PRESSURE, |percent| percent.min(full) as u8)
+}
+
+impl PressureNews {
+    /// Returns the part of a data centre that is spare, in percent; 0 without recent news.
+    pub fn spare_percent(&self, now: Instant, centre: &str, service: &str) -> u32 {
+        let news = self.news.get(&NewsKey::of(centre, service));
+        let recent = news.filter(|news| now.since(news.measured_at) < NEWS_LIFETIME);
+        recent.map_or(0, |news| u32::from(FULL_PRESSURE.saturating_sub(news.pressure)))
+    }
+
+    /// Returns the highest pressure of any service in a data centre; 0 without news.
+    pub fn highest_pressure(&self, centre: &str) -> u8 {
+        let centre = crc32fast::hash(centre.as_bytes());
+        let own = self.news.iter().filter(|(key, _)| key.centre == centre);
+        own.map(|(_, news)| news.pressure).max().unwrap_or(0)
+    }
+
+    /// Returns the news for other hosts.
+    pub fn report(&self, now: Instant) -> Vec<ServicePressure> {
+        let recent =
+            self.news.iter().filter(|(_, news)| now.since(news.measured_at) < NEWS_LIFETIME);
+        recent
+            .map(|(key, news)| ServicePressure {
+                centre: key.centre,
+                service: key.service,
+                pressure: news.pressure,
+                age: now.since(news.measured_at),
+            })
+            .collect()
+    }
+
+    /// Averages this host's own pressure, in percent, into the news of its data centre.
+    pub fn measure(&mut self, now: Instant, centre: &str, service: &str, pressure: u8) {
+        let key = NewsKey::of(centre, service);
+        let former = self.news.get(&key);
+        if former.is_some_and(|news| now.since(news.measured_at) < UPDATE_INTERVAL) {
+            return;
+        }
+        let former = u32::from(former.map_or(pressure, |news| news.pressure));
+        let average = (FORMER_EIGHTHS * former + (8 - FORMER_EIGHTHS) * u32::from(pressure)) / 8;
+        self.set(key, News { pressure: average as u8, measured_at: now });
+    }
+
+    /// Takes over the news of another host where it is later, but for this host's own data centre.
+    pub fn merge(&mut self, now: Instant, own_centre: &str, reported: &[ServicePressure]) {
+        let own_centre = crc32fast::hash(own_centre.as_bytes());
+        for reported in reported.iter().filter(|reported| reported.centre != own_centre) {
+            let key = NewsKey { centre: reported.centre, service: reported.service };
+            let measured_at = now - reported.age;
+            let is_later = self.news.get(&key).is_none_or(|news| news.measured_at < measured_at);
+            if is_later && reported.age < NEWS_LIFETIME {
+                self.set(key, News { pressure: reported.pressure, measured_at });
+            }
+        }
+        self.news.retain(|_, news| now.since(news.measured_at) < NEWS_LIFETIME);
+    }
+
+    fn set(&mut self, key: NewsKey, news: News) {
+        if self.news.len() < MAX_NEWS || self.news.contains_key(&key) {
+            self.news.insert(key, news);
+        }
+    }
+}
+
+impl NewsKey {
+    fn of(centre: &str, service: &str) -> Self {
+        Self {
+            centre: crc32fast::hash(centre.as_bytes()),
+            service: crc32fast::hash(service.as_bytes()),
+        }
+    }
+}
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 
 use super::centre::{CentreKey, Centres};
+use super::contention::Contention;
 use super::features::Features;
 use super::flow::Flow;
 use super::flow_table::FlowTable;
@@ -21,6 +22,7 @@
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::placement::{Candidate, LeastCost, Policy};
+use super::room::{CentreDemand, PressureNews};
 use super::target::TargetKey;
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
@@ -74,6 +76,11 @@
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
+    /// Admission by service, where callers compete for room.
+    contention: IndexMap<String, Contention>,
+    news: PressureNews,
+    /// Demand in each data centre at the decision on the current flow; a reused buffer.
+    demands: Vec<CentreDemand>,
     current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
@@ -114,6 +121,9 @@
             losses: LossLedger::default(),
             version: 0,
             contended,
+            contention: IndexMap::new(),
+            news: PressureNews::default(),
+            demands: Vec::new(),
             current: false,
             local_hosts: 0,
             confirmed_at: Instant::default(),
@@ -147,7 +157,8 @@
     /// Returns this host's load report for the other entry hosts.
     pub fn report(&self) -> LoadReport {
         let open = self.targets.iter().filter(|target| target.own_load != LoadCount::default());
-        LoadReport { counts: open.map(|target| (target.mark, target.own_load)).collect() }
+        let counts = open.map(|target| (target.mark, target.own_load)).collect();
+        LoadReport { counts, pressures: self.pressures() }
     }
 
     /// Moves the response times recorded since the last call to `response_times`.
@@ -214,6 +225,7 @@
 
     /// Stores the load report of another entry host.
     pub fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
+        self.news.merge(now, &self.config.centre, &report.pressures);
         self.targets.set_report(now, host, report);
     }
 
@@ -246,6 +258,7 @@
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
         self.centres.update(now, self.own_centre, self.targets.iter());
+        self.measure_pressure(now);
     }
 
     /// Decides on a packet that has just arrived.
@@ -282,6 +295,7 @@
     /// shown no activity since: if two targets answered, the caller would get halves of two flows.
     fn open_flow(&mut self, times: PacketTimes, segment: &Segment) -> Verdict {
         let PacketTimes { now, arrived } = times;
+        self.demands.clear();
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         if let Some(flow) = self.flows.get(segment.flow_key) {
@@ -303,7 +317,9 @@
             }
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
-        } else if let Some(cause) = self.refuse_for_link(times, segment) {
+        } else if let Some(cause) =
+            self.refuse_for_link(times, segment).or_else(|| self.refuse_for_room(times, segment))
+        {
             self.record_refusal(segment, cause);
             return Verdict::Reset(cause);
         }
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -1,11 +1,18 @@
-//! Decides which requests wait at this host, see [`crate::mark::admission`].
+//! Decides which requests wait at this host, and which are refused; see [`crate::mark::admission`]
+//! and [`crate::mark::contention`].
+
+use indexmap::IndexMap;
 
 use super::Router;
-use crate::mark::Segment;
 use crate::mark::admission::{Demand, is_late, is_recovering};
+use crate::mark::centre::CentreKey;
+use crate::mark::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT, Offer};
 use crate::mark::flow::syn_copy_delay;
+use crate::mark::frontend::Frontend;
 use crate::mark::placement::Policy;
+use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent, pressure_percent};
 use crate::mark::target::TargetKey;
+use crate::mark::{Cause, PacketTimes, Segment, ServicePressure};
 use crate::time::Instant;
 
 impl<P: Policy> Router<P> {
@@ -15,8 +22,7 @@
             return false;
         }
         let Some(frontend) = self.frontends.get(&segment.flow_key.frontend) else { return false };
-        let age = now.since(arrived) + syn_copy_delay(segment.acknowledged);
-        if !is_late(age, frontend.objective()) {
+        if !is_late_syn(PacketTimes { now, arrived }, segment, frontend) {
             return false;
         }
         let service = frontend.pick_service(self.flow_hash(segment.flow_key));
@@ -31,8 +37,100 @@
         held_since_start && !self.demand(now, &self.targets[key].service).has_room()
     }
 
+    /// Returns why a new flow must not be placed, if there is no room for it. Otherwise
+    /// [`Self::has_room_in`] tells where there is.
+    pub(super) fn refuse_for_room(
+        &mut self,
+        times: PacketTimes,
+        segment: &Segment,
+    ) -> Option<Cause> {
+        if !self.contended {
+            return None;
+        }
+        let frontend = self.frontends.get(&segment.flow_key.frontend)?;
+        let service = frontend.pick_service(self.flow_hash(segment.flow_key))?;
+        let late = is_late_syn(times, segment, frontend);
+        let offer = Offer { priority: frontend.priority, late };
+        let mut demands = std::mem::take(&mut self.demands);
+        self.sum_demand(times.now, service, &mut demands);
+        self.demands = demands;
+        let contention = match self.contention.get_mut(service) {
+            Some(contention) => contention,
+            None => self.contention.entry(service.into()).or_default(),
+        };
+        let requests_per_slot = contention.requests_per_slot(offer);
+        let hosts = self.local_hosts + 1;
+        for demand in &mut self.demands {
+            demand.open = demand.has_room(requests_per_slot, hosts);
+        }
+        let has_slots = self.demands.iter().any(|demand| demand.slots > 0);
+        let admitted = !has_slots || self.demands.iter().any(|demand| demand.open);
+        contention.count(offer, admitted);
+        (!admitted).then_some(Cause::Overloaded)
+    }
+
+    /// Returns whether the flow that is being placed has room in a data centre.
+    pub(super) fn has_room_in(&self, centre: CentreKey) -> bool {
+        self.demands.get(centre.index()).is_none_or(|demand| demand.open)
+    }
+
+    /// Updates the pressure in this host's data centre that it reports to others.
+    pub(super) fn measure_pressure(&mut self, now: Instant) {
+        self.contention.retain(|_, contention| !contention.is_idle());
+        for (service, contention) in &mut self.contention {
+            contention.decay(now);
+            let demand = self.targets.slots_and_waiting(now, service);
+            let pressure = pressure_percent(demand, LOWER_REQUESTS_PER_SLOT, self.local_hosts + 1);
+            self.news.measure(now, &self.config.centre, service, pressure);
+        }
+    }
+
+    /// Returns the news of pressure for other hosts.
+    pub(super) fn pressures(&self) -> Vec<ServicePressure> {
+        self.news.report(self.last_tick.unwrap_or_default())
+    }
+
+    /// Returns the flows that were admitted and refused since the last call, by service and
+    /// priority, where callers compete for room.
+    pub fn take_admissions(&mut self) -> Vec<(String, IndexMap<u8, AdmissionCounts>)> {
+        let services = self.contention.iter_mut();
+        services.map(|(service, contention)| (service.clone(), contention.take_counts())).collect()
+    }
+
+    /// Returns how much of this host's part of the room is taken, in percent, at the service where
+    /// it is fullest.
+    pub fn pressure(&self) -> u8 {
+        self.news.highest_pressure(&self.config.centre)
+    }
+
+    /// Collects the demand of a service in each data centre. Where this host's own has no slots
+    /// left, its callers get an even part of the others also without news.
+    fn sum_demand(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
+        let centres = self.centres.names().len();
+        demands.resize(centres, CentreDemand::default());
+        self.targets.sum_demand(now, service, demands);
+        let own = self.own_centre.index();
+        let is_displaced = demands.get(own).is_none_or(|demand| demand.slots == 0);
+        for (index, (name, demand)) in self.centres.names().zip(demands).enumerate() {
+            let spare = self.news.spare_percent(now, name, service);
+            demand.usable_percent = match index == own {
+                true => OWN_CENTRE_PERCENT,
+                false if is_displaced => {
+                    even_percent(spare, centres).max(even_percent(100, centres + 1))
+                }
+                false => even_percent(spare, centres),
+            };
+        }
+    }
+
     fn demand(&self, now: Instant, service: &str) -> Demand {
         let (slots, waiting) = self.targets.slots_and_waiting(now, service);
         Demand { slots, waiting, hosts: self.local_hosts + 1 }
     }
 }
+
+/// Returns whether the request that a SYN begins is unlikely to be answered within its objective.
+fn is_late_syn(times: PacketTimes, segment: &Segment, frontend: &Frontend) -> bool {
+    let age = times.now.since(times.arrived) + syn_copy_delay(segment.acknowledged);
+    is_late(age, frontend.objective())
+}
--- a/lagoongauge/src/mark/router/placing.rs
+++ b/lagoongauge/src/mark/router/placing.rs
@@ -27,6 +27,7 @@
             let target = &self.targets[*key];
             let mut candidate = target.candidate(now);
             candidate.suspect |= avoided == Some(*key)
+                || !self.has_room_in(target.centre)
                 || self.centres.is_unreachable(target.centre)
                 || self.is_ejected(now, *key);
             candidates.push((*key, candidate));
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -9,6 +9,7 @@
 use super::Mark;
 use super::centre::CentreKey;
 use super::load::{LoadCount, LoadReport};
+use super::room::CentreDemand;
 use super::target::{Target, TargetKey};
 use crate::id::{HostId, TargetId};
 use crate::roster::{Entry, Phase};
@@ -57,6 +58,23 @@
         })
     }
 
+    /// Adds up the slots of a service's targets in each data centre, and the requests of this host
+    /// that wait at them or are about to, by index of the data centre. Targets that don't answer are
+    /// left out.
+    pub(super) fn sum_demand(&self, now: Instant, service: &str, demands: &mut [CentreDemand]) {
+        for key in self.keys_of_service(service) {
+            let target = &self.targets[*key];
+            let Some(demand) = demands.get_mut(target.centre.index()) else { continue };
+            if target.silent || target.is_suspect(now) {
+                continue;
+            }
+            demand.waiting += u32::from(target.own_load.waiting) + u32::from(target.opening);
+            if target.accepts_flows() {
+                demand.slots += u32::from(target.slots);
+            }
+        }
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Target> + '_ {
         self.targets.values()
     }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -4,6 +4,8 @@
 mod held;
 mod losses;
 mod place;
+mod room;
+mod rush;
 mod share;
 mod world;
 
--- a/lagoongauge/tests/marks/place.rs
+++ b/lagoongauge/tests/marks/place.rs
@@ -83,7 +83,8 @@
 fn load_reports_of_other_hosts_count_until_they_expire() {
     let mut fixture = Fixture::new(&[1, 2]);
     let load = LoadCount { waiting: 8, flows: 8 };
-    let report = LoadReport { counts: vec![(Mark::of(TargetId(1)), load)] };
+    let report =
+        LoadReport { counts: vec![(Mark::of(TargetId(1)), load)], ..LoadReport::default() };
     fixture.router.set_report(fixture.now, HostId(7), report);
     for caller in 0..4 {
         assert_eq!(target_of(fixture.open(caller)), TargetId(2));
@@ -110,7 +111,7 @@
     let report = fixture.router.report();
     assert!(report.counts.iter().all(|(_, count)| count.waiting == 0 && count.flows == 10));
     let load = LoadCount { waiting: 6, flows: 0 };
-    let busy = LoadReport { counts: vec![(Mark::of(TargetId(1)), load)] };
+    let busy = LoadReport { counts: vec![(Mark::of(TargetId(1)), load)], ..LoadReport::default() };
     fixture.router.set_report(fixture.now, HostId(7), busy);
     let opened: Vec<_> = (100..104).map(|caller| target_of(fixture.open(caller)).0).collect();
     assert!(opened.contains(&1), "waiting requests hardly count for a long-lived flow: {opened:?}");
--- /dev/null
+++ b/lagoongauge/tests/marks/room.rs
@@ -0,0 +1,136 @@
+//! Where a host has room, and the order in which it is given away.
+
+use lagoongauge::mark::contention::{Contention, Offer};
+use lagoongauge::mark::room::{CentreDemand, PressureNews};
+use lagoongauge::mark::{Cause, LoadReport, ServicePressure, Verdict};
+use lagoongauge::time::{Instant, Span};
+
+use crate::world::Fixture;
+
+const START: Instant = Instant(100_000);
+
+fn offer(priority: u8) -> Offer {
+    Offer { priority, late: false }
+}
+
+fn reported(pressure: u8, age: u64) -> ServicePressure {
+    let mut other = PressureNews::default();
+    other.measure(START, "b", "desk", pressure);
+    ServicePressure { age: Span(age), ..other.report(START)[0] }
+}
+
+fn spare(news: &PressureNews, after: u64) -> u32 {
+    news.spare_percent(START + Span(after), "b", "desk")
+}
+
+#[test]
+fn a_host_has_its_share_of_its_own_data_centre() {
+    let demand =
+        |waiting, usable_percent| CentreDemand { slots: 20, waiting, usable_percent, open: false };
+    assert!(demand(5, 100).has_room(3, 10), "a tenth of 20 slots with three requests each");
+    assert!(!demand(6, 100).has_room(3, 10));
+    assert!(demand(0, 100).has_room(3, 1000), "one request at least");
+    assert!(!demand(0, 0).has_room(3, 1), "nothing is spare");
+    assert!(demand(2, 50).has_room(3, 10));
+    assert!(!demand(3, 50).has_room(3, 10));
+}
+
+#[test]
+fn the_highest_priority_in_use_has_the_last_of_the_room() {
+    let mut contention = Contention::default();
+    assert_eq!(contention.requests_per_slot(offer(2)), 5, "nothing higher is in use");
+    for _ in 0..20 {
+        contention.count(offer(1), true);
+        contention.count(offer(2), true);
+    }
+    assert_eq!(contention.requests_per_slot(offer(1)), 5);
+    assert_eq!(contention.requests_per_slot(offer(2)), 3);
+    assert_eq!(contention.requests_per_slot(Offer { late: true, ..offer(1) }), 4);
+    assert_eq!(contention.requests_per_slot(Offer { late: true, ..offer(2) }), 2);
+}
+
+#[test]
+fn a_priority_that_nobody_uses_any_more_keeps_no_room() {
+    let mut contention = Contention::default();
+    contention.count(offer(1), true);
+    for _ in 0..20 {
+        contention.count(offer(2), true);
+    }
+    assert_eq!(contention.requests_per_slot(offer(2)), 3);
+    contention.decay(START);
+    assert_eq!(contention.requests_per_slot(offer(2)), 5);
+}
+
+#[test]
+fn only_recent_news_tells_of_spare_room() {
+    let mut news = PressureNews::default();
+    assert_eq!(spare(&news, 0), 0, "no news, no room");
+    news.merge(START, "a", &[reported(30, 1000)]);
+    assert_eq!(spare(&news, 0), 70);
+    news.merge(START, "a", &[reported(90, 2000)]);
+    assert_eq!(spare(&news, 0), 70, "older news arrives later");
+    news.merge(START, "a", &[reported(80, 500)]);
+    assert_eq!(spare(&news, 3499), 20);
+    assert_eq!(spare(&news, 3500), 0, "a cut link brings no news");
+    news.merge(START, "a", &[reported(0, 60_000)]);
+    assert_eq!(spare(&news, 0), 20);
+}
+
+#[test]
+fn a_host_believes_only_itself_of_its_own_data_centre() {
+    let mut news = PressureNews::default();
+    news.measure(START, "b", "desk", 100);
+    news.merge(START + Span(10), "b", &[reported(0, 0)]);
+    assert_eq!(spare(&news, 10), 0);
+}
+
+#[test]
+fn news_is_bounded() {
+    let mut news = PressureNews::default();
+    let many: Vec<_> =
+        (0..1000).map(|service| ServicePressure { service, ..reported(1, 0) }).collect();
+    news.merge(START, "a", &many);
+    assert_eq!(news.report(START).len(), 32);
+}
+
+#[test]
+fn reports_of_other_versions_are_read() {
+    let report = LoadReport { pressures: vec![reported(30, 1000)], ..LoadReport::default() };
+    let bytes = report.to_bytes().unwrap();
+    assert_eq!(LoadReport::from_bytes(&bytes).unwrap(), report);
+    let counts_only = LoadReport::default().to_bytes().unwrap();
+    assert_eq!(counts_only, [0], "an empty section is not sent");
+    assert_eq!(LoadReport::from_bytes(&counts_only).unwrap(), LoadReport::default());
+    for length in 1..bytes.len() {
+        let cut = LoadReport::from_bytes(&bytes[..length]).unwrap();
+        assert_eq!(cut, LoadReport::default(), "{length} bytes");
+    }
+}
+
+#[test]
+fn a_flow_without_room_is_refused_at_once_and_counted() {
+    let mut fixture = Fixture::contended(&[1]);
+    let verdicts: Vec<_> = (10..30).map(|caller| fixture.open(caller)).collect();
+    let refused = verdicts.iter().filter(|verdict| **verdict == Verdict::Reset(Cause::Overloaded));
+    assert_eq!(refused.count(), 10, "two slots have room for ten: {verdicts:?}");
+    let admissions = fixture.router.take_admissions();
+    let counts = admissions[0].1[&1];
+    assert_eq!((admissions[0].0.as_str(), counts.admitted, counts.refused), ("desk", 10, 10));
+}
+
+/// The data centre of this host is evacuated or dead, and no news has arrived from the others.
+#[test]
+fn a_host_without_targets_in_its_data_centre_uses_an_even_part_of_the_others() {
+    let mut fixture = Fixture::contended(&[1, 2, 3, 4]);
+    fixture.set_centre(&[1, 2], "b");
+    fixture.set_centre(&[3, 4], "c");
+    let verdicts: Vec<_> = (10..40).map(|caller| fixture.open(caller)).collect();
+    let placed = verdicts.iter().filter(|verdict| matches!(verdict, Verdict::Forward { .. }));
+    assert_eq!(placed.count(), 12, "a third of 20 requests in each: {verdicts:?}");
+}
+
+#[test]
+fn without_any_target_the_reason_is_not_a_lack_of_room() {
+    let mut fixture = Fixture::contended(&[]);
+    assert_eq!(fixture.open(10), Verdict::Reset(Cause::NoTarget));
+}
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -44,13 +44,27 @@
         fixture
     }
 
+    /// Creates a host that has been running for some time, where callers compete for room.
+    pub fn contended(targets: &[u64]) -> Self {
+        let features = Features { contended: true, ..Features::default() };
+        let mut fixture = Self::with_features(targets, features);
+        fixture.set_routes(1, &[(FRONTEND, "desk")]);
+        fixture.send(1, SegmentKind::Rst, 0, 0, 0);
+        fixture.now = fixture.now + UPTIME;
+        fixture
+    }
+
     /// Creates a host that has just started and knows its targets, but no routes.
     pub fn without_catalog(targets: &[u64]) -> Self {
+        Self::with_features(targets, Features::default())
+    }
+
+    fn with_features(targets: &[u64], features: Features) -> Self {
         let config = RouterConfig {
             centre: "a".into(),
             hash_key: HashKey([1; 16]),
             max_flows: 10_000,
-            features: Features::default(),
+            features,
         };
         let mut fixture = Self { router: Router::new(config), mark: None, now: Instant(100_000) };
         fixture.router.set_current(fixture.now, true);
--- a/lagoongauged/src/mark_entry/loss_log.rs
+++ b/lagoongauged/src/mark_entry/loss_log.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use lagoongauge::catalog::Idempotency;
 use lagoongauge::mark::Cause;
+use lagoongauge::mark::contention::AdmissionCounts;
 use lagoongauge::mark::loss::{RequestCounts, RequestKind};
 use log::kv::Value;
 use log::{Level, Record};
@@ -21,6 +22,9 @@
 /// Value of the attribute `decision` on lines with counts of dropped packets.
 pub const DROPS_DECISION: &str = "drops";
 
+/// Value of the attribute `decision` on lines with counts of refused flows.
+pub const ADMISSION_DECISION: &str = "admission";
+
 /// Writes the counts of each window after its end.
 #[derive(Debug)]
 pub(super) struct LossLog {
@@ -50,6 +54,11 @@
         for (kind, counts) in state.router().take_losses() {
             write_requests(start, kind, &counts);
         }
+        for (service, counts) in state.take_admissions() {
+            let refused = counts.into_iter().filter(|(_, counts)| counts.refused > 0);
+            refused
+                .for_each(|(priority, counts)| write_admission(start, &service, priority, counts));
+        }
         let drops: IndexMap<&str, u64> = Cause::ALL
             .into_iter()
             .map(|cause| (cause, self.count_new_drops(state, cause)))
@@ -99,6 +108,14 @@
     write_line(&pairs, "requests of a window");
 }
 
+fn write_admission(start: u64, service: &str, priority: u8, counts: AdmissionCounts) {
+    log::info!(
+        decision = ADMISSION_DECISION, window = start, service = service, priority = priority,
+        admitted = counts.admitted, refused = counts.refused;
+        "flows refused in a window"
+    );
+}
+
 fn write_drops(start: u64, drops: &IndexMap<&str, u64>) {
     let mut pairs = vec![("decision", Value::from(DROPS_DECISION)), ("window", Value::from(start))];
     pairs.extend(drops.iter().map(|(name, count)| (*name, Value::from(*count))));
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics in the Prometheus text format; label values come from fixed lists only.
 
+use indexmap::IndexMap;
 use lagoongauge::mark::Cause;
+use lagoongauge::mark::contention::AdmissionCounts;
 use lagoongauge::time::Span;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
@@ -11,6 +13,9 @@
 const RESPONSE_TIME_BOUNDS_SECONDS: [f64; 11] =
     [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
+/// Priorities with a label of their own; lower ones share the last.
+const PRIORITY_LABELS: [&str; 4] = ["0", "1", "2", "lower"];
+
 /// Metrics of an entry host; values are copied from the state at each scrape.
 #[derive(Debug)]
 pub struct Metrics {
@@ -20,6 +25,9 @@
     held: IntCounter,
     reset: IntCounterVec,
     dropped: IntCounterVec,
+    admitted: IntCounterVec,
+    refused: IntCounterVec,
+    pressure: IntGauge,
     unreadable: IntCounter,
     unsent: IntCounter,
     omitted: IntCounter,
@@ -51,6 +59,20 @@
                 "Packets dropped, by cause.",
                 "cause",
             )?,
+            admitted: registry.counter_vec(
+                "admitted_flows",
+                "Flows that had room where callers compete for it, by priority.",
+                "priority",
+            )?,
+            refused: registry.counter_vec(
+                "refused_flows",
+                "Flows that had no room, by priority.",
+                "priority",
+            )?,
+            pressure: registry.gauge(
+                "room_taken_percent",
+                "Part of this host's room at its fullest service that is taken.",
+            )?,
             unreadable: registry
                 .counter("unreadable_datagrams", "Datagrams that were no packet.")?,
             unsent: registry.counter("unsent_datagrams", "Datagrams that the system refused.")?,
@@ -76,6 +98,15 @@
         }
     }
 
+    /// Adds flows that were admitted and refused, by priority.
+    pub fn count_admissions(&self, counts: &IndexMap<u8, AdmissionCounts>) {
+        for (priority, counts) in counts {
+            let label = PRIORITY_LABELS[usize::from(*priority).min(PRIORITY_LABELS.len() - 1)];
+            self.admitted.with_label_values(&[label]).inc_by(counts.admitted.into());
+            self.refused.with_label_values(&[label]).inc_by(counts.refused.into());
+        }
+    }
+
     /// Renders the metrics with the current values.
     pub fn render(&self, state: &State) -> prometheus::Result<String> {
         let counters = &state.counters;
@@ -93,6 +124,7 @@
         self.version.set(state.version() as i64);
         self.flows.set(flows as i64);
         self.targets.set(targets as i64);
+        self.pressure.set(state.pressure().into());
         self.ready.set(i64::from(state.is_ready()));
         self.registry.render()
     }
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -4,11 +4,12 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::mark::Router;
+use lagoongauge::mark::contention::AdmissionCounts;
 use lagoongauge::mark::held::HeldPackets;
 use lagoongauge::roster::{Entry, FeedStatuses, MergeOutcome, Roster, TargetRecord};
 use lagoongauge::time::{Instant, Span};
@@ -143,6 +144,21 @@
         (router.flow_count(), router.serving_count())
     }
 
+    /// Returns how much of this host's part of the room is taken, in percent.
+    pub fn pressure(&self) -> u8 {
+        self.router().pressure()
+    }
+
+    /// Returns the flows that were admitted and refused since the last call, by service and
+    /// priority, and adds them to the metrics.
+    pub(super) fn take_admissions(&self) -> Vec<(String, IndexMap<u8, AdmissionCounts>)> {
+        let admissions = self.router().take_admissions();
+        for (_, counts) in &admissions {
+            self.metrics.count_admissions(counts);
+        }
+        admissions
+    }
+
     pub(super) fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/lagoongauged/src/measure/burst/simulation.rs
+++ b/lagoongauged/src/measure/burst/simulation.rs
@@ -351,7 +351,7 @@
             if report == host.last_report {
                 continue;
             }
-            let size = postcard::to_stdvec(&report).map_or(0, |bytes| bytes.len());
+            let size = report.to_bytes().map_or(0, |bytes| bytes.len());
             let centre = index / per_centre;
             let is_local = |id: &HostId| id.0 as usize / per_centre == centre;
             let others = ids.iter().copied().filter(|id| id.0 as usize != index);
