Let nothing wait for room at a host that is asked to stop

Cause: a late request that waits because of a recent start could still wait when the process ends, and was then cut off without an answer.

Change: once the host is asked to stop, what waits is decided on at once and forwarded; nothing waits from then on. New flows without room are refused, truly, as before.

Test: `a_host_that_is_asked_to_stop_decides_on_what_waits`.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -92,6 +92,8 @@
     last_tick: Option<Instant>,
     /// Until when SYNs may have been queued during a stall.
     stale_until: Instant,
+    /// Whether this host was asked to end.
+    stopping: bool,
 }
 
 impl Router {
@@ -130,6 +132,7 @@
             ready_at: None,
             last_tick: None,
             stale_until: Instant::default(),
+            stopping: false,
         }
     }
 
@@ -211,6 +214,11 @@
         self.local_hosts = count;
     }
 
+    /// Records that this host was asked to end: no packet has to wait for room any more.
+    pub fn set_stopping(&mut self) {
+        self.stopping = true;
+    }
+
     /// Returns whether this host has been without contact with a quorum for some time.
     fn is_cut_off(&self, now: Instant) -> bool {
         !self.current && now.since(self.confirmed_at) >= CUT_OFF_TIMEOUT
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -18,7 +18,7 @@
 impl<P: Policy> Router<P> {
     /// Returns whether a SYN has to wait: its request is late, and there is no room for it.
     pub(super) fn must_yield_syn(&self, now: Instant, arrived: Instant, segment: &Segment) -> bool {
-        if !is_recovering(now, self.ready_at) {
+        if self.stopping || !is_recovering(now, self.ready_at) {
             return false;
         }
         let Some(frontend) = self.frontends.get(&segment.flow_key.frontend) else { return false };
@@ -34,7 +34,8 @@
     /// that arrives later nobody can tell whether it was repeated.
     pub(super) fn must_yield_data(&self, now: Instant, arrived: Instant, key: TargetKey) -> bool {
         let held_since_start = self.ready_at.is_some_and(|ready_at| arrived < ready_at);
-        held_since_start && !self.demand(now, &self.targets[key].service).has_room()
+        let may_wait = held_since_start && !self.stopping;
+        may_wait && !self.demand(now, &self.targets[key].service).has_room()
     }
 
     /// Returns why a new flow must not be placed, if there is no room for it. Otherwise
--- a/lagoongauge/tests/marks/admission.rs
+++ b/lagoongauge/tests/marks/admission.rs
@@ -85,3 +85,18 @@
         assert_eq!(verdict == Verdict::Hold, waits, "after {held_for} ms");
     }
 }
+
+/// An operator stops a host while requests wait in it.
+#[test]
+fn a_host_that_is_asked_to_stop_decides_on_what_waits() {
+    let mut fixture = Fixture::just_started(&[1]);
+    assert_eq!(admit_late(&mut fixture, 10..20), 3);
+    fixture.mark = Some(Mark::of(lagoongauge::id::TargetId(1)));
+    assert_eq!(fixture.send_held_data(40), Verdict::Hold);
+    assert_eq!(fixture.open_after(50, 80), Verdict::Hold);
+    fixture.router.set_stopping();
+    for verdict in [fixture.send_held_data(40), fixture.open_after(50, 80)] {
+        assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}");
+    }
+    assert_eq!(admit_late(&mut fixture, 60..80), 20, "nothing waits from now on");
+}
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -198,9 +198,12 @@
         let _ = self.releaser.try_send(());
     }
 
-    /// Makes the host not ready, so that the fabric stops sending packets to it.
+    /// Makes the host not ready, so that the fabric stops sending packets to it, and has the packets
+    /// that wait for room decided on now.
     pub(super) fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Release);
+        self.router().set_stopping();
+        self.wake_releaser();
     }
 
     /// Applies a catalog if it is newer than the active one; returns whether it was applied.
