Count only requests that take room

Cause: when hosts join or leave, the fabric moves nearly all flows to other hosts. The former host sees no end of its requests and counted them until their timeout (4 s), so that its room seemed taken.

Change: a request takes no room once half of its objective is over, or once the fabric has moved flows here from other hosts: three flows or more in 100 ms that opened elsewhere, and half as many as opened here.

Test: `flows_that_moved_to_other_hosts_take_no_room`.

--- a/lagoongauge/src/mark/flow_table.rs
+++ b/lagoongauge/src/mark/flow_table.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::FlowKey;
+use super::admission::is_late;
 use super::flow::Flow;
 use super::frontend::Frontend;
 use super::target::TargetKey;
@@ -114,6 +115,31 @@
         overdue
     }
 
+    /// Counts, for each target, the requests and unopened flows that take no room: they have waited
+    /// for half of the objective, or the fabric has moved them, and another host sees them end.
+    pub(super) fn count_overstayed(
+        &self,
+        now: Instant,
+        moved_at: Instant,
+        targets: &mut TargetTable,
+        frontends: &IndexMap<SocketAddrV4, Frontend>,
+    ) {
+        targets.iter_mut().for_each(|target| target.overstayed = 0);
+        for (flow_key, flow) in &self.flows {
+            let Some(frontend) = frontends.get(&flow_key.frontend) else { continue };
+            let waits_since = match flow.request {
+                Some(request) => request.seen_at,
+                None if !flow.established => flow.opened_at,
+                None => continue,
+            };
+            let late = is_late(now.since(waits_since), frontend.objective());
+            if late || waits_since < moved_at {
+                let overstayed = &mut targets[flow.target].overstayed;
+                *overstayed = overstayed.saturating_add(1);
+            }
+        }
+    }
+
     fn remove_if(
         &mut self,
         targets: &mut TargetTable,
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -16,6 +16,7 @@
 pub mod held;
 mod load;
 pub mod loss;
+pub mod moves;
 pub mod placement;
 pub mod reporting;
 pub mod room;
--- a/lagoongauge/src/mark/room.rs
+++ b/lagoongauge/src/mark/room.rs
@@ -72,6 +72,15 @@
         let is_own = self.usable_percent == OWN_CENTRE_PERCENT && self.slots > 0;
         u64::from(self.waiting) < share.max(u64::from(is_own))
     }
+
+    /// Returns how much of its share of all slots one of `hosts` has taken, in percent, if each slot
+    /// may have this many requests.
+    pub fn pressure_percent(&self, requests_per_slot: u32, hosts: u32) -> u8 {
+        let room = u64::from(requests_per_slot) * u64::from(self.slots);
+        let taken = 100 * u64::from(self.waiting) * u64::from(hosts);
+        let full = u64::from(FULL_PRESSURE);
+        taken.checked_div(room).map_or(FULL_PRESSURE, |percent| percent.min(full) as u8)
+    }
 }
 
 /// Returns the part that hosts of one data centre may use of what another has to spare, if those of
@@ -80,19 +89,6 @@
     spare_percent / (centres as u32).saturating_sub(1).max(1)
 }
 
-/// Returns how much of its part of the room one of `hosts` has taken, in percent, if each slot may
-/// have this many requests.
-pub(super) fn pressure_percent(
-    (slots, waiting): (u32, u32),
-    requests_per_slot: u32,
-    hosts: u32,
-) -> u8 {
-    let room = u64::from(requests_per_slot) * u64::from(slots);
-    let taken = 100 * u64::from(waiting) * u64::from(hosts);
-    let full = u64::from(FULL_PRESSURE);
-    taken.checked_div(room).map_or(FULL_PRESSURE, |percent| percent.min(full) as u8)
-}
-
 impl PressureNews {
     /// Returns the part of a data centre that is spare, in percent; 0 without recent news.
     pub fn spare_percent(&self, now: Instant, centre: &str, service: &str) -> u32 {
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -21,6 +21,7 @@
 use super::frontend::Frontend;
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
+use super::moves::MoveDetector;
 use super::placement::{Candidate, LeastCost, Policy};
 use super::room::{CentreDemand, PressureNews};
 use super::target::TargetKey;
@@ -79,6 +80,9 @@
     /// Admission by service, where callers compete for room.
     contention: IndexMap<String, Contention>,
     news: PressureNews,
+    moves: MoveDetector,
+    /// When the requests that take no room were last counted.
+    counted_at: Instant,
     /// Demand in each data centre at the decision on the current flow; a reused buffer.
     demands: Vec<CentreDemand>,
     current: bool,
@@ -125,6 +129,8 @@
             contended,
             contention: IndexMap::new(),
             news: PressureNews::default(),
+            moves: MoveDetector::default(),
+            counted_at: Instant::default(),
             demands: Vec::new(),
             current: false,
             local_hosts: 0,
@@ -266,7 +272,9 @@
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
         self.centres.update(now, self.own_centre, self.targets.iter());
-        self.measure_pressure(now);
+        if self.contended {
+            self.measure_pressure(now);
+        }
     }
 
     /// Decides on a packet that has just arrived.
@@ -337,6 +345,7 @@
             return Verdict::Reset(Cause::NoTarget);
         };
         self.targets[key].record_trial(now);
+        self.moves.record_opened(now);
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
             frontend.count_flow();
         }
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -10,10 +10,13 @@
 use crate::mark::flow::syn_copy_delay;
 use crate::mark::frontend::Frontend;
 use crate::mark::placement::Policy;
-use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent, pressure_percent};
+use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent};
 use crate::mark::target::TargetKey;
 use crate::mark::{Cause, PacketTimes, Segment, ServicePressure};
-use crate::time::Instant;
+use crate::time::{Instant, Span};
+
+/// Interval at which the requests that take no room are counted.
+const COUNT_INTERVAL: Span = Span::millis(40);
 
 impl<P: Policy> Router<P> {
     /// Returns whether a SYN has to wait: its request is late, and there is no room for it.
@@ -53,6 +56,11 @@
         let late = is_late_syn(times, segment, frontend);
         let offer = Offer { priority: frontend.priority, late };
         let mut demands = std::mem::take(&mut self.demands);
+        if times.now.since(self.counted_at) >= COUNT_INTERVAL {
+            self.counted_at = times.now;
+            let moved_at = self.moves.moved_at();
+            self.flows.count_overstayed(times.now, moved_at, &mut self.targets, &self.frontends);
+        }
         self.sum_demand(times.now, service, &mut demands);
         self.demands = demands;
         let contention = match self.contention.get_mut(service) {
@@ -77,11 +85,15 @@
 
     /// Updates the pressure in this host's data centre that it reports to others.
     pub(super) fn measure_pressure(&mut self, now: Instant) {
+        let (own, hosts) = (self.own_centre.index(), self.local_hosts + 1);
         self.contention.retain(|_, contention| !contention.is_idle());
         for (service, contention) in &mut self.contention {
             contention.decay(now);
-            let demand = self.targets.slots_and_waiting(now, service);
-            let pressure = pressure_percent(demand, LOWER_REQUESTS_PER_SLOT, self.local_hosts + 1);
+            self.demands.clear();
+            self.demands.resize(self.centres.names().len(), CentreDemand::default());
+            self.targets.sum_demand(now, service, &mut self.demands);
+            let demand = self.demands.get(own).copied().unwrap_or_default();
+            let pressure = demand.pressure_percent(LOWER_REQUESTS_PER_SLOT, hosts);
             self.news.measure(now, &self.config.centre, service, pressure);
         }
     }
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -51,6 +51,7 @@
             self.flows.remove(&mut self.targets, segment.flow_key);
         } else {
             if known.is_none_or(|flow| flow.target != key) {
+                self.moves.record_resumed(now);
                 self.flows.remove(&mut self.targets, segment.flow_key);
                 self.flows.insert(
                     &mut self.targets,
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -58,6 +58,9 @@
     pub(super) own_load: LoadCount,
     /// Flows from this host that have not opened yet.
     pub(super) opening: u16,
+    /// Requests and flows of own load and `opening` that take no room, see
+    /// [`super::flow_table::FlowTable::count_overstayed`].
+    pub(super) overstayed: u16,
     /// Load from other entry hosts, according to their reports.
     pub(super) other_load: LoadCount,
     /// When a caller last acknowledged an answer of it.
@@ -86,6 +89,7 @@
             gone_at: now,
             own_load: LoadCount::default(),
             opening: 0,
+            overstayed: 0,
             other_load: LoadCount::default(),
             last_activity: now,
             retransmits: 0,
@@ -133,6 +137,12 @@
         waiting >= u32::from(self.slots)
     }
 
+    /// Returns the requests of this host that take room: they wait at it or are about to.
+    pub(super) fn pending_requests(&self) -> u32 {
+        let pending = u32::from(self.own_load.waiting) + u32::from(self.opening);
+        pending.saturating_sub(u32::from(self.overstayed))
+    }
+
     /// Returns whether it is warming up.
     pub(super) fn is_cold(&self, now: Instant) -> bool {
         now < self.warm_at
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -68,7 +68,7 @@
             if target.silent || target.is_suspect(now) {
                 continue;
             }
-            demand.waiting += u32::from(target.own_load.waiting) + u32::from(target.opening);
+            demand.waiting += target.pending_requests();
             if target.accepts_flows() {
                 demand.slots += u32::from(target.slots);
             }
--- a/lagoongauge/tests/marks/room.rs
+++ b/lagoongauge/tests/marks/room.rs
@@ -1,6 +1,7 @@
 //! Where a host has room, and the order in which it is given away.
 
 use lagoongauge::mark::contention::{Contention, Offer};
+use lagoongauge::mark::moves::MoveDetector;
 use lagoongauge::mark::room::{CentreDemand, PressureNews};
 use lagoongauge::mark::{Cause, LoadReport, ServicePressure, Verdict};
 use lagoongauge::time::{Instant, Span};
@@ -49,6 +50,20 @@
     assert_eq!(contention.requests_per_slot(Offer { late: true, ..offer(2) }), 2);
 }
 
+#[test]
+fn flows_from_elsewhere_show_that_the_fabric_moved_flows() {
+    let mut moves = MoveDetector::default();
+    for caller in 0..50 {
+        moves.record_opened(START + Span(caller));
+    }
+    moves.record_resumed(START + Span(60));
+    assert_eq!(moves.moved_at(), Instant(0), "a flow that was idle here is no move");
+    let later = START + Span(500);
+    moves.record_opened(later);
+    (0..3).for_each(|_| moves.record_resumed(later + Span(10)));
+    assert_eq!(moves.moved_at(), later);
+}
+
 #[test]
 fn a_priority_that_nobody_uses_any_more_keeps_no_room() {
     let mut contention = Contention::default();
--- a/lagoongauge/tests/marks/rush.rs
+++ b/lagoongauge/tests/marks/rush.rs
@@ -41,6 +41,9 @@
 /// Time within which callers want an answer.
 const OBJECTIVE_MS: u64 = 600;
 
+/// Interval at which a host's router ticks.
+const TICK_INTERVAL_MS: u64 = 200;
+
 /// Interval at which a host checks for a new load report.
 const REPORT_INTERVAL_MS: u64 = 25;
 
@@ -65,6 +68,8 @@
     pub kinds: [Kind; 2],
     /// Whether hosts receive each other's reports.
     pub reports: bool,
+    /// Interval at which the fabric moves all flows to other hosts, if it does.
+    pub move_interval: Option<u64>,
 }
 
 /// How the requests of one kind ended.
@@ -280,7 +285,15 @@
         };
         let flow_key = FlowKey { caller: attempt.caller, frontend };
         let segment = Segment { flow_key, kind, mark, sequence, acknowledged: acked, length };
-        self.hosts[attempt.host].router.decide(Instant(OFFSET_MS + self.now), &segment)
+        let host = self.current_host(attempt);
+        self.hosts[host].router.decide(Instant(OFFSET_MS + self.now), &segment)
+    }
+
+    /// Returns the host to which the fabric currently sends the packets of an attempt.
+    fn current_host(&self, attempt: &Try) -> usize {
+        let moves = self.rush.move_interval.map_or(0, |interval| self.now / interval) as usize;
+        let (centre, index) = (attempt.host / self.rush.hosts, attempt.host % self.rush.hosts);
+        centre * self.rush.hosts + (index + moves) % self.rush.hosts
     }
 
     fn exchange_reports(&mut self) {
@@ -288,7 +301,9 @@
         let all: Vec<HostId> = (0..self.hosts.len() as u32).map(HostId).collect();
         for index in 0..self.hosts.len() {
             let host = &mut self.hosts[index];
-            host.router.tick(now);
+            if self.now.is_multiple_of(TICK_INTERVAL_MS) {
+                host.router.tick(now);
+            }
             let report = host.router.report();
             let size = report.to_bytes().map_or(0, |bytes| bytes.len());
             let own = index / self.rush.hosts;
@@ -390,6 +405,7 @@
         Kind { priority: 2, rate: 164.0, work_ms: 40 },
     ],
     reports: true,
+    move_interval: None,
 };
 
 /// The rush as it was served before admission.
@@ -448,3 +464,15 @@
     let former = Replay::run(FORMER_QUAY, 6).rush;
     assert!(former.iter().all(|ends| ends.refused == 0), "{former:?}");
 }
+
+/// Hosts join and leave, and with each change nearly all flows go to other hosts.
+#[test]
+fn flows_that_moved_to_other_hosts_take_no_room() {
+    let moving = Rush { move_interval: Some(1300), ..QUAY };
+    let [bookings, views] = Replay::run(Rush { factors: &[3.0], ..moving }, 8).rush;
+    assert!(bookings.share_on_time() >= 0.98, "{bookings:?}");
+    assert!(views.share_on_time() >= 0.95, "{views:?}");
+    let [bookings, views] = Replay::run(moving, 8).rush;
+    assert!(bookings.share_on_time() >= 0.98, "{bookings:?}");
+    assert!(views.share_on_time() >= 0.5, "{views:?}");
+}
