Merge the admission of new flows by priority

Slots of evacuated data centres and of warming targets with a limit are not counted as room, so that hosts there take what other data centres have to spare.

--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 mod centre;
+pub mod contention;
 mod features;
 mod flow;
 mod flow_table;
@@ -16,8 +17,10 @@
 mod link;
 mod load;
 pub mod loss;
+pub mod moves;
 pub mod placement;
 pub mod reporting;
+pub mod room;
 mod router;
 mod target;
 mod target_table;
@@ -32,7 +35,7 @@
 use crate::time::Instant;
 
 pub use self::features::{Features, WarmupLimit};
-pub use self::load::{LoadCount, LoadReport};
+pub use self::load::{LoadCount, LoadReport, ServicePressure};
 pub use self::router::{Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
 
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 
 use super::centre::{CentreKey, Centres};
+use super::contention::Contention;
 use super::features::Features;
 use super::flow::Flow;
 use super::flow_table::FlowTable;
@@ -21,7 +22,9 @@
 use super::link::LinkMeter;
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
+use super::moves::MoveDetector;
 use super::placement::{Candidate, LeastCost, Policy};
+use super::room::{CentreDemand, PressureNews};
 use super::target::{Target, TargetKey};
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
@@ -85,6 +88,14 @@
     contended: bool,
     /// Use of this host's link, if it is limited and the deployment is contended.
     link: Option<LinkMeter>,
+    /// Admission by service, where callers compete for room.
+    contention: IndexMap<String, Contention>,
+    news: PressureNews,
+    moves: MoveDetector,
+    /// When the requests that take no room were last counted.
+    counted_at: Instant,
+    /// Demand in each data centre at the decision on the current flow; a reused buffer.
+    demands: Vec<CentreDemand>,
     current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
@@ -96,6 +107,8 @@
     last_tick: Option<Instant>,
     /// Until when SYNs may have been queued during a stall.
     stale_until: Instant,
+    /// Whether this host was asked to end.
+    stopping: bool,
 }
 
 impl Router {
@@ -128,12 +141,18 @@
             version: 0,
             contended,
             link: None,
+            contention: IndexMap::new(),
+            news: PressureNews::default(),
+            moves: MoveDetector::default(),
+            counted_at: Instant::default(),
+            demands: Vec::new(),
             current: false,
             local_hosts: 0,
             confirmed_at: Instant::default(),
             ready_at: None,
             last_tick: None,
             stale_until: Instant::default(),
+            stopping: false,
         }
     }
 
@@ -164,7 +183,8 @@
     /// Returns this host's load report for the other entry hosts.
     pub fn report(&self) -> LoadReport {
         let open = self.targets.iter().filter(|target| target.own_load != LoadCount::default());
-        LoadReport { counts: open.map(|target| (target.mark, target.own_load)).collect() }
+        let counts = open.map(|target| (target.mark, target.own_load)).collect();
+        LoadReport { counts, pressures: self.pressures() }
     }
 
     /// Moves the response times recorded since the last call to `response_times`.
@@ -228,6 +248,11 @@
         self.current && now.since(self.confirmed_at) < CONFIRMATION_LIFETIME
     }
 
+    /// Records that this host was asked to end: no packet has to wait for room any more.
+    pub fn set_stopping(&mut self) {
+        self.stopping = true;
+    }
+
     /// Returns whether this host has been without contact with a quorum for some time.
     fn is_cut_off(&self, now: Instant) -> bool {
         !self.current && now.since(self.confirmed_at) >= CUT_OFF_TIMEOUT
@@ -242,6 +267,7 @@
 
     /// Stores the load report of another entry host.
     pub fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
+        self.news.merge(now, &self.config.centre, &report.pressures);
         self.targets.set_report(now, host, report);
     }
 
@@ -280,6 +306,9 @@
         } else {
             self.centres.update(now, self.own_centre, self.targets.iter());
         }
+        if self.contended {
+            self.measure_pressure(now);
+        }
     }
 
     /// Decides on a packet that has just arrived.
@@ -323,6 +352,7 @@
     fn open_flow(&mut self, times: PacketTimes, segment: &Segment) -> Verdict {
         let PacketTimes { now, arrived } = times;
         self.record_returns(now);
+        self.demands.clear();
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         let link_busy = self.is_link_busy(now);
@@ -349,7 +379,9 @@
             }
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
-        } else if let Some(cause) = self.refuse_for_link(times, segment) {
+        } else if let Some(cause) =
+            self.refuse_for_link(times, segment).or_else(|| self.refuse_for_room(times, segment))
+        {
             self.record_refusal(segment, cause);
             return Verdict::Reset(cause);
         }
@@ -360,6 +392,7 @@
         };
         self.targets[key].record_trial(now);
         self.count_warmup_flow(now, key);
+        self.moves.record_opened(now);
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
             frontend.count_flow();
         }
--- a/lagoongauge/src/mark/router/placing.rs
+++ b/lagoongauge/src/mark/router/placing.rs
@@ -27,7 +27,8 @@
                 continue;
             }
             let mut candidate = self.placement_candidate(now, *key);
-            candidate.suspect |= avoided == Some(*key);
+            candidate.suspect |=
+                avoided == Some(*key) || !self.has_room_in(self.targets[*key].centre);
             candidates.push((*key, candidate));
         }
         if limit.is_some() {
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -9,6 +9,7 @@
 use super::Mark;
 use super::centre::CentreKey;
 use super::load::{LoadCount, LoadReport};
+use super::room::CentreDemand;
 use super::target::{Target, TargetKey};
 use crate::id::{HostId, TargetId};
 use crate::roster::{Entry, Phase};
@@ -30,6 +31,22 @@
     reports: IndexMap<HostId, (Instant, LoadReport)>,
 }
 
+/// Which targets of a service new flows may use now.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UsableTargets<'a> {
+    /// Data centres whose targets get no new flows.
+    pub(super) evacuated: &'a [CentreKey],
+    /// Whether new flows to warming targets are limited, so that their slots can't be counted on.
+    pub(super) warm_only: bool,
+}
+
+impl UsableTargets<'_> {
+    fn contains(&self, now: Instant, target: &Target) -> bool {
+        let withheld = self.warm_only && target.is_cold(now);
+        target.accepts_flows() && !withheld && !self.evacuated.contains(&target.centre)
+    }
+}
+
 impl TargetTable {
     pub(super) fn key(&self, target: TargetId) -> Option<TargetKey> {
         self.by_id.get(&target).copied()
@@ -44,25 +61,47 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the slots of a service's targets in this host's data centre, and the requests of this
-    /// host that wait at any of its targets or are about to.
-    /// Targets that don't answer are left out, as are the slots of evacuated data centres.
+    /// Returns the usable slots of a service's targets in this host's data centre, and the requests
+    /// of this host that wait at any of its targets or are about to. Targets that don't answer are
+    /// left out.
     pub(super) fn slots_and_waiting(
         &self,
         now: Instant,
         service: &str,
-        evacuated: &[CentreKey],
+        usable: UsableTargets<'_>,
     ) -> (u32, u32) {
         let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
         let answering = targets.filter(|target| !target.silent && !target.is_suspect(now));
         answering.fold((0, 0), |(slots, waiting), target| {
-            let serves =
-                target.local && target.accepts_flows() && !evacuated.contains(&target.centre);
+            let serves = target.local && usable.contains(now, target);
             let own = u32::from(target.own_load.waiting) + u32::from(target.opening);
             (slots + if serves { u32::from(target.slots) } else { 0 }, waiting + own)
         })
     }
 
+    /// Adds up the usable slots of a service's targets in each data centre, and the requests of this
+    /// host that wait at them or are about to, by index of the data centre. Targets that don't answer
+    /// are left out.
+    pub(super) fn sum_demand(
+        &self,
+        now: Instant,
+        service: &str,
+        usable: UsableTargets<'_>,
+        demands: &mut [CentreDemand],
+    ) {
+        for key in self.keys_of_service(service) {
+            let target = &self.targets[*key];
+            let Some(demand) = demands.get_mut(target.centre.index()) else { continue };
+            if target.silent || target.is_suspect(now) {
+                continue;
+            }
+            demand.waiting += target.pending_requests();
+            if usable.contains(now, target) {
+                demand.slots += u32::from(target.slots);
+            }
+        }
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Target> + '_ {
         self.targets.values()
     }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -7,6 +7,8 @@
 mod link;
 mod losses;
 mod place;
+mod room;
+mod rush;
 mod share;
 mod warmup;
 mod world;
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -53,6 +53,11 @@
         fixture
     }
 
+    /// Creates a host that has been running for some time, where callers compete for room.
+    pub fn contended(targets: &[u64]) -> Self {
+        Self::with_features(targets, Features { contended: true, ..Features::default() })
+    }
+
     /// Creates a host that has just started and knows its targets, but no routes.
     pub fn without_catalog(targets: &[u64]) -> Self {
         Self::with_options(FixtureOptions { targets, features: Features::default() })
