Pool evidence on failing targets between the entry hosts of a data centre

Cause: with many entry hosts before many targets, no host sees enough of a target that falls silent: it takes three retransmissions at one host, or three missed announcements at the control hosts.

Ruled out: a section of the load report, which reaches a neighbour of 27 every four seconds; a lower local threshold, which a single broken link would meet.

Change: in contended deployments each host tells its data centre of SYNs and repeated data without an answer, and avoids a target for new flows once three hosts doubt it. Signs of life outweigh doubts; at most half of a service's targets in a data centre are ejected; trials are shared.

--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -8,6 +8,9 @@
 
 pub mod admission;
 mod centre;
+mod ejection;
+pub mod evidence;
+pub mod evidence_budget;
 mod features;
 mod flow;
 mod flow_table;
@@ -20,6 +23,7 @@
 mod router;
 mod target;
 mod target_table;
+mod unanswered;
 mod verdict;
 
 use std::net::SocketAddrV4;
@@ -29,9 +33,10 @@
 use crate::id::TargetId;
 use crate::time::Instant;
 
+pub use self::ejection::Change as EjectionKind;
 pub use self::features::{Features, WarmupLimit};
 pub use self::load::{LoadCount, LoadReport};
-pub use self::router::{Router, RouterConfig};
+pub use self::router::{EjectionChange, EvidenceCounts, Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
 
 /// Identifies a target in four bytes of a packet; 0 stands for no target.
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -9,10 +9,13 @@
 mod placing;
 mod warmup;
 
+pub use self::evidence::{EjectionChange, EvidenceCounts};
+
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
 
+use self::evidence::EvidencePool;
 use super::centre::{CentreKey, Centres};
 use super::features::Features;
 use super::flow::Flow;
@@ -71,6 +74,7 @@
     candidates: Vec<(TargetKey, Candidate)>,
     response_times: Vec<Span>,
     losses: LossLedger,
+    evidence: EvidencePool,
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
@@ -112,6 +116,7 @@
             candidates: Vec::new(),
             response_times: Vec::new(),
             losses: LossLedger::default(),
+            evidence: EvidencePool::default(),
             version: 0,
             contended,
             current: false,
@@ -230,7 +235,8 @@
         self.last_tick = Some(now);
         self.stale_until = now + STALL_RECOVERY;
         let running = self.targets.iter_mut().filter(|target| target.phase != Phase::Gone);
-        running.for_each(|target| target.record_activity(self.stale_until));
+        running.for_each(|target| target.excuse_until(self.stale_until));
+        self.evidence.clear();
     }
 
     /// Advances time: removes expired flows, reports and targets.
@@ -312,7 +318,7 @@
             self.record_refusal(segment, Cause::NoTarget);
             return Verdict::Reset(Cause::NoTarget);
         };
-        self.targets[key].record_trial(now);
+        self.record_placed(now, key);
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
             frontend.count_flow();
         }
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -5,7 +5,9 @@
 use slotmap::new_key_type;
 
 use super::centre::CentreKey;
+use super::ejection::OwnView;
 use super::placement::Candidate;
+use super::unanswered::Unanswered;
 use super::{LoadCount, Mark};
 use crate::id::TargetId;
 use crate::roster::{Entry, Phase};
@@ -68,6 +70,8 @@
     last_retransmit: Instant,
     /// When a flow was last placed on it; on a suspect target this is a trial.
     last_trial: Instant,
+    /// Packets that this host saw go unanswered.
+    unanswered: Unanswered,
 }
 
 impl Target {
@@ -91,6 +95,7 @@
             retransmits: 0,
             last_retransmit: now,
             last_trial: now,
+            unanswered: Unanswered::default(),
         }
     }
 
@@ -145,10 +150,29 @@
         gone && !self.is_active_since(self.gone_at + ACKNOWLEDGEMENT_GRACE)
     }
 
+    /// Returns when a caller last acknowledged an answer of it, or `None` if this host saw none.
+    pub(super) fn answered_at(&self) -> Option<Instant> {
+        self.unanswered.answered_at()
+    }
+
+    /// Returns what this host itself saw of its answers, see [`Unanswered::doubt`].
+    pub(super) fn own_view(&self, now: Instant, answered_syn: Instant) -> OwnView {
+        let doubt = self.unanswered.doubt(now, answered_syn);
+        OwnView { doubt, answered_at: self.answered_at() }
+    }
+
     /// Records that a caller acknowledged an answer of it.
     pub(super) fn record_activity(&mut self, now: Instant) {
         self.last_activity = now;
         self.retransmits = 0;
+        self.unanswered.record_answer(now);
+    }
+
+    /// Counts it as active until `instant`, as this host saw no answers during a stall.
+    pub(super) fn excuse_until(&mut self, instant: Instant) {
+        self.last_activity = instant;
+        self.retransmits = 0;
+        self.unanswered.clear();
     }
 
     /// Returns when a caller last acknowledged an answer of it.
@@ -167,6 +191,7 @@
         if self.last_activity <= now {
             self.retransmits = self.retransmits.saturating_add(1);
             self.last_retransmit = now;
+            self.unanswered.record_repeat(now);
         }
     }
 
@@ -205,5 +230,6 @@
     /// Records that a new flow was placed on it.
     pub(super) fn record_trial(&mut self, now: Instant) {
         self.last_trial = now;
+        self.unanswered.record_syn(now);
     }
 }
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -61,6 +61,11 @@
         self.targets.values()
     }
 
+    /// Returns the keys of all targets.
+    pub(super) fn keys(&self) -> Vec<TargetKey> {
+        self.targets.keys().collect()
+    }
+
     pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> + '_ {
         self.targets.values_mut()
     }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -1,6 +1,7 @@
 //! Routing by marks: placement of new flows, routing of later packets, resets and drops.
 
 mod admission;
+mod evidence;
 mod held;
 mod losses;
 mod place;
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -46,11 +46,16 @@
 
     /// Creates a host that has just started and knows its targets, but no routes.
     pub fn without_catalog(targets: &[u64]) -> Self {
+        Self::with_features(targets, Features::default())
+    }
+
+    /// Creates a host like [`Self::without_catalog`] with optional parts of routing.
+    pub fn with_features(targets: &[u64], features: Features) -> Self {
         let config = RouterConfig {
             centre: "a".into(),
             hash_key: HashKey([1; 16]),
             max_flows: 10_000,
-            features: Features::default(),
+            features,
         };
         let mut fixture = Self { router: Router::new(config), mark: None, now: Instant(100_000) };
         fixture.router.set_current(fixture.now, true);
--- a/lagoongauged/src/mark_entry/counters.rs
+++ b/lagoongauged/src/mark_entry/counters.rs
@@ -12,6 +12,8 @@
     held: AtomicU64,
     unreadable: AtomicU64,
     unsent: AtomicU64,
+    evidence_sent: AtomicU64,
+    evidence_malformed: AtomicU64,
     reset: [AtomicU64; Cause::ALL.len()],
     dropped: [AtomicU64; Cause::ALL.len()],
 }
@@ -42,6 +44,16 @@
         self.unsent.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of datagrams with evidence that were sent.
+    pub fn evidence_sent(&self) -> u64 {
+        self.evidence_sent.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of datagrams with evidence that could not be decoded.
+    pub fn evidence_malformed(&self) -> u64 {
+        self.evidence_malformed.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of packets answered with a reset for this cause.
     pub fn reset(&self, cause: Cause) -> u64 {
         self.reset[cause as usize].load(Ordering::Relaxed)
@@ -69,6 +81,14 @@
         self.unsent.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(super) fn count_evidence_sent(&self) {
+        self.evidence_sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn count_evidence_malformed(&self) {
+        self.evidence_malformed.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(super) fn count_reset(&self, cause: Cause) {
         self.reset[cause as usize].fetch_add(1, Ordering::Relaxed);
     }
--- a/lagoongauged/src/mark_entry/load_reports.rs
+++ b/lagoongauged/src/mark_entry/load_reports.rs
@@ -1,12 +1,14 @@
-//! Load reports that entry hosts send each other.
+//! Load reports that entry hosts send each other, and what they say of failing targets.
 
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
 use async_std::task::sleep;
 use lagoongauge::mark::LoadReport;
+use lagoongauge::mark::evidence::is_evidence;
 use lagoongauge::mark::reporting::ReportScheduler;
 
+use super::evidence::{self, EvidenceSender};
 use super::state::SharedState;
 use crate::cluster::message::{host_address, host_id};
 
@@ -23,9 +25,11 @@
 pub(super) async fn send_reports(state: SharedState, socket: UdpSocket, port: u16) {
     let mut scheduler = ReportScheduler::new(state.clock.now());
     let mut receivers = Vec::new();
+    let mut evidence = EvidenceSender::default();
     let mut sent = LoadReport::default();
     for round in 0u32.. {
         sleep(POLL_INTERVAL).await;
+        evidence.tick(&state, &socket, port);
         let report = state.router().report();
         if report == sent && !round.is_multiple_of(KEEPALIVE_ROUNDS) {
             continue;
@@ -49,7 +53,7 @@
     }
 }
 
-/// Receives load reports of other entry hosts; runs on its own thread.
+/// Receives load reports and evidence of other entry hosts; runs on its own thread.
 pub(super) fn receive_reports(state: &SharedState, socket: &UdpSocket) {
     let mut bytes = vec![0; MAX_REPORT_BYTES];
     loop {
@@ -62,6 +66,10 @@
             }
         };
         let SocketAddr::V4(from) = from else { continue };
+        if is_evidence(&bytes[..length]) {
+            evidence::receive(state, from, &bytes[..length]);
+            continue;
+        }
         match LoadReport::from_bytes(&bytes[..length]) {
             Ok(report) => {
                 let now = state.clock.now();
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics in the Prometheus text format; label values come from fixed lists only.
 
-use lagoongauge::mark::Cause;
+use lagoongauge::mark::{Cause, EjectionKind};
 use lagoongauge::time::Span;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
@@ -28,6 +28,17 @@
     flows: IntGauge,
     targets: IntGauge,
     ready: IntGauge,
+    evidence: EvidenceMetrics,
+}
+
+/// Metrics of the evidence that entry hosts pool on failing targets.
+#[derive(Debug)]
+struct EvidenceMetrics {
+    sent: IntCounter,
+    malformed: IntCounter,
+    statements: IntCounterVec,
+    changes: IntCounterVec,
+    ejected: IntGauge,
 }
 
 impl Metrics {
@@ -64,6 +75,7 @@
             flows: registry.gauge("flows", "Flows that are remembered.")?,
             targets: registry.gauge("serving_targets", "Targets that take new flows.")?,
             ready: registry.gauge("ready", "1 while the fabric may send packets here, else 0.")?,
+            evidence: EvidenceMetrics::new(&registry)?,
             registry,
         })
     }
@@ -89,6 +101,7 @@
             advance_to(&self.reset.with_label_values(&[cause.name()]), counters.reset(cause));
             advance_to(&self.dropped.with_label_values(&[cause.name()]), counters.dropped(cause));
         }
+        self.evidence.update(state);
         let (flows, targets) = state.counts();
         self.version.set(state.version() as i64);
         self.flows.set(flows as i64);
@@ -97,3 +110,43 @@
         self.registry.render()
     }
 }
+
+impl EvidenceMetrics {
+    fn new(registry: &MetricRegistry) -> prometheus::Result<Self> {
+        Ok(Self {
+            sent: registry.counter(
+                "evidence_sent",
+                "Datagrams about failing targets sent to other entry hosts.",
+            )?,
+            malformed: registry.counter(
+                "evidence_malformed",
+                "Datagrams about failing targets that could not be decoded.",
+            )?,
+            statements: registry.counter_vec(
+                "evidence_statements",
+                "Statements of other entry hosts about targets.",
+                "outcome",
+            )?,
+            changes: registry.counter_vec(
+                "ejection_changes",
+                "Targets that new flows began to avoid, or that returned.",
+                "change",
+            )?,
+            ejected: registry.gauge("ejected_targets", "Targets that new flows avoid now.")?,
+        })
+    }
+
+    fn update(&self, state: &State) {
+        advance_to(&self.sent, state.counters.evidence_sent());
+        advance_to(&self.malformed, state.counters.evidence_malformed());
+        let (counts, ejected) = state.evidence();
+        let statements = |outcome| self.statements.with_label_values(&[outcome]);
+        advance_to(&statements("accepted"), counts.accepted);
+        advance_to(&statements("refused"), counts.refused);
+        let changes = |change: EjectionKind| self.changes.with_label_values(&[change.name()]);
+        advance_to(&changes(EjectionKind::Ejected), counts.ejected);
+        advance_to(&changes(EjectionKind::Returned), counts.returned);
+        advance_to(&changes(EjectionKind::Expired), counts.expired);
+        self.ejected.set(ejected as i64);
+    }
+}
--- a/lagoongauged/src/mark_entry/mod.rs
+++ b/lagoongauged/src/mark_entry/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod data_plane;
 mod decision_log;
+mod evidence;
 mod feed;
 mod load_reports;
 pub mod loss_log;
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -8,8 +8,8 @@
 use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::Router;
 use lagoongauge::mark::held::HeldPackets;
+use lagoongauge::mark::{EvidenceCounts, Router};
 use lagoongauge::roster::{Entry, FeedStatuses, MergeOutcome, Roster, TargetRecord};
 use lagoongauge::time::{Instant, Span};
 
@@ -143,6 +143,12 @@
         (router.flow_count(), router.serving_count())
     }
 
+    /// Returns the counts of pooled evidence, and the number of ejected targets.
+    pub fn evidence(&self) -> (EvidenceCounts, usize) {
+        let router = self.router();
+        (router.evidence_counts(), router.ejected_count())
+    }
+
     pub(super) fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -176,6 +182,11 @@
         (hosts(local), hosts(remote))
     }
 
+    /// Returns the entry hosts of this data centre that receive load reports.
+    pub(super) fn local_neighbours(&self) -> Vec<HostId> {
+        self.neighbours().0
+    }
+
     /// Wakes the thread that releases held packets; a wake-up that is already pending covers this
     /// one.
     pub(super) fn wake_releaser(&self) {
