--- a/lagoongauge/src/mark/evidence_budget.rs
+++ b/lagoongauge/src/mark/evidence_budget.rs
@@ -35,14 +35,14 @@
     }
 
     /// Adds the hosts that receive a datagram of `size` bytes now to `receivers`, in round-robin
-    /// order.
+    /// order; returns the number of bytes that this takes.
     pub fn take_receivers(
         &mut self,
         now: Instant,
         size: usize,
         hosts: &[HostId],
         receivers: &mut Vec<HostId>,
-    ) {
+    ) -> usize {
         let bytes = size + HEADER_BYTES;
         let count = hosts.len().min(self.available(now) / bytes);
         for _ in 0..count {
@@ -52,6 +52,7 @@
         if count > 0 {
             self.spent.push_back((now, count * bytes));
         }
+        count * bytes
     }
 
     fn available(&mut self, now: Instant) -> usize {
--- a/lagoongauge/src/mark/reporting.rs
+++ b/lagoongauge/src/mark/reporting.rs
@@ -33,6 +33,8 @@
     byte_rate: u64,
     /// Available budget in thousandths of a byte.
     credit: u64,
+    /// Budget that other messages used in advance, in thousandths of a byte.
+    debt: u64,
     refilled: Instant,
     /// Index of the host that received the latest report.
     last_index: usize,
@@ -47,6 +49,11 @@
         }
     }
 
+    /// Takes `bytes` that other messages to hosts of the same data centre used from their budget.
+    pub fn charge(&mut self, bytes: usize) {
+        self.local.debt += bytes as u64 * 1000;
+    }
+
     /// Adds the hosts that receive a report of `size` bytes now to `receivers`, in round-robin
     /// order.
     pub fn take_receivers(
@@ -64,7 +71,7 @@
 
 impl ReceiverGroup {
     fn new(byte_rate: u64, now: Instant) -> Self {
-        Self { byte_rate, credit: 0, refilled: now, last_index: 0 }
+        Self { byte_rate, credit: 0, debt: 0, refilled: now, last_index: 0 }
     }
 
     fn take_receivers(
@@ -76,7 +83,10 @@
     ) {
         let cost = bytes * 1000;
         let max_credit = (self.byte_rate * MAX_ACCUMULATION.0).max(cost);
-        self.credit = max_credit.min(self.credit + self.byte_rate * now.since(self.refilled).0);
+        let earned = self.byte_rate * now.since(self.refilled).0;
+        let repaid = earned.min(self.debt);
+        self.debt -= repaid;
+        self.credit = max_credit.min(self.credit + earned - repaid);
         self.refilled = now;
         for _ in hosts {
             let Some(left) = self.credit.checked_sub(cost) else { return };
--- a/lagoongauge/tests/marks/share.rs
+++ b/lagoongauge/tests/marks/share.rs
@@ -3,12 +3,16 @@
 use std::collections::HashMap;
 
 use lagoongauge::id::HostId;
+use lagoongauge::mark::evidence_budget::EvidenceBudget;
 use lagoongauge::mark::reporting::ReportScheduler;
 use lagoongauge::time::{Instant, Span};
 
 /// Budget of a host for control traffic, both directions together.
 const CONTROL_BYTES_PER_SECOND: usize = 8192;
 
+/// Budget of reports to hosts of the same data centre.
+const LOCAL_BYTES_PER_SECOND: usize = 2400;
+
 /// Size of a datagram's headers.
 const HEADER_BYTES: usize = 28;
 
@@ -43,6 +47,28 @@
     }
 }
 
+/// Statements about failing targets are sent at once, and load reports wait in their place.
+#[test]
+fn reports_make_room_for_evidence() {
+    let hosts: Vec<_> = (0..27).map(HostId).collect();
+    let mut now = Instant(100_000);
+    let (mut scheduler, mut evidence) = (ReportScheduler::new(now), EvidenceBudget::default());
+    let mut sent = 0;
+    for _ in 0..400 {
+        now = now + Span(25);
+        let mut receivers = Vec::new();
+        if evidence.is_ready(now, hosts.len()) {
+            let bytes = evidence.take_receivers(now, 13, &hosts, &mut receivers);
+            scheduler.charge(bytes);
+            sent += bytes;
+        }
+        receivers.clear();
+        scheduler.take_receivers(now, 300, (&hosts, &[]), &mut receivers);
+        sent += receivers.len() * (300 + HEADER_BYTES);
+    }
+    assert!(sent / 10 <= LOCAL_BYTES_PER_SECOND + 200, "{sent} bytes in ten seconds");
+}
+
 #[test]
 fn few_local_hosts_receive_every_change_within_two_service_times() {
     let (_, reports) = send_reports(2, 7, 30);
--- a/lagoongauged/src/mark_entry/evidence.rs
+++ b/lagoongauged/src/mark_entry/evidence.rs
@@ -23,10 +23,11 @@
 }
 
 impl EvidenceSender {
-    /// Re-evaluates the evidence, logs what has changed, and sends what the budget permits.
-    pub(super) fn tick(&mut self, state: &State, socket: &UdpSocket, port: u16) {
+    /// Re-evaluates the evidence, logs what has changed, and sends what the budget permits; returns
+    /// the number of bytes sent.
+    pub(super) fn tick(&mut self, state: &State, socket: &UdpSocket, port: u16) -> usize {
         if !state.router().pools_evidence() {
-            return;
+            return 0;
         }
         let (hosts, now) = (state.local_neighbours(), state.clock.now());
         let mut router = state.router();
@@ -39,17 +40,18 @@
         drop(router);
         self.log_changes();
         if self.statements.is_empty() {
-            return;
+            return 0;
         }
         let bytes = evidence::encode(&self.statements);
         let mut receivers = Vec::new();
-        self.budget.take_receivers(now, bytes.len(), &hosts, &mut receivers);
+        let sent = self.budget.take_receivers(now, bytes.len(), &hosts, &mut receivers);
         for host in receivers {
             match socket.send_to(&bytes, host_address(host, port)) {
                 Ok(_) => state.counters.count_evidence_sent(),
                 Err(error) => log::debug!("failed to send evidence to entry host {host}: {error}"),
             }
         }
+        sent
     }
 
     fn log_changes(&mut self) {
--- a/lagoongauged/src/mark_entry/load_reports.rs
+++ b/lagoongauged/src/mark_entry/load_reports.rs
@@ -29,7 +29,7 @@
     let mut sent = LoadReport::default();
     for round in 0u32.. {
         sleep(POLL_INTERVAL).await;
-        evidence.tick(&state, &socket, port);
+        scheduler.charge(evidence.tick(&state, &socket, port));
         let report = state.router().report();
         if report == sent && !round.is_multiple_of(KEEPALIVE_ROUNDS) {
             continue;
