Let a host speak of two targets in a second

Cause: with 1,080 bytes a second a host of 28 spoke once, and several of ten dead targets lacked a third reporter for half a second (tests/marks: 61 SYNs to dead targets from 0.6 to 1.2 s after they fell silent).

--- a/lagoongauge/src/mark/evidence_budget.rs
+++ b/lagoongauge/src/mark/evidence_budget.rs
@@ -5,12 +5,13 @@
 
 use std::collections::VecDeque;
 
-use super::evidence::encoded_size;
+use super::evidence::{MAX_STATEMENTS, encoded_size};
 use crate::id::HostId;
 use crate::time::{Instant, Span};
 
-/// Maximum number of bytes sent in any [`PERIOD`], with headers.
-const MAX_BYTES: usize = 1080;
+/// Maximum number of bytes sent in any [`PERIOD`], with headers: two statements to a data centre's
+/// hosts, as each host has something to say of two targets if a quarter of them fail at once.
+const MAX_BYTES: usize = 2240;
 
 /// Period to which the budget refers.
 const PERIOD: Span = Span::seconds(1);
@@ -28,10 +29,12 @@
 }
 
 impl EvidenceBudget {
-    /// Returns whether statements can be sent now: to all hosts, or with the whole budget.
-    pub fn is_ready(&mut self, now: Instant, hosts: usize) -> bool {
-        let needed = hosts * (encoded_size(1) + HEADER_BYTES);
-        hosts > 0 && self.available(now) >= needed.min(MAX_BYTES)
+    /// Returns the number of statements that can be sent to all hosts now.
+    pub fn statement_limit(&mut self, now: Instant, hosts: usize) -> usize {
+        let share = self.available(now).checked_div(hosts).unwrap_or(0);
+        (1..=MAX_STATEMENTS)
+            .take_while(|count| encoded_size(*count) + HEADER_BYTES <= share)
+            .count()
     }
 
     /// Adds the hosts that receive a datagram of `size` bytes now to `receivers`, in round-robin
--- a/lagoongauge/src/mark/router/evidence.rs
+++ b/lagoongauge/src/mark/router/evidence.rs
@@ -5,7 +5,7 @@
 use super::Router;
 use crate::id::{HostId, TargetId};
 use crate::mark::ejection::{Change, Evidence};
-use crate::mark::evidence::{MAX_STATEMENTS, Statement};
+use crate::mark::evidence::Statement;
 use crate::mark::placement::Policy;
 use crate::mark::target::TargetKey;
 use crate::roster::Phase;
@@ -104,13 +104,14 @@
         }
     }
 
-    /// Moves what this host has to tell the entry hosts of its data centre now to `statements`.
-    pub fn take_statements(&mut self, now: Instant, statements: &mut Vec<Statement>) {
+    /// Adds what this host has to tell the entry hosts of its data centre now to `statements`, which
+    /// hold `limit` at most.
+    pub fn take_statements(&mut self, now: Instant, limit: usize, statements: &mut Vec<Statement>) {
         if !self.contended {
             return;
         }
         for (key, evidence) in &mut self.evidence.targets {
-            if statements.len() >= MAX_STATEMENTS {
+            if statements.len() >= limit {
                 return;
             }
             let target = &self.targets[key];
--- a/lagoongauged/src/mark_entry/evidence.rs
+++ b/lagoongauged/src/mark_entry/evidence.rs
@@ -34,9 +34,8 @@
         router.update_evidence(now);
         router.take_ejection_changes(&mut self.changes);
         self.statements.clear();
-        if self.budget.is_ready(now, hosts.len()) {
-            router.take_statements(now, &mut self.statements);
-        }
+        let limit = self.budget.statement_limit(now, hosts.len());
+        router.take_statements(now, limit, &mut self.statements);
         drop(router);
         self.log_changes();
         if self.statements.is_empty() {
