--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -9,6 +9,9 @@
 pub mod admission;
 mod centre;
 pub mod contention;
+mod ejection;
+pub mod evidence;
+pub mod evidence_budget;
 mod features;
 mod flow;
 mod flow_table;
@@ -24,6 +27,7 @@
 mod router;
 mod target;
 mod target_table;
+mod unanswered;
 mod verdict;
 pub mod warmup;
 
@@ -34,9 +38,10 @@
 use crate::id::TargetId;
 use crate::time::Instant;
 
+pub use self::ejection::Change as EjectionKind;
 pub use self::features::{Features, WarmupLimit};
 pub use self::load::{LoadCount, LoadReport, ServicePressure};
-pub use self::router::{Router, RouterConfig};
+pub use self::router::{EjectionChange, EvidenceCounts, Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
 
 /// Identifies a target in four bytes of a packet; 0 stands for no target.
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -9,10 +9,13 @@
 mod placing;
 mod warmup;
 
+pub use self::evidence::{EjectionChange, EvidenceCounts};
+
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
 
+use self::evidence::EvidencePool;
 use super::centre::{CentreKey, Centres};
 use super::contention::Contention;
 use super::features::Features;
@@ -83,6 +86,7 @@
     response_times: Vec<Span>,
     losses: LossLedger,
     warmup: WarmupBudget,
+    evidence: EvidencePool,
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
@@ -138,6 +142,7 @@
             response_times: Vec::new(),
             losses: LossLedger::default(),
             warmup: WarmupBudget::default(),
+            evidence: EvidencePool::default(),
             version: 0,
             contended,
             link: None,
@@ -285,7 +290,8 @@
         self.last_tick = Some(now);
         self.stale_until = now + STALL_RECOVERY;
         let running = self.targets.iter_mut().filter(|target| target.phase != Phase::Gone);
-        running.for_each(|target| target.record_activity(self.stale_until));
+        running.for_each(|target| target.excuse_until(self.stale_until));
+        self.evidence.clear();
     }
 
     /// Advances time: removes expired flows, reports and targets.
@@ -390,7 +396,7 @@
             self.record_refusal(segment, Cause::NoTarget);
             return Verdict::Reset(Cause::NoTarget);
         };
-        self.targets[key].record_trial(now);
+        self.record_placed(now, key);
         self.count_warmup_flow(now, key);
         self.moves.record_opened(now);
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod evacuation;
+mod evidence;
 mod held;
 mod hostile;
 mod link;
