Let a host with a full link doubt no target to others

Cause: a host whose own link is full sees no answers, and would have ejected targets that answer everybody else. A test fails without the change.

--- a/lagoongauge/src/mark/router/evidence.rs
+++ b/lagoongauge/src/mark/router/evidence.rs
@@ -105,17 +105,21 @@
     }
 
     /// Adds what this host has to tell the entry hosts of its data centre now to `statements`, which
-    /// hold `limit` at most.
+    /// hold `limit` at most. While its own link is busy it doubts no target, as answers may wait there.
     pub fn take_statements(&mut self, now: Instant, limit: usize, statements: &mut Vec<Statement>) {
         if !self.contended {
             return;
         }
+        let link_busy = self.is_link_busy(now);
         for (key, evidence) in &mut self.evidence.targets {
             if statements.len() >= limit {
                 return;
             }
             let target = &self.targets[key];
-            let own = target.own_view(now, self.evidence.answered_syn);
+            let mut own = target.own_view(now, self.evidence.answered_syn);
+            if link_busy {
+                own.doubt = None;
+            }
             let Some((observation, observed_at)) = evidence.next_statement(now, own) else {
                 continue;
             };
@@ -171,7 +175,10 @@
             return;
         }
         let target = &self.targets[key];
-        let own = target.own_view(now, self.evidence.answered_syn);
+        let mut own = target.own_view(now, self.evidence.answered_syn);
+        if self.is_link_busy(now) {
+            own.doubt = None;
+        }
         if own.doubt.is_none() && !self.evidence.targets.contains_key(key) {
             return;
         }
--- a/lagoongauge/tests/marks/link.rs
+++ b/lagoongauge/tests/marks/link.rs
@@ -1,7 +1,9 @@
 //! A host whose own link is full: what it concludes from repeats and missing answers.
 
 use lagoongauge::id::TargetId;
+use lagoongauge::mark::evidence::{MAX_STATEMENTS, Observation};
 use lagoongauge::mark::{Cause, Features, Mark, SegmentKind, Verdict};
+use lagoongauge::time::Span;
 
 use crate::retransmit_to;
 use crate::world::{Fixture, target_of};
@@ -81,3 +83,28 @@
     keep_link_full(&mut fixture);
     assert_eq!(target_of(fixture.open(caller)), target);
 }
+
+/// The doubts of a host whose own link is full would eject targets that answer everybody else.
+#[test]
+fn a_host_with_a_full_link_doubts_no_target_to_others() {
+    for (full, doubts) in [(false, 1), (true, 0)] {
+        let mut fixture = limited_host();
+        fixture.router.set_local_hosts(5);
+        let silent = target_of(fixture.open(1));
+        fixture.now = fixture.now + Span(10);
+        let other = target_of(fixture.open(2));
+        assert_ne!(other, silent);
+        fixture.now = fixture.now + Span(100);
+        fixture.mark = Some(Mark::of(other));
+        fixture.send(2, SegmentKind::Data, 0, 1, 0);
+        for _ in 0..if full { 2 } else { 0 } {
+            fill_link(&mut fixture);
+        }
+        let mut statements = Vec::new();
+        fixture.router.update_evidence(fixture.now);
+        fixture.router.take_statements(fixture.now, MAX_STATEMENTS, &mut statements);
+        let said = statements.iter().filter(|said| said.mark == Mark::of(silent));
+        let doubted = said.filter(|said| said.observation != Observation::Answer);
+        assert_eq!(doubted.count(), doubts, "link full: {full}");
+    }
+}
