Judge reads of evacuations in the soak, and find lost orders reliably

Names of data centres in the settings are taken up when the settings change.

Ruled out: a longer run for the mutant, which leaves it to chance.

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -59,8 +59,6 @@
     pub bounds: Bounds,
     /// Number of control hosts that may lose their disks at the same time.
     pub disk_losses: usize,
-    /// Names of the data centres, as far as the settings tell.
-    pub centres: Vec<String>,
 }
 
 /// Entry host fed by a control host.
@@ -87,6 +85,8 @@
     heartbeats: RefCell<IndexMap<TargetId, Heartbeat>>,
     /// Senders that wake the feeds.
     feeds: RefCell<Vec<mpsc::Sender<()>>>,
+    /// Names of the data centres, as far as the settings tell.
+    centres: RefCell<Vec<String>>,
     stall: Cell<StallDetector>,
     /// When the host started, on its clock.
     started_at: Instant,
@@ -121,6 +121,7 @@
             entry_hosts: RefCell::default(),
             heartbeats: RefCell::default(),
             feeds: RefCell::default(),
+            centres: RefCell::default(),
             stall: Cell::new(StallDetector::new(boot_clock.now())),
             boot_clock,
             started_at: clock.now(),
--- a/lagoongauged/src/cluster/host/evacuation.rs
+++ b/lagoongauged/src/cluster/host/evacuation.rs
@@ -11,6 +11,11 @@
 const DISCOVERY_PERIOD: Span = Span::seconds(5);
 
 impl<S: Store + 'static> Host<S> {
+    /// Replaces the names of the data centres that the settings tell.
+    pub fn set_centres(&self, centres: Vec<String>) {
+        self.centres.replace(centres);
+    }
+
     /// Evacuates a data centre or withdraws that; returns once the order is durable on a quorum.
     ///
     /// Fails with `NotFound` for an unknown data centre, `NotLeader` or `NoQuorum` if the order is
@@ -79,7 +84,7 @@
         }
         let detail = format!("no data centre {centre:.80?} is known");
         let started = self.clock.now().since(self.started_at) >= DISCOVERY_PERIOD;
-        let kind = if started || !self.setup.centres.is_empty() {
+        let kind = if started || !self.centres.borrow().is_empty() {
             Kind::NotFound
         } else {
             Kind::NotCurrent
@@ -89,7 +94,7 @@
 
     /// Returns whether a data centre is named in the settings, or has a target or an entry host.
     fn knows_centre(&self, centre: &str) -> bool {
-        self.setup.centres.iter().any(|known| known == centre)
+        self.centres.borrow().iter().any(|known| known == centre)
             || self.roster.borrow().iter().any(|record| record.entry.centre == centre)
             || self.entry_hosts().iter().any(|(_, known)| known == centre)
     }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -51,7 +51,7 @@
     /// A host never returns to an older configuration.
     Backward,
     /// A read returns the content of a version unchanged, and never a version older than one that
-    /// was accepted at least [`APPLY_DEADLINE`] earlier.
+    /// was accepted at least [`APPLY_DEADLINE`] earlier, nor another state than an accepted order's.
     Read,
     /// Invalid configurations are rejected; valid ones and orders are accepted in time, and not
     /// rejected when they are repeated.
@@ -120,9 +120,10 @@
 }
 
 /// The newest order about the data centre that operators evacuate.
-#[derive(Debug, Clone, Copy)]
-struct Order {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Order {
     evacuated: bool,
+    sent_at: Millis,
     accepted_at: Option<Millis>,
 }
 
@@ -218,8 +219,8 @@
     }
 
     /// Records that an order to evacuate the data centre, or to withdraw that, is sent.
-    pub fn record_order_sent(&mut self, evacuated: bool) {
-        self.order = Some(Order { evacuated, accepted_at: None });
+    pub fn record_order_sent(&mut self, evacuated: bool, now: Millis) {
+        self.order = Some(Order { evacuated, sent_at: now, accepted_at: None });
     }
 
     /// Records that the order sent last was accepted.
@@ -237,6 +238,27 @@
         }
     }
 
+    /// Returns the order sent last.
+    pub fn order(&self) -> Option<Order> {
+        self.order
+    }
+
+    /// Checks what a read of the data centre returned; `order` is the one sent last before the read.
+    pub fn check_order_read(
+        &mut self,
+        host: Ipv4Addr,
+        order: Option<Order>,
+        now: Millis,
+        evacuated: bool,
+    ) {
+        let wanted = self.is_evacuated();
+        if order == self.order && wanted.is_some_and(|wanted| wanted != evacuated) {
+            let detail =
+                format!("control host {host} returned evacuated {evacuated} after {order:?}");
+            self.record_finding(now, Promise::Read, detail);
+        }
+    }
+
     /// Returns whether all entry hosts may use the targets of that data centre.
     pub fn takes_flows(&self, now: Millis) -> bool {
         self.order.is_none_or(|order| {
@@ -248,7 +270,9 @@
     /// Checks a flow whose first packet reached a target in that data centre.
     pub fn check_evacuated(&mut self, packet: FirstPacket) {
         let FirstPacket { host, sent_at, seen_at } = packet;
-        let Some(Order { evacuated: true, accepted_at: Some(at) }) = self.order else { return };
+        let Some(Order { evacuated: true, accepted_at: Some(at), .. }) = self.order else {
+            return;
+        };
         let late = sent_at > at && seen_at > at + EVACUATION_DEADLINE;
         if late && self.is_stable(host, seen_at) {
             let detail =
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -6,6 +6,8 @@
 use async_std::task::spawn_local;
 use http_types::{Method, StatusCode};
 use lagoon_ends::{CONFIG_PATH, Route, configuration, parse_version};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 
 use crate::callers::{PERMANENT_PORTS, UNROUTED_PORT, VERSIONED_PORT_BASE};
@@ -28,8 +30,11 @@
 /// Path of the data centre that operators evacuate and take back.
 const EVACUATION_PATH: &str = "/lagoongauge/evacuation/b";
 
-/// Shortest and longest time between two orders.
-const ORDER_INTERVAL: (Millis, Millis) = (2000, 14_000);
+/// Shortest and longest time for which the data centre is in use between two evacuations.
+const IN_USE_TIME: (Millis, Millis) = (2000, 5000);
+
+/// Shortest and longest time for which it is evacuated; flows are judged only for a part of it.
+const EVACUATED_TIME: (Millis, Millis) = (9000, 18_000);
 
 /// Shortest and longest time between two changes.
 const CHANGE_INTERVAL: (Millis, Millis) = (300, 2500);
@@ -84,16 +89,19 @@
     }
 }
 
-/// Evacuates a data centre and takes it back in turns until the run is over.
-pub async fn evacuate_in_turns(context: SharedContext) {
+/// Evacuates a data centre and takes it back in turns until the run is over; the same seed draws the
+/// same times between orders.
+pub async fn evacuate_in_turns(context: SharedContext, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut evacuated = false;
     while !context.finished.get() {
-        sleep_ms(context.random_range(ORDER_INTERVAL.0..ORDER_INTERVAL.1)).await;
+        let (least, most) = if evacuated { EVACUATED_TIME } else { IN_USE_TIME };
+        sleep_ms(random.random_range(least..most)).await;
         evacuated = !evacuated;
         let method = if evacuated { Method::Post } else { Method::Delete };
         let name = format!("order {method}");
         let change = Change { method, path: EVACUATION_PATH, body: String::new(), name };
-        context.judge.borrow_mut().record_order_sent(evacuated);
+        context.judge.borrow_mut().record_order_sent(evacuated, context.now());
         if let Some(now) = send_until_accepted(&context, &change).await {
             context.judge.borrow_mut().record_order_accepted(now);
             context.counts.borrow_mut().orders += 1;
@@ -103,9 +111,14 @@
 
 /// Reads whether the data centre is evacuated.
 pub async fn read_evacuated(context: &Context) -> Option<bool> {
+    let order = context.judge.borrow().order();
     let host = context.choose(&context.control_addresses())?;
     let response = request(host, Method::Get, EVACUATION_PATH, "").await?;
-    serde_json::from_str::<Value>(&response.body).ok()?.get("Evacuated")?.as_bool()
+    let evacuated =
+        serde_json::from_str::<Value>(&response.body).ok()?.get("Evacuated")?.as_bool()?;
+    let (now, mut judge) = (context.now(), context.judge.borrow_mut());
+    judge.check_order_read(response.host, order, now, evacuated);
+    Some(evacuated)
 }
 
 /// A change that an operator sends.
@@ -184,11 +197,12 @@
     request(host, Method::Put, CONFIG_PATH, body).await.map(|response| response.status)
 }
 
-/// Reads the configuration until the run is over.
+/// Reads the configuration, and whether the data centre is evacuated, until the run is over.
 pub async fn read_configuration(context: SharedContext) {
     while !context.finished.get() {
         sleep_ms(context.random_range(200..800)).await;
         read_version(&context).await;
+        read_evacuated(&context).await;
     }
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -87,7 +87,7 @@
     }
     spawn_local(operator::change_configuration(SharedContext::clone(&context), 1));
     spawn_local(operator::read_configuration(SharedContext::clone(&context)));
-    spawn_local(operator::evacuate_in_turns(SharedContext::clone(&context)));
+    spawn_local(operator::evacuate_in_turns(SharedContext::clone(&context), config.seed));
     spawn_local(callers::maintain_flows(
         SharedContext::clone(&context),
         usize::from(entry_count) * FLOWS_PER_ENTRY,
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -157,7 +157,7 @@
     let mut judge = judge();
     let late = STABLE_AT + EVACUATION_DEADLINE + 1;
     assert!(judge.takes_flows(STABLE_AT));
-    judge.record_order_sent(true);
+    judge.record_order_sent(true, STABLE_AT - 1);
     judge.check_evacuated(first_packet(late, late));
     assert_eq!(judge.is_evacuated(), None, "the order was not accepted yet");
     judge.record_order_accepted(STABLE_AT);
@@ -166,9 +166,24 @@
     assert!(judge.findings().is_empty() && !judge.takes_flows(late));
     judge.check_evacuated(first_packet(STABLE_AT + 1, late));
     assert_eq!(found_promises(&judge), [Promise::Evacuated]);
-    judge.record_order_sent(false);
+    judge.record_order_sent(false, late);
     judge.check_evacuated(first_packet(late, late));
     judge.record_order_accepted(late);
     assert_eq!((judge.findings().len(), judge.is_evacuated()), (1, Some(false)));
     assert!(!judge.takes_flows(late) && judge.takes_flows(late + EVACUATION_DEADLINE));
 }
+
+#[test]
+fn read_of_another_state_than_the_accepted_one_is_reported_at_any_time() {
+    let mut judge = judge();
+    judge.begin_control_fault();
+    judge.record_order_sent(true, 900);
+    judge.check_order_read(HOST, judge.order(), 950, false);
+    let sent_before = judge.order();
+    judge.record_order_accepted(1000);
+    judge.check_order_read(HOST, sent_before, 1100, false);
+    judge.check_order_read(HOST, judge.order(), 1200, true);
+    assert!(judge.findings().is_empty(), "the order was accepted during the read");
+    judge.check_order_read(HOST, judge.order(), 1300, false);
+    assert_eq!(found_promises(&judge), [Promise::Read]);
+}
