Place copies of a SYN without asking for room

Cause: a copy of a SYN whose first one went through another host was refused with a reset like a first SYN. The first may have opened the flow there, so the reset could break an open flow, and did not say truly that nothing had run.

Ruled out: dropping copies without room, which has the caller wait in vain for up to 0.8 s more.

Change: only a first SYN is refused; copies are placed as before. With that no offer is late any more, and the step for late requests goes.

--- a/lagoongauge/src/mark/contention.rs
+++ b/lagoongauge/src/mark/contention.rs
@@ -23,9 +23,6 @@
 /// Requests a slot up to which lower priorities are admitted while this host just has many at once.
 const SPIKE_REQUESTS_PER_SLOT: u32 = 4;
 
-/// Requests a slot that a late request leaves to those that can still be answered in time.
-const LATE_MARGIN: u32 = 1;
-
 /// One in this many admitted flows may be of a lower priority even while only the highest one has
 /// room, so that none starves.
 const GUARANTEED_SHARE: u32 = 8;
@@ -33,15 +30,6 @@
 /// Interval at which the counts of recent flows are halved.
 const HALVING_INTERVAL: Span = Span::seconds(1);
 
-/// A new flow whose caller asks for room.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Offer {
-    /// Priority of its requests; 0 is the highest.
-    pub priority: u8,
-    /// Whether half of its request's objective is over.
-    pub late: bool,
-}
-
 /// Flows of one priority that were admitted and refused.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AdmissionCounts {
@@ -85,22 +73,21 @@
 
     /// Returns the requests a slot up to which a flow is admitted; `crowded` tells whether this host
     /// has had little room for some time, rather than just now.
-    pub fn requests_per_slot(&self, offer: Offer, crowded: bool) -> u32 {
-        let is_highest = self.recent.keys().all(|other| offer.priority <= *other);
-        let limit = if is_highest || self.is_starved(offer.priority) {
+    pub fn requests_per_slot(&self, priority: u8, crowded: bool) -> u32 {
+        let is_highest = self.recent.keys().all(|other| priority <= *other);
+        if is_highest || self.is_starved(priority) {
             HIGHEST_REQUESTS_PER_SLOT
         } else if crowded {
             LOWER_REQUESTS_PER_SLOT
         } else {
             SPIKE_REQUESTS_PER_SLOT
-        };
-        if offer.late { limit - LATE_MARGIN } else { limit }
+        }
     }
 
     /// Counts whether a flow was admitted.
-    pub fn count(&mut self, offer: Offer, admitted: bool) {
-        self.recent.entry(offer.priority).or_default().count(admitted);
-        self.counts.entry(offer.priority).or_default().count(admitted);
+    pub fn count(&mut self, priority: u8, admitted: bool) {
+        self.recent.entry(priority).or_default().count(admitted);
+        self.counts.entry(priority).or_default().count(admitted);
     }
 
     /// Lets recent flows count for less with time.
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -334,7 +334,7 @@
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
         } else if let Some(cause) =
-            self.refuse_for_link(times, segment).or_else(|| self.refuse_for_room(times, segment))
+            self.refuse_for_link(times, segment).or_else(|| self.refuse_for_room(now, segment))
         {
             self.record_refusal(segment, cause);
             return Verdict::Reset(cause);
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -6,13 +6,12 @@
 use super::Router;
 use crate::mark::admission::{Demand, is_late, is_recovering};
 use crate::mark::centre::CentreKey;
-use crate::mark::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT, Offer};
+use crate::mark::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT};
 use crate::mark::flow::syn_copy_delay;
-use crate::mark::frontend::Frontend;
 use crate::mark::placement::Policy;
 use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent};
 use crate::mark::target::TargetKey;
-use crate::mark::{Cause, PacketTimes, Segment, ServicePressure};
+use crate::mark::{Cause, Segment, ServicePressure};
 use crate::time::{Instant, Span};
 
 /// Interval at which the requests that take no room are counted.
@@ -25,7 +24,8 @@
             return false;
         }
         let Some(frontend) = self.frontends.get(&segment.flow_key.frontend) else { return false };
-        if !is_late_syn(PacketTimes { now, arrived }, segment, frontend) {
+        let age = now.since(arrived) + syn_copy_delay(segment.acknowledged);
+        if !is_late(age, frontend.objective()) {
             return false;
         }
         let service = frontend.pick_service(self.flow_hash(segment.flow_key));
@@ -43,39 +43,37 @@
 
     /// Returns why a new flow must not be placed, if there is no room for it. Otherwise
     /// [`Self::has_room_in`] tells where there is.
-    pub(super) fn refuse_for_room(
-        &mut self,
-        times: PacketTimes,
-        segment: &Segment,
-    ) -> Option<Cause> {
-        if !self.contended {
+    ///
+    /// A copy of a SYN is never refused: the first may have opened the flow through another host, and
+    /// then a reset would break it and would not say truly that nothing ran.
+    pub(super) fn refuse_for_room(&mut self, now: Instant, segment: &Segment) -> Option<Cause> {
+        if !self.contended || segment.acknowledged > 0 {
             return None;
         }
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
         let service = frontend.pick_service(self.flow_hash(segment.flow_key))?;
-        let late = is_late_syn(times, segment, frontend);
-        let offer = Offer { priority: frontend.priority, late };
+        let priority = frontend.priority;
         let mut demands = std::mem::take(&mut self.demands);
-        if times.now.since(self.counted_at) >= COUNT_INTERVAL {
-            self.counted_at = times.now;
+        if now.since(self.counted_at) >= COUNT_INTERVAL {
+            self.counted_at = now;
             let moved_at = self.moves.moved_at();
-            self.flows.count_overstayed(times.now, moved_at, &mut self.targets, &self.frontends);
+            self.flows.count_overstayed(now, moved_at, &mut self.targets, &self.frontends);
         }
-        self.sum_demand(times.now, service, &mut demands);
+        self.sum_demand(now, service, &mut demands);
         self.demands = demands;
         let contention = match self.contention.get_mut(service) {
             Some(contention) => contention,
             None => self.contention.entry(service.into()).or_default(),
         };
         let crowded = self.news.is_crowded(&self.config.centre, service);
-        let requests_per_slot = contention.requests_per_slot(offer, crowded);
+        let requests_per_slot = contention.requests_per_slot(priority, crowded);
         let hosts = self.local_hosts + 1;
         for demand in &mut self.demands {
             demand.open = demand.has_room(requests_per_slot, hosts);
         }
         let has_slots = self.demands.iter().any(|demand| demand.slots > 0);
         let admitted = !has_slots || self.demands.iter().any(|demand| demand.open);
-        contention.count(offer, admitted);
+        contention.count(priority, admitted);
         (!admitted).then_some(Cause::Overloaded)
     }
 
@@ -142,9 +140,3 @@
         Demand { slots, waiting, hosts: self.local_hosts + 1 }
     }
 }
-
-/// Returns whether the request that a SYN begins is unlikely to be answered within its objective.
-fn is_late_syn(times: PacketTimes, segment: &Segment, frontend: &Frontend) -> bool {
-    let age = times.now.since(times.arrived) + syn_copy_delay(segment.acknowledged);
-    is_late(age, frontend.objective())
-}
