Report spare room also where nobody asks for a service

Cause: a host reported the pressure only of services that callers asked it for. A data centre without callers of a service reported nothing, so that others took it for full.

Change: a host also measures the services for which another data centre reports that callers take room.

Test: `a_host_without_callers_reports_that_its_data_centre_is_free`.

--- a/lagoongauge/src/mark/room.rs
+++ b/lagoongauge/src/mark/room.rs
@@ -109,6 +109,13 @@
         news.is_some_and(|news| news.pressure >= CROWDED_PRESSURE)
     }
 
+    /// Returns whether callers ask for a service in another data centre.
+    pub fn is_asked_elsewhere(&self, own_centre: &str, service: &str) -> bool {
+        let own = NewsKey::of(own_centre, service);
+        let mut others = self.news.iter().filter(|(key, _)| key.centre != own.centre);
+        others.any(|(key, news)| key.service == own.service && news.pressure > 0)
+    }
+
     /// Returns the highest pressure of any service in a data centre; 0 without news.
     pub fn highest_pressure(&self, centre: &str) -> u8 {
         let centre = crc32fast::hash(centre.as_bytes());
@@ -153,6 +160,11 @@
                 self.set(key, News { pressure: reported.pressure, measured_at });
             }
         }
+        self.expire(now);
+    }
+
+    /// Removes old news.
+    pub fn expire(&mut self, now: Instant) {
         self.news.retain(|_, news| now.since(news.measured_at) < NEWS_LIFETIME);
     }
 
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -82,12 +82,18 @@
         self.demands.get(centre.index()).is_none_or(|demand| demand.open)
     }
 
-    /// Updates the pressure in this host's data centre that it reports to others.
+    /// Updates the pressure in this host's data centre that it reports to others, for the services
+    /// that callers ask for here or elsewhere.
     pub(super) fn measure_pressure(&mut self, now: Instant) {
-        let (own, hosts) = (self.own_centre.index(), self.local_hosts + 1);
+        self.news.expire(now);
         self.contention.retain(|_, contention| !contention.is_idle());
-        for (service, contention) in &mut self.contention {
-            contention.decay(now);
+        self.contention.values_mut().for_each(|contention| contention.decay(now));
+        let (own, hosts) = (self.own_centre.index(), self.local_hosts + 1);
+        for service in self.targets.services() {
+            let asked_elsewhere = self.news.is_asked_elsewhere(&self.config.centre, service);
+            if !asked_elsewhere && !self.contention.contains_key(service) {
+                continue;
+            }
             self.demands.clear();
             self.demands.resize(self.centres.names().len(), CentreDemand::default());
             self.targets.sum_demand(now, service, &mut self.demands);
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -40,6 +40,11 @@
         self.by_mark.get(&mark).copied()
     }
 
+    /// Returns the names of the services that have or had targets.
+    pub(super) fn services(&self) -> impl Iterator<Item = &str> {
+        self.by_service.keys().map(String::as_str)
+    }
+
     /// Returns the targets of a service that may receive flows.
     pub(super) fn keys_of_service(&self, service: &str) -> &[TargetKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/lagoongauge/tests/marks/room.rs
+++ b/lagoongauge/tests/marks/room.rs
@@ -1,5 +1,6 @@
 //! Where a host has room, and the order in which it is given away.
 
+use lagoongauge::id::HostId;
 use lagoongauge::mark::contention::Contention;
 use lagoongauge::mark::moves::MoveDetector;
 use lagoongauge::mark::room::{CentreDemand, PressureNews};
@@ -154,6 +155,23 @@
     assert!(matches!(fixture.open_copy(40, 1), Verdict::Forward { .. }));
 }
 
+/// Callers crowd elsewhere, and nobody asks for the service here.
+#[test]
+fn a_host_without_callers_reports_that_its_data_centre_is_free() {
+    let mut fixture = Fixture::contended(&[1]);
+    fixture.tick();
+    assert_eq!(fixture.router.report().pressures, []);
+    let news = LoadReport { pressures: vec![reported(100, 500)], ..LoadReport::default() };
+    fixture.router.set_report(fixture.now, HostId(9), news);
+    fixture.tick();
+    let report = fixture.router.report();
+    let mut elsewhere = PressureNews::default();
+    elsewhere.merge(START, "b", &report.pressures);
+    assert_eq!(elsewhere.spare_percent(START, "a", "desk"), 100, "{report:?}");
+    fixture.advance(10_000);
+    assert_eq!(fixture.router.report().pressures, [], "nobody asks any more");
+}
+
 /// The data centre of this host is evacuated or dead, and no news has arrived from the others.
 #[test]
 fn a_host_without_targets_in_its_data_centre_uses_an_even_part_of_the_others() {
