Count no room in data centres that get no new flows

Cause: the room of a data centre that is evacuated or out of reach still counted its slots. Flows admitted for it were then placed elsewhere, beyond the room there; and a host whose own data centre is evacuated kept its share of it instead of taking an even part of the others.

Change: such a data centre has no slots, for admission and for the pressure that its hosts report.

Test: `a_data_centre_out_of_reach_has_no_room`: of 40 flows 30 were placed while it was in reach, and 10 are now.

--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/centre.rs
@@ -50,9 +50,10 @@
 }
 
 impl Centres {
-    /// Returns the names of all data centres by index.
-    pub(super) fn names(&self) -> impl ExactSizeIterator<Item = &str> {
-        self.unreachable.keys().map(String::as_str)
+    /// Returns all data centres with their names, by index.
+    pub(super) fn iter(&self) -> impl ExactSizeIterator<Item = (CentreKey, &str)> {
+        let names = self.unreachable.keys().enumerate();
+        names.map(|(index, name)| (CentreKey(index), name.as_str()))
     }
 
     /// Returns the key of a data centre, which is added if it is new.
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -59,7 +59,7 @@
             let moved_at = self.moves.moved_at();
             self.flows.count_overstayed(now, moved_at, &mut self.targets, &self.frontends);
         }
-        self.sum_demand(now, service, &mut demands);
+        self.collect_demands(now, service, &mut demands);
         self.demands = demands;
         let contention = match self.contention.get_mut(service) {
             Some(contention) => contention,
@@ -94,9 +94,9 @@
             if !asked_elsewhere && !self.contention.contains_key(service) {
                 continue;
             }
-            self.demands.clear();
-            self.demands.resize(self.centres.names().len(), CentreDemand::default());
-            self.targets.sum_demand(now, service, &mut self.demands);
+            let mut demands = std::mem::take(&mut self.demands);
+            self.sum_demand(now, service, &mut demands);
+            self.demands = demands;
             let demand = self.demands.get(own).copied().unwrap_or_default();
             let pressure = demand.pressure_percent(LOWER_REQUESTS_PER_SLOT, hosts);
             self.news.measure(now, &self.config.centre, service, pressure);
@@ -121,26 +121,37 @@
         self.news.highest_pressure(&self.config.centre)
     }
 
-    /// Collects the demand of a service in each data centre. Where this host's own has no slots
-    /// left, its callers get an even part of the others also without news.
-    fn sum_demand(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
-        let centres = self.centres.names().len();
-        demands.resize(centres, CentreDemand::default());
-        self.targets.sum_demand(now, service, demands);
-        let own = self.own_centre.index();
+    /// Collects the demand of a service in each data centre, and the part of it that this host may
+    /// use.
+    fn collect_demands(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
+        self.sum_demand(now, service, demands);
+        let (own, centres) = (self.own_centre.index(), demands.len());
+        // Callers of a data centre without slots get an even part of the others also without news.
         let is_displaced = demands.get(own).is_none_or(|demand| demand.slots == 0);
-        for (index, (name, demand)) in self.centres.names().zip(demands).enumerate() {
-            let spare = self.news.spare_percent(now, name, service);
-            demand.usable_percent = match index == own {
-                true => OWN_CENTRE_PERCENT,
-                false if is_displaced => {
-                    even_percent(spare, centres).max(even_percent(100, centres + 1))
-                }
-                false => even_percent(spare, centres),
+        let least_percent = if is_displaced { even_percent(100, centres + 1) } else { 0 };
+        for ((centre, name), demand) in self.centres.iter().zip(demands) {
+            demand.usable_percent = if centre == self.own_centre {
+                OWN_CENTRE_PERCENT
+            } else {
+                let spare = self.news.spare_percent(now, name, service);
+                even_percent(spare, centres).max(least_percent)
             };
         }
     }
 
+    /// Sums up the demand of a service in each data centre; those that get no new flows have no
+    /// slots.
+    fn sum_demand(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
+        demands.clear();
+        demands.resize(self.centres.iter().len(), CentreDemand::default());
+        self.targets.sum_demand(now, service, demands);
+        for ((centre, _), demand) in self.centres.iter().zip(demands) {
+            if self.is_evacuated(centre) || self.centres.is_unreachable(centre) {
+                demand.slots = 0;
+            }
+        }
+    }
+
     fn demand(&self, now: Instant, service: &str) -> Demand {
         let (slots, waiting) = self.targets.slots_and_waiting(now, service);
         Demand { slots, waiting, hosts: self.local_hosts + 1 }
--- a/lagoongauge/tests/marks/room.rs
+++ b/lagoongauge/tests/marks/room.rs
@@ -1,6 +1,6 @@
 //! Where a host has room, and the order in which it is given away.
 
-use lagoongauge::id::HostId;
+use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::mark::contention::Contention;
 use lagoongauge::mark::moves::MoveDetector;
 use lagoongauge::mark::room::{CentreDemand, PressureNews};
@@ -146,6 +146,25 @@
     assert_eq!((admissions[0].0.as_str(), counts.admitted, counts.refused), ("desk", 10, 10));
 }
 
+/// The last news of a data centre that is cut off tells of spare room.
+#[test]
+fn a_data_centre_out_of_reach_has_no_room() {
+    let mut fixture = Fixture::contended(&[1, 2, 3]);
+    fixture.set_centre(&[2, 3], "b");
+    let spare = || LoadReport { pressures: vec![reported(0, 0)], ..LoadReport::default() };
+    let place = |fixture: &mut Fixture, callers: std::ops::Range<u16>| {
+        fixture.router.set_report(fixture.now, HostId(9), spare());
+        let verdicts: Vec<_> = callers.map(|caller| fixture.open(caller)).collect();
+        verdicts.iter().filter(|verdict| matches!(verdict, Verdict::Forward { .. })).count()
+    };
+    assert_eq!(place(&mut fixture, 100..140), 30, "ten here, twenty there");
+    let mut fixture = Fixture::contended(&[1, 2, 3]);
+    fixture.set_centre(&[2, 3], "b");
+    let answer = |fixture: &mut Fixture| fixture.acknowledge_answer(TargetId(1));
+    crate::retransmit_to(&mut fixture, [2, 3], answer);
+    assert_eq!(place(&mut fixture, 100..140), 10, "ten here");
+}
+
 /// The first SYN may have opened the flow through another host.
 #[test]
 fn a_copy_of_a_syn_is_never_refused() {
