--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -6,14 +6,13 @@
 use super::Router;
 use crate::mark::admission::{Demand, is_late, is_recovering};
 use crate::mark::centre::CentreKey;
-use crate::mark::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT, Offer};
+use crate::mark::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT};
 use crate::mark::flow::syn_copy_delay;
-use crate::mark::frontend::Frontend;
 use crate::mark::placement::Policy;
 use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent};
 use crate::mark::target::TargetKey;
 use crate::mark::target_table::UsableTargets;
-use crate::mark::{Cause, PacketTimes, Segment, ServicePressure};
+use crate::mark::{Cause, Segment, ServicePressure};
 use crate::time::{Instant, Span};
 
 /// Interval at which the requests that take no room are counted.
@@ -26,7 +25,8 @@
             return false;
         }
         let Some(frontend) = self.frontends.get(&segment.flow_key.frontend) else { return false };
-        if !is_late_syn(PacketTimes { now, arrived }, segment, frontend) {
+        let age = now.since(arrived) + syn_copy_delay(segment.acknowledged);
+        if !is_late(age, frontend.objective()) {
             return false;
         }
         let service = frontend.pick_service(self.flow_hash(segment.flow_key));
@@ -44,39 +44,37 @@
 
     /// Returns why a new flow must not be placed, if there is no room for it. Otherwise
     /// [`Self::has_room_in`] tells where there is.
-    pub(super) fn refuse_for_room(
-        &mut self,
-        times: PacketTimes,
-        segment: &Segment,
-    ) -> Option<Cause> {
-        if !self.contended {
+    ///
+    /// A copy of a SYN is never refused: the first may have opened the flow through another host, and
+    /// then a reset would break it and would not say truly that nothing ran.
+    pub(super) fn refuse_for_room(&mut self, now: Instant, segment: &Segment) -> Option<Cause> {
+        if !self.contended || segment.acknowledged > 0 {
             return None;
         }
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
         let service = frontend.pick_service(self.flow_hash(segment.flow_key))?;
-        let late = is_late_syn(times, segment, frontend);
-        let offer = Offer { priority: frontend.priority, late };
+        let priority = frontend.priority;
         let mut demands = std::mem::take(&mut self.demands);
-        if times.now.since(self.counted_at) >= COUNT_INTERVAL {
-            self.counted_at = times.now;
+        if now.since(self.counted_at) >= COUNT_INTERVAL {
+            self.counted_at = now;
             let moved_at = self.moves.moved_at();
-            self.flows.count_overstayed(times.now, moved_at, &mut self.targets, &self.frontends);
+            self.flows.count_overstayed(now, moved_at, &mut self.targets, &self.frontends);
         }
-        self.sum_demand(times.now, service, &mut demands);
+        self.collect_demands(now, service, &mut demands);
         self.demands = demands;
         let contention = match self.contention.get_mut(service) {
             Some(contention) => contention,
             None => self.contention.entry(service.into()).or_default(),
         };
         let crowded = self.news.is_crowded(&self.config.centre, service);
-        let requests_per_slot = contention.requests_per_slot(offer, crowded);
+        let requests_per_slot = contention.requests_per_slot(priority, crowded);
         let hosts = self.local_hosts + 1;
         for demand in &mut self.demands {
             demand.open = demand.has_room(requests_per_slot, hosts);
         }
         let has_slots = self.demands.iter().any(|demand| demand.slots > 0);
         let admitted = !has_slots || self.demands.iter().any(|demand| demand.open);
-        contention.count(offer, admitted);
+        contention.count(priority, admitted);
         (!admitted).then_some(Cause::Overloaded)
     }
 
@@ -85,17 +83,21 @@
         self.demands.get(centre.index()).is_none_or(|demand| demand.open)
     }
 
-    /// Updates the pressure in this host's data centre that it reports to others.
+    /// Updates the pressure in this host's data centre that it reports to others, for the services
+    /// that callers ask for here or elsewhere.
     pub(super) fn measure_pressure(&mut self, now: Instant) {
-        let (own, hosts) = (self.own_centre.index(), self.local_hosts + 1);
+        self.news.expire(now);
         self.contention.retain(|_, contention| !contention.is_idle());
-        for (service, contention) in &mut self.contention {
-            contention.decay(now);
-            self.demands.clear();
-            self.demands.resize(self.centres.names().len(), CentreDemand::default());
-            let warm_only = self.warmup.limit(service).is_some();
-            let usable = UsableTargets { evacuated: &self.evacuated, warm_only };
-            self.targets.sum_demand(now, service, usable, &mut self.demands);
+        self.contention.values_mut().for_each(|contention| contention.decay(now));
+        let (own, hosts) = (self.own_centre.index(), self.local_hosts + 1);
+        for service in self.targets.services() {
+            let asked_elsewhere = self.news.is_asked_elsewhere(&self.config.centre, service);
+            if !asked_elsewhere && !self.contention.contains_key(service) {
+                continue;
+            }
+            let mut demands = std::mem::take(&mut self.demands);
+            self.sum_demand(now, service, &mut demands);
+            self.demands = demands;
             let demand = self.demands.get(own).copied().unwrap_or_default();
             let pressure = demand.pressure_percent(LOWER_REQUESTS_PER_SLOT, hosts);
             self.news.measure(now, &self.config.centre, service, pressure);
@@ -120,26 +122,37 @@
         self.news.highest_pressure(&self.config.centre)
     }
 
-    /// Collects the demand of a service in each data centre. Where this host's own has no slots
-    /// left, its callers get an even part of the others also without news.
-    fn sum_demand(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
-        let centres = self.centres.names().len();
-        demands.resize(centres, CentreDemand::default());
-        self.targets.sum_demand(now, service, self.usable_targets(service), demands);
-        let own = self.own_centre.index();
+    /// Collects the demand of a service in each data centre, and the part of it that this host may
+    /// use.
+    fn collect_demands(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
+        self.sum_demand(now, service, demands);
+        let (own, centres) = (self.own_centre.index(), demands.len());
+        // Callers of a data centre without slots get an even part of the others also without news.
         let is_displaced = demands.get(own).is_none_or(|demand| demand.slots == 0);
-        for (index, (name, demand)) in self.centres.names().zip(demands).enumerate() {
-            let spare = self.news.spare_percent(now, name, service);
-            demand.usable_percent = match index == own {
-                true => OWN_CENTRE_PERCENT,
-                false if is_displaced => {
-                    even_percent(spare, centres).max(even_percent(100, centres + 1))
-                }
-                false => even_percent(spare, centres),
+        let least_percent = if is_displaced { even_percent(100, centres + 1) } else { 0 };
+        for ((centre, name), demand) in self.centres.iter().zip(demands) {
+            demand.usable_percent = if centre == self.own_centre {
+                OWN_CENTRE_PERCENT
+            } else {
+                let spare = self.news.spare_percent(now, name, service);
+                even_percent(spare, centres).max(least_percent)
             };
         }
     }
 
+    /// Sums up the demand of a service in each data centre; those that are out of reach have no
+    /// slots.
+    fn sum_demand(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
+        demands.clear();
+        demands.resize(self.centres.iter().len(), CentreDemand::default());
+        self.targets.sum_demand(now, service, self.usable_targets(service), demands);
+        for ((centre, _), demand) in self.centres.iter().zip(demands) {
+            if self.centres.is_unreachable(centre) {
+                demand.slots = 0;
+            }
+        }
+    }
+
     fn demand(&self, now: Instant, service: &str) -> Demand {
         let (slots, waiting) =
             self.targets.slots_and_waiting(now, service, self.usable_targets(service));
@@ -151,9 +164,3 @@
         UsableTargets { evacuated: &self.evacuated, warm_only }
     }
 }
-
-/// Returns whether the request that a SYN begins is unlikely to be answered within its objective.
-fn is_late_syn(times: PacketTimes, segment: &Segment, frontend: &Frontend) -> bool {
-    let age = times.now.since(times.arrived) + syn_copy_delay(segment.acknowledged);
-    is_late(age, frontend.objective())
-}
