Count acknowledgements between control hosts right over lost connections

Cause: messages that were under way when a connection was lost counted as received with the first message of the next one, the end of an unknown target although it is not sent again, and messages dropped from a full queue with the next ones. A drain or an end could be acknowledged to a target that no other control host knew of. Change: a queue of its own numbers messages, and takes what was lost for received only with the full state that begins the next connection, or never.

--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -1,6 +1,5 @@
 //! Connections between control hosts.
 
-use std::collections::VecDeque;
 use std::io::Result;
 use std::time::Duration;
 
@@ -13,6 +12,7 @@
 
 use super::host::SharedHost;
 use super::message::{Hello, PeerMessage, host_address};
+use super::outgoing::Outgoing;
 use crate::daemon::{Backoff, spawn_task};
 use crate::frame;
 
@@ -25,21 +25,13 @@
 /// Time without a message after which a connection counts as lost; host lists are sent more often.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_millis(4000);
 
-/// Maximum number of queued messages. Beyond it the oldest are dropped; the replicas resend their
-/// log messages.
-const MAX_QUEUED: usize = 512;
-
 /// Outgoing messages to one control host.
 #[derive(Debug, Default)]
 pub(super) struct Link {
-    queue: VecDeque<PeerMessage>,
+    outgoing: Outgoing,
     waker: Option<mpsc::Sender<()>>,
     /// Ends the pause before the next connection attempt.
     redial: Option<mpsc::Sender<()>>,
-    /// Number of messages pushed since the link was created.
-    pushed_count: u64,
-    /// Number of the last message that the other host acknowledged.
-    acked_count: u64,
     /// Whether the link's task has been started.
     running: bool,
 }
@@ -47,15 +39,11 @@
 impl Link {
     /// Queues a message and returns its number.
     pub(super) fn push(&mut self, message: PeerMessage) -> u64 {
-        if self.queue.len() == MAX_QUEUED {
-            self.queue.pop_front();
-        }
-        self.queue.push_back(message);
-        self.pushed_count += 1;
+        let number = self.outgoing.push(message);
         if let Some(waker) = &mut self.waker {
             let _ = waker.try_send(());
         }
-        self.pushed_count
+        number
     }
 
     /// Has the next connection attempt made at once, as the other host was seen running.
@@ -70,7 +58,7 @@
 
     /// Returns whether the other host has acknowledged a message.
     pub(super) fn is_acknowledged(&self, number: u64) -> bool {
-        self.acked_count >= number
+        self.outgoing.is_acknowledged(number)
     }
 }
 
@@ -111,7 +99,7 @@
         }
         if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
             link.waker = None;
-            link.queue.retain(|message| !message.is_transient());
+            link.outgoing.end_connection();
         }
         // The next attempt follows whether the pause is over or the other host was seen.
         let _ = timeout(backoff.next_delay(), redial.next()).await;
@@ -132,7 +120,7 @@
     let hello = Hello::Control { host: host.setup.host };
     frame::write(&mut writer, &hello, ACK_TIMEOUT).await?;
     let (sender, mut wakeups) = mpsc::channel(1);
-    let base_count = queue_state(host, peer, sender);
+    queue_state(host, peer, sender);
     let sender_task = async {
         loop {
             while let Some(message) = pop_message(host, peer) {
@@ -144,15 +132,12 @@
     .fuse();
     let receiver_task = async {
         loop {
-            let unacked = host
-                .links
-                .borrow()
-                .get(&peer)
-                .is_some_and(|link| link.acked_count < link.pushed_count);
+            let has_unacked = |link: &Link| link.outgoing.has_unacknowledged();
+            let unacked = host.links.borrow().get(&peer).is_some_and(has_unacked);
             let limit = if unacked { ACK_TIMEOUT } else { IDLE_TIMEOUT };
             let count: u64 = frame::read(&mut reader, limit).await?;
             if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
-                link.acked_count = link.acked_count.max(base_count + count);
+                link.outgoing.handle_ack(count);
             }
         }
     }
@@ -164,25 +149,18 @@
     }
 }
 
-/// Queues this host's full state for a new connection. Returns the number of the message before the
-/// first queued one, as the receiver counts messages per connection.
-fn queue_state<S: Store + 'static>(
-    host: &SharedHost<S>,
-    peer: HostId,
-    waker: mpsc::Sender<()>,
-) -> u64 {
+/// Queues this host's full state for a new connection.
+fn queue_state<S: Store + 'static>(host: &SharedHost<S>, peer: HostId, waker: mpsc::Sender<()>) {
     let entries = host.roster.borrow().entries();
     let hosts = PeerMessage::Hosts { controls: host.controls(), entry_hosts: host.entry_hosts() };
-    let mut links = host.links.borrow_mut();
-    let Some(link) = links.get_mut(&peer) else { return 0 };
-    link.waker = Some(waker);
-    link.push(hosts);
-    link.push(PeerMessage::Targets(entries));
-    link.pushed_count - link.queue.len() as u64
+    if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
+        link.waker = Some(waker);
+        link.outgoing.begin_connection([hosts, PeerMessage::Targets(entries)]);
+    }
 }
 
 fn pop_message<S>(host: &SharedHost<S>, peer: HostId) -> Option<PeerMessage> {
-    host.links.borrow_mut().get_mut(&peer)?.queue.pop_front()
+    host.links.borrow_mut().get_mut(&peer)?.outgoing.pop()
 }
 
 /// Receives messages from another control host and acknowledges each with their count.
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 pub mod message;
 mod metrics;
+pub mod outgoing;
 mod roster_file;
 mod run;
 pub mod target_batches;
