Leave a new flow alone when a packet of a former one arrives late

Cause: a late packet of a flow whose caller has used its port again replaced the new flow's state before it was established, so the new flow's packets went to the former target, which resets them. Shown by a test that failed before. Change: a packet that can't follow the flow's SYN in the sequence number space goes to the target of its mark without an effect on the flow.

--- a/lagoongauge/src/mark/flow.rs
+++ b/lagoongauge/src/mark/flow.rs
@@ -1,12 +1,16 @@
 //! Connection tracking: state of the flows whose packets an entry host has seen.
 
-use super::PacketTimes;
 use super::target::TargetKey;
+use super::{PacketTimes, Segment};
 use crate::time::{Instant, Span};
 
 /// Half of the sequence number space; a smaller forward distance means "later".
 const HALF_SEQUENCE_SPACE: u32 = 1 << 31;
 
+/// Offset from its SYN below which the first packet of a flow has to begin; callers send a few packets
+/// before the first acknowledgement.
+const MAX_FIRST_OFFSET: u32 = 1 << 20;
+
 /// Times at which callers send a SYN and its copies, counted from the first, and give up.
 const SYN_SCHEDULE: [Span; 4] =
     [Span::millis(0), Span::millis(200), Span::millis(600), Span::millis(1400)];
@@ -56,6 +60,13 @@
 }
 
 impl Flow {
+    /// Returns whether a packet may be the first one that this host sees after the flow's SYN. A
+    /// caller that uses its port again begins elsewhere in the sequence number space.
+    pub(super) fn may_continue_with(&self, segment: &Segment) -> bool {
+        let offset = segment.sequence.wrapping_sub(self.initial_sequence);
+        self.established || self.resumed || offset < MAX_FIRST_OFFSET
+    }
+
     /// Creates a flow whose beginning this host did not see.
     pub(super) fn resumed(target: TargetKey, sequence: u32, now: Instant) -> Self {
         Self {
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -24,6 +24,9 @@
     ) -> Verdict {
         let PacketTimes { now, arrived } = times;
         let known = self.flows.get(segment.flow_key);
+        if known.is_some_and(|flow| !flow.may_continue_with(segment)) {
+            return self.forward_stray(now, segment);
+        }
         let key = match known {
             Some(flow) if flow.established => flow.target,
             _ => match self.resolve_target(segment, known) {
@@ -63,6 +66,16 @@
         self.forward(key, false)
     }
 
+    /// Forwards a packet of an earlier flow between the same endpoints to that flow's target, without
+    /// an effect on the flow that has begun since.
+    fn forward_stray(&self, now: Instant, segment: &Segment) -> Verdict {
+        match self.resolve_target(segment, None) {
+            Ok(key) if self.targets[key].has_ended(now) => Verdict::Drop(Cause::TargetGone),
+            Ok(key) => self.forward(key, false),
+            Err(cause) => Verdict::Drop(cause),
+        }
+    }
+
     /// Finds the target of a flow that is not established on this host: the mark takes precedence
     /// over the target chosen for the SYN.
     fn resolve_target(&self, segment: &Segment, known: Option<Flow>) -> Result<TargetKey, Cause> {
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -127,6 +127,22 @@
     assert_eq!(target_of(fixture.send_data(1, 1, 0)), other);
 }
 
+/// The caller has used its port again; a packet of its former flow was under way for long.
+#[test]
+fn a_late_packet_of_a_former_flow_leaves_the_new_one_alone() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    let target = target_of(fixture.open(1));
+    let former = lagoongauge::id::TargetId(3 - target.0);
+    fixture.mark = Some(Mark::of(former));
+    assert_eq!(target_of(fixture.send_data(1, 900, 2_000_000_000)), former);
+    fixture.mark = Some(Mark::of(target));
+    assert_eq!(target_of(fixture.send_data(1, 1, 0)), target);
+    fixture.mark = Some(Mark::of(former));
+    fixture.send_data(1, 900, 2_000_000_000);
+    fixture.mark = Some(Mark::of(target));
+    assert_eq!(target_of(fixture.send_data(1, 2, 10)), target);
+}
+
 #[test]
 fn a_forged_mark_reaches_no_other_service() {
     let mut fixture = Fixture::new(&[1]);
