Answer a drain that too few hosts acknowledged as of unknown outcome

Cause: the answer was no_quorum, which says that nothing ran, though the hosts that have the drain act on it.

--- a/lagoongauged/src/cluster/host/announcements.rs
+++ b/lagoongauged/src/cluster/host/announcements.rs
@@ -18,7 +18,7 @@
     ///
     /// An announcement that a target is draining or gone is acknowledged only once a majority of
     /// control hosts has it, as this host may fail right afterwards; otherwise this fails with
-    /// `NoQuorum`.
+    /// `UnknownOutcome`, as the hosts that have it act on it.
     pub async fn handle_announcement(&self, entry: Entry) -> Result<MergeOutcome> {
         let now = self.clock.now();
         let heartbeat = Heartbeat {
@@ -62,7 +62,8 @@
         Ok(merged)
     }
 
-    /// Records that a target has ended; fails with `NoQuorum` like [`Self::handle_announcement`].
+    /// Records that a target has ended; fails with `UnknownOutcome` like
+    /// [`Self::handle_announcement`].
     ///
     /// A host that started after the target's last announcement does not know it, but notifies the
     /// other control hosts, which may know it.
@@ -88,7 +89,7 @@
                 return Ok(());
             }
             let detail = format!("only {count} control hosts know the state of {target}");
-            Err(Error::new(Kind::NoQuorum, detail))
+            Err(Error::new(Kind::UnknownOutcome, detail))
         })
         .await
     }
