Let only as many uploads begin as a host's link carries

Load: a burst of uploads. Each has 16 packets under way, which wait on the host's outgoing link. Beyond some uploads at once they wait longer than callers wait for an acknowledgement, so callers repeat them.

Found in a trace of upload packets of that host: windows of several uploads arrive within milliseconds, so the incoming link is not the bottleneck; the next window follows at the pace of the outgoing one. Packets of a window arrive in any order, and a repeat of its first packet comes early for that reason. Ruled out: the processor (0.012 of 0.097 cores).

Change: a host of a contended deployment with a limited link lets a bulk flow begin only while the windows of all active ones are sent within 120 ms. Others wait, and are refused on their SYN if their turn is expected after more than a second. Flows that began are always forwarded. The use of the link is in a log line a window and in metrics. A replay of a burst shows the return, and that it fails without the bound.

--- a/lagoongauge/src/mark/link.rs
+++ b/lagoongauge/src/mark/link.rs
@@ -4,10 +4,11 @@
 //! callers repeat them, and answers are acknowledged late, for all targets at once. See
 //! docs/design/link.md.
 
+use super::bulk::Admission;
 use crate::time::{Instant, Span};
 
 /// Bytes of a packet on the link besides its data: its own header, and those of UDP and IP.
-const HEADER_BYTES: u64 = 59;
+pub(super) const HEADER_BYTES: u64 = 59;
 
 /// Period over which the use of the link is measured.
 const USE_PERIOD: Span = Span::millis(200);
@@ -19,6 +20,28 @@
 /// 1.6 s at most, and the repeat may wait as well.
 const BUSY_MEMORY: Span = Span::millis(2000);
 
+/// What a host's link carried since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkUse {
+    /// Bytes of callers' packets, with their headers.
+    pub carried_bytes: u64,
+    /// Bulk flows that began.
+    pub begun_flows: u64,
+    /// Bulk flows that were refused.
+    pub refused_flows: u64,
+}
+
+impl LinkUse {
+    /// Returns what was added since an earlier use.
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            carried_bytes: self.carried_bytes.saturating_sub(earlier.carried_bytes),
+            begun_flows: self.begun_flows.saturating_sub(earlier.begun_flows),
+            refused_flows: self.refused_flows.saturating_sub(earlier.refused_flows),
+        }
+    }
+}
+
 /// Measures how much of the link is used.
 #[derive(Debug, Clone, Default)]
 pub(super) struct LinkMeter {
@@ -30,6 +53,7 @@
     began_at: Instant,
     /// Latest time at which the link was busy.
     busy_at: Option<Instant>,
+    usage: LinkUse,
 }
 
 impl LinkMeter {
@@ -43,15 +67,31 @@
         self.busy_at.is_some_and(|busy_at| now.since(busy_at) < BUSY_MEMORY)
     }
 
+    /// Returns the use of the link since the start.
+    pub(super) fn usage(&self) -> LinkUse {
+        self.usage
+    }
+
     /// Records a packet with `length` bytes of data.
     pub(super) fn record_packet(&mut self, now: Instant, length: u16) {
         if now.since(self.began_at) >= USE_PERIOD {
             self.bytes = 0;
             self.began_at = now;
         }
-        self.bytes += u64::from(length) + HEADER_BYTES;
+        let bytes = u64::from(length) + HEADER_BYTES;
+        self.bytes += bytes;
+        self.usage.carried_bytes += bytes;
         if self.bytes * 1000 * 100 >= self.rate * USE_PERIOD.0 * BUSY_PERCENT {
             self.busy_at = Some(now);
         }
     }
+
+    /// Records whether a bulk flow began or was refused.
+    pub(super) fn record_admission(&mut self, admission: Admission) {
+        match admission {
+            Admission::Begin => self.usage.begun_flows += 1,
+            Admission::Refuse => self.usage.refused_flows += 1,
+            Admission::Wait => {}
+        }
+    }
 }
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -7,6 +7,7 @@
 //! docs/PLATFORM.md.
 
 pub mod admission;
+mod bulk;
 mod centre;
 mod features;
 mod flow;
@@ -31,6 +32,7 @@
 use crate::time::Instant;
 
 pub use self::features::{Features, WarmupLimit};
+pub use self::link::LinkUse;
 pub use self::load::{LoadCount, LoadReport};
 pub use self::router::{Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -13,12 +13,12 @@
 
 use indexmap::IndexMap;
 
+use self::link::OwnLink;
 use super::centre::{CentreKey, Centres};
 use super::features::Features;
 use super::flow::Flow;
 use super::flow_table::FlowTable;
 use super::frontend::Frontend;
-use super::link::LinkMeter;
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::placement::{Candidate, LeastCost, Policy};
@@ -75,8 +75,8 @@
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
-    /// Use of this host's link, if it is limited and the deployment is contended.
-    link: Option<LinkMeter>,
+    /// This host's link, if it is limited and the deployment is contended.
+    link: Option<OwnLink>,
     current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
@@ -173,7 +173,7 @@
         }
         self.version = catalog.version();
         self.contended = self.config.features.contended || catalog.has_bulk_routes();
-        self.measure_link();
+        self.protect_link();
         let mut kept: IndexMap<SocketAddrV4, Frontend> = IndexMap::new();
         for (address, route) in catalog.routes() {
             let frontend = match self.frontends.swap_remove(&address) {
@@ -250,6 +250,7 @@
         self.record_overdue(now, &overdue);
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
+        self.expire_bulk(now);
         if self.is_link_busy(now) {
             self.centres.set_reachable();
         } else {
@@ -271,7 +272,7 @@
         if let Some(link) = &mut self.link
             && now == arrived
         {
-            link.record_packet(now, segment.length);
+            link.meter.record_packet(now, segment.length);
         }
         let idempotency = match self.frontends.get(&segment.flow_key.frontend) {
             None if self.current && segment.kind == SegmentKind::Syn => {
@@ -320,9 +321,8 @@
             }
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
-        } else if let Some(cause) = self.refuse_for_link(times, segment) {
-            self.record_refusal(segment, cause);
-            return Verdict::Reset(cause);
+        } else if let Some(verdict) = self.yield_link(times, segment) {
+            return verdict;
         }
         self.flows.remove(&mut self.targets, segment.flow_key);
         let Some(key) = self.place_flow(now, segment, avoided) else {
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -23,6 +23,7 @@
         idempotency: Idempotency,
     ) -> Verdict {
         let PacketTimes { now, arrived } = times;
+        self.track_bulk(now, segment);
         let known = self.flows.get(segment.flow_key);
         let key = match known {
             Some(flow) if flow.established => flow.target,
--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -30,7 +30,7 @@
     Starting,
     /// The request could not be served in time, as requests of its priority have no room left.
     Overloaded,
-    /// This host's link is full.
+    /// This host's link has no room for another bulk flow in time.
     LinkFull,
 }
 
@@ -88,6 +88,6 @@
     Reset(Cause),
     /// Drop it; the caller retransmits it.
     Drop(Cause),
-    /// Hold it until the first catalog is active, see [`super::held`].
+    /// Hold it until the first catalog is active or there is room for it, see [`super::held`].
     Hold,
 }
--- a/lagoongauge/tests/marks/link.rs
+++ b/lagoongauge/tests/marks/link.rs
@@ -1,10 +1,10 @@
 //! A host whose own link is full: what it concludes from repeats and missing answers.
 
 use lagoongauge::id::TargetId;
-use lagoongauge::mark::{Cause, Features, Mark, SegmentKind, Verdict};
+use lagoongauge::mark::{Cause, Features, FlowKey, Mark, Segment, SegmentKind, Verdict};
 
 use crate::retransmit_to;
-use crate::world::{Fixture, target_of};
+use crate::world::{Fixture, OTHER_FRONTEND, bulk_catalog, segment, target_of};
 
 /// Bytes per second of the host's link.
 const LINK_RATE: u64 = 600_000;
@@ -81,3 +81,55 @@
     keep_link_full(&mut fixture);
     assert_eq!(target_of(fixture.open(caller)), target);
 }
+
+/// Sends a packet of an upload that was placed on the target, perhaps by another host.
+fn send_bulk(fixture: &mut Fixture, caller: u16, kind: SegmentKind) -> Verdict {
+    let plain = segment(caller, kind, 0, if kind == SegmentKind::Data { 1200 } else { 0 });
+    let flow_key = FlowKey { frontend: OTHER_FRONTEND, ..plain.flow_key };
+    let mark = Some(Mark::of(LOCAL));
+    fixture.router.decide(fixture.now, &Segment { flow_key, mark, acknowledged: 5001, ..plain })
+}
+
+/// Creates a host whose link has room for three uploads, all of them taken.
+fn host_without_room() -> Fixture {
+    let mut fixture = limited_host();
+    fixture.router.set_catalog(&bulk_catalog(2));
+    for caller in 10..13 {
+        target_of(fixture.open_to(caller, OTHER_FRONTEND));
+    }
+    assert_eq!(fixture.open_to(13, OTHER_FRONTEND), Verdict::Hold);
+    fixture
+}
+
+#[test]
+fn an_upload_waits_until_another_one_ends() {
+    let mut fixture = host_without_room();
+    target_of(fixture.open(14));
+    target_of(send_bulk(&mut fixture, 10, SegmentKind::Fin));
+    target_of(fixture.open_to(13, OTHER_FRONTEND));
+    assert_eq!(fixture.open_to(15, OTHER_FRONTEND), Verdict::Hold);
+}
+
+/// The fabric moves open flows between hosts; nothing tells their callers that they did not run.
+#[test]
+fn an_upload_that_began_elsewhere_is_forwarded_and_takes_room() {
+    let mut fixture = host_without_room();
+    target_of(send_bulk(&mut fixture, 20, SegmentKind::Data));
+    target_of(send_bulk(&mut fixture, 10, SegmentKind::Fin));
+    assert_eq!(fixture.open_to(13, OTHER_FRONTEND), Verdict::Hold);
+}
+
+#[test]
+fn an_upload_without_packets_makes_room() {
+    let mut fixture = host_without_room();
+    fixture.advance(600);
+    target_of(fixture.open_to(13, OTHER_FRONTEND));
+}
+
+#[test]
+fn uploads_whose_turn_would_come_too_late_are_refused_at_once() {
+    let mut fixture = host_without_room();
+    let verdicts: Vec<_> = (30..60).map(|caller| fixture.open_to(caller, OTHER_FRONTEND)).collect();
+    assert_eq!(verdicts[0], Verdict::Hold);
+    assert_eq!(verdicts[29], Verdict::Reset(Cause::LinkFull));
+}
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -6,6 +6,7 @@
 mod losses;
 mod place;
 mod share;
+mod uploads;
 mod world;
 
 use lagoongauge::mark::{Cause, Mark, SegmentKind, Verdict};
--- /dev/null
+++ b/lagoongauge/tests/marks/uploads.rs
@@ -0,0 +1,238 @@
+//! A burst of uploads through a host's limited link, and what is left of it afterwards.
+
+use std::collections::VecDeque;
+
+use lagoongauge::mark::{Cause, Features, FlowKey, Mark, Segment, SegmentKind, Verdict};
+use lagoongauge::time::Span;
+
+use crate::world::{Fixture, OTHER_FRONTEND, bulk_catalog, segment, target_of};
+
+/// Bytes that the host's link carries in a millisecond.
+const LINK_BYTES_PER_MS: usize = 600;
+
+/// Bytes of a packet without data, and of a full one, on the link.
+const HEADER_BYTES: usize = 59;
+const PACKET_BYTES: usize = 1200 + HEADER_BYTES;
+
+/// Packets of an upload.
+const PACKETS: usize = 34;
+
+/// Packets that an upload has under way at most.
+const WINDOW: usize = 16;
+
+/// Time in milliseconds from a packet's arrival at the host until its caller has the
+/// acknowledgement.
+const ACKNOWLEDGEMENT_MS: u64 = 8;
+
+/// Time in milliseconds after which a caller repeats a packet the first time.
+const REPEAT_MS: u64 = 200;
+
+/// Time in milliseconds for which a caller waits for its upload.
+const BUDGET_MS: u64 = 6000;
+
+/// Time in milliseconds within which callers want an upload to be done.
+const OBJECTIVE_MS: u64 = 1200;
+
+/// An upload as its caller sees it.
+#[derive(Debug)]
+struct Upload {
+    number: u16,
+    began_at: u64,
+    /// Next SYN, with the number of copies before it, until the flow is open.
+    next_syn: Option<(u64, u32)>,
+    mark: Option<Mark>,
+    /// When each packet is due, or `None` once it is acknowledged.
+    due_at: [Option<(u64, u64)>; PACKETS],
+    refused: bool,
+    done_at: Option<u64>,
+}
+
+/// A packet on the link: an upload's number, and the index of its data or `None` for a SYN.
+type Packet = (usize, Option<usize>);
+
+/// Callers, the host's link and the host.
+struct Replay {
+    host: Fixture,
+    time: u64,
+    uploads: Vec<Upload>,
+    link: VecDeque<Packet>,
+    /// Bytes that the link may still carry in this millisecond.
+    credit: usize,
+    /// SYNs that wait at the host.
+    held: Vec<Packet>,
+    acknowledgements: VecDeque<(u64, Packet, Mark)>,
+}
+
+impl Upload {
+    fn new(number: u16, now: u64) -> Self {
+        Self {
+            number,
+            began_at: now,
+            next_syn: Some((now, 0)),
+            mark: None,
+            due_at: [Some((now, REPEAT_MS)); PACKETS],
+            refused: false,
+            done_at: None,
+        }
+    }
+
+    fn is_active(&self, now: u64) -> bool {
+        !self.refused && self.done_at.is_none() && now < self.began_at + BUDGET_MS
+    }
+
+    /// Returns whether its caller had to wait for longer than it wants to.
+    fn is_late(&self) -> bool {
+        self.done_at.is_none_or(|done_at| done_at > self.began_at + OBJECTIVE_MS)
+    }
+
+    /// Adds the packets that its caller sends now.
+    fn send(&mut self, now: u64, index: usize, link: &mut VecDeque<Packet>) {
+        if let Some((due_at, copies)) = self.next_syn {
+            if due_at <= now && copies < 3 {
+                link.push_back((index, None));
+                self.next_syn = Some((now + [200, 400, 800][copies as usize], copies + 1));
+            }
+            return;
+        }
+        let open = (0..PACKETS).filter(|packet| self.due_at[*packet].is_some());
+        for packet in open.take(WINDOW).collect::<Vec<_>>() {
+            let Some((due_at, interval)) = self.due_at[packet] else { continue };
+            if due_at <= now {
+                link.push_back((index, Some(packet)));
+                self.due_at[packet] = Some((now + interval, (2 * interval).min(1600)));
+            }
+        }
+    }
+
+    fn segment(&self, data: Option<usize>) -> Segment {
+        let kind = if data.is_some() { SegmentKind::Data } else { SegmentKind::Syn };
+        let (from, length) = data.map_or((0, 0), |packet| (1200 * packet as u32, 1200));
+        let plain = segment(self.number, kind, from, length);
+        let flow_key = FlowKey { frontend: OTHER_FRONTEND, ..plain.flow_key };
+        let acknowledged = if data.is_some() { 5001 } else { 0 };
+        Segment { flow_key, mark: self.mark, acknowledged, ..plain }
+    }
+}
+
+impl Replay {
+    fn new(features: Features) -> Self {
+        let mut host = Fixture::with_features(&[1, 2, 3], features);
+        host.router.set_catalog(&bulk_catalog(2));
+        let (uploads, held) = (Vec::new(), Vec::new());
+        let (link, acknowledgements) = (VecDeque::new(), VecDeque::new());
+        Self { host, time: 0, uploads, link, credit: 0, held, acknowledgements }
+    }
+
+    /// Runs for some time in which a new upload begins every `interval` milliseconds.
+    fn run(&mut self, millis: u64, interval: u64) {
+        for step in 0..millis {
+            if step.is_multiple_of(interval) {
+                self.uploads.push(Upload::new(10 + self.uploads.len() as u16, self.time));
+            }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        for (index, upload) in self.uploads.iter_mut().enumerate() {
+            if upload.is_active(self.time) {
+                upload.send(self.time, index, &mut self.link);
+            }
+        }
+        self.credit = (self.credit + LINK_BYTES_PER_MS).min(PACKET_BYTES + LINK_BYTES_PER_MS);
+        while let Some(packet) = self.link.front().copied() {
+            let size = if packet.1.is_some() { PACKET_BYTES } else { HEADER_BYTES };
+            let Some(left) = self.credit.checked_sub(size) else { break };
+            self.credit = left;
+            self.link.pop_front();
+            self.deliver(packet);
+        }
+        for packet in std::mem::take(&mut self.held) {
+            self.deliver(packet);
+        }
+        while let Some((due_at, packet, mark)) = self.acknowledgements.front().copied() {
+            if due_at > self.time {
+                break;
+            }
+            self.acknowledgements.pop_front();
+            self.acknowledge(packet, mark);
+        }
+        self.time += 1;
+        self.host.now = self.host.now + Span(1);
+        if self.time.is_multiple_of(200) {
+            self.host.tick();
+        }
+    }
+
+    /// Lets the host decide on a packet that has arrived or was held.
+    fn deliver(&mut self, packet: Packet) {
+        let upload = &mut self.uploads[packet.0];
+        match self.host.router.decide(self.host.now, &upload.segment(packet.1)) {
+            Verdict::Forward { mark, .. } => {
+                let due_at = self.time + ACKNOWLEDGEMENT_MS;
+                self.acknowledgements.push_back((due_at, packet, mark));
+            }
+            Verdict::Hold if upload.next_syn.is_some() && upload.is_active(self.time) => {
+                self.held.push(packet);
+            }
+            Verdict::Reset(cause) => {
+                assert_eq!((cause, upload.mark), (Cause::LinkFull, None), "nothing was sent");
+                upload.refused = true;
+            }
+            Verdict::Hold | Verdict::Drop(_) => {}
+        }
+    }
+
+    fn acknowledge(&mut self, (index, data): Packet, mark: Mark) {
+        let upload = &mut self.uploads[index];
+        if !upload.is_active(self.time) {
+            return;
+        }
+        let Some(packet) = data else {
+            upload.next_syn = None;
+            upload.mark = Some(mark);
+            return;
+        };
+        upload.due_at[packet] = None;
+        if upload.due_at.iter().all(Option::is_none) {
+            upload.done_at = Some(self.time);
+            let fin = Segment { kind: SegmentKind::Fin, length: 0, ..upload.segment(data) };
+            target_of(self.host.router.decide(self.host.now, &fin));
+        }
+    }
+
+    /// Returns how many of the uploads that began within `span` were late or refused, and how many
+    /// there were.
+    fn count_missed(&self, span: std::ops::Range<u64>) -> (usize, usize) {
+        let begun = self.uploads.iter().filter(|upload| span.contains(&upload.began_at));
+        let missed = begun.clone().filter(|upload| upload.is_late()).count();
+        (missed, begun.count())
+    }
+}
+
+/// Uploads at six times the usual rate for four seconds, then at the usual rate.
+fn replay_burst(features: Features) -> Replay {
+    let mut replay = Replay::new(features);
+    replay.run(1000, 250);
+    replay.run(4000, 45);
+    replay.run(8000, 250);
+    replay
+}
+
+#[test]
+fn uploads_are_served_as_before_soon_after_a_burst() {
+    let limited = Features { link_rate: Some(600_000), ..Features::default() };
+    let replay = replay_burst(limited);
+    assert_eq!(replay.count_missed(0..1000).0, 0, "before the burst");
+    let (missed, begun) = replay.count_missed(1000..5000);
+    assert!(missed * 3 <= begun * 2, "{missed} of {begun} missed in the burst");
+    assert_eq!(replay.count_missed(6000..11_000).0, 0, "after the burst");
+}
+
+/// Shows that the replay holds the load that the bound answers.
+#[test]
+fn without_a_bound_repeats_keep_the_link_full_after_a_burst() {
+    let replay = replay_burst(Features::default());
+    let (missed, begun) = replay.count_missed(6000..8000);
+    assert!(missed * 2 >= begun, "{missed} of {begun} missed a second after the burst");
+}
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -264,6 +264,23 @@
     Catalog::try_from(RawCatalog { version, services, routes, idle_timeout: Span(15_000) }).unwrap()
 }
 
+/// Returns a catalog with a usual route, and a bulk one at the other frontend address.
+pub fn bulk_catalog(version: u64) -> Catalog {
+    let route = |address: SocketAddrV4, bulk: bool| RawRoute {
+        name: address.to_string(),
+        address,
+        services: vec![RawWeightedService { service: "desk".into(), weight: 1 }],
+        idempotency: Idempotency::AtMostOnce,
+        timeout: Span(6000),
+        objective: Span(1200),
+        priority: 1,
+        bulk,
+    };
+    let routes = vec![route(FRONTEND, false), route(OTHER_FRONTEND, true)];
+    let services = vec!["desk".into()];
+    Catalog::try_from(RawCatalog { version, services, routes, idle_timeout: Span(15_000) }).unwrap()
+}
+
 /// Finds two targets with the same mark.
 pub fn targets_with_same_mark() -> (u64, u64) {
     let mut seen = std::collections::HashMap::new();
--- a/lagoongauged/src/mark_entry/loss_log.rs
+++ b/lagoongauged/src/mark_entry/loss_log.rs
@@ -4,8 +4,8 @@
 
 use indexmap::IndexMap;
 use lagoongauge::catalog::Idempotency;
-use lagoongauge::mark::Cause;
 use lagoongauge::mark::loss::{RequestCounts, RequestKind};
+use lagoongauge::mark::{Cause, LinkUse};
 use log::kv::Value;
 use log::{Level, Record};
 
@@ -21,6 +21,9 @@
 /// Value of the attribute `decision` on lines with counts of dropped packets.
 pub const DROPS_DECISION: &str = "drops";
 
+/// Value of the attribute `decision` on lines with the use of the host's link.
+pub const LINK_DECISION: &str = "link";
+
 /// Writes the counts of each window after its end.
 #[derive(Debug)]
 pub(super) struct LossLog {
@@ -28,11 +31,14 @@
     window: u64,
     /// Dropped packets at the start of the window, by cause.
     dropped: [u64; Cause::ALL.len()],
+    /// Use of the link at the start of the window.
+    link: LinkUse,
 }
 
 impl LossLog {
     pub(super) fn new() -> Self {
-        Self { window: current_window(), dropped: [0; Cause::ALL.len()] }
+        let dropped = [0; Cause::ALL.len()];
+        Self { window: current_window(), dropped, link: LinkUse::default() }
     }
 
     /// Writes the counts of the window that has just ended, if one has.
@@ -59,6 +65,11 @@
         if !drops.is_empty() {
             write_drops(start, &drops);
         }
+        let link = state.link_use();
+        let added = link.since(std::mem::replace(&mut self.link, link));
+        if added != LinkUse::default() {
+            write_link(start, added);
+        }
     }
 
     /// Returns the number of packets dropped for a cause since the last call for it.
@@ -105,6 +116,17 @@
     write_line(&pairs, "packets dropped in a window");
 }
 
+fn write_link(start: u64, added: LinkUse) {
+    let pairs = [
+        ("decision", Value::from(LINK_DECISION)),
+        ("window", Value::from(start)),
+        ("carried_bytes", Value::from(added.carried_bytes)),
+        ("begun_flows", Value::from(added.begun_flows)),
+        ("refused_flows", Value::from(added.refused_flows)),
+    ];
+    write_line(&pairs, "use of the link in a window");
+}
+
 /// Writes a line whose attributes are known only at run time, which the macros can't.
 fn write_line(pairs: &[(&str, Value<'_>)], message: &str) {
     log::logger().log(
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -23,6 +23,9 @@
     unreadable: IntCounter,
     unsent: IntCounter,
     omitted: IntCounter,
+    link_carried: IntCounter,
+    bulk_begun: IntCounter,
+    bulk_refused: IntCounter,
     response_times: Histogram,
     version: IntGauge,
     flows: IntGauge,
@@ -54,6 +57,16 @@
             unreadable: registry
                 .counter("unreadable_datagrams", "Datagrams that were no packet.")?,
             unsent: registry.counter("unsent_datagrams", "Datagrams that the system refused.")?,
+            link_carried: registry.counter(
+                "link_carried_bytes",
+                "Bytes of callers' packets on a limited link of a contended deployment.",
+            )?,
+            bulk_begun: registry
+                .counter("begun_bulk_flows", "Bulk flows that this host's link had room for.")?,
+            bulk_refused: registry.counter(
+                "refused_bulk_flows",
+                "Bulk flows refused for want of room on the link.",
+            )?,
             omitted: registry.counter("omitted_log_lines", "Decisions left out of the log.")?,
             response_times: registry.histogram(
                 "request_wait_seconds",
@@ -89,6 +102,10 @@
             advance_to(&self.reset.with_label_values(&[cause.name()]), counters.reset(cause));
             advance_to(&self.dropped.with_label_values(&[cause.name()]), counters.dropped(cause));
         }
+        let link = state.link_use();
+        advance_to(&self.link_carried, link.carried_bytes);
+        advance_to(&self.bulk_begun, link.begun_flows);
+        advance_to(&self.bulk_refused, link.refused_flows);
         let (flows, targets) = state.counts();
         self.version.set(state.version() as i64);
         self.flows.set(flows as i64);
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -8,8 +8,8 @@
 use lagoongauge::catalog::{Catalog, Document};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::Router;
 use lagoongauge::mark::held::HeldPackets;
+use lagoongauge::mark::{LinkUse, Router};
 use lagoongauge::roster::{Entry, FeedStatuses, MergeOutcome, Roster, TargetRecord};
 use lagoongauge::time::{Instant, Span};
 
@@ -143,6 +143,11 @@
         (router.flow_count(), router.serving_count())
     }
 
+    /// Returns the use of this host's link; nothing if it is not measured.
+    pub fn link_use(&self) -> LinkUse {
+        self.router().link_use().unwrap_or_default()
+    }
+
     pub(super) fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
