--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -7,6 +7,7 @@
 //! docs/PLATFORM.md.
 
 pub mod admission;
+mod bulk;
 mod centre;
 pub mod contention;
 mod ejection;
@@ -40,6 +41,7 @@
 
 pub use self::ejection::Change as EjectionKind;
 pub use self::features::{Features, WarmupLimit};
+pub use self::link::LinkUse;
 pub use self::load::{LoadCount, LoadReport, ServicePressure};
 pub use self::router::{EjectionChange, EvidenceCounts, Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -16,13 +16,13 @@
 use indexmap::IndexMap;
 
 use self::evidence::EvidencePool;
+use self::link::OwnLink;
 use super::centre::{CentreKey, Centres};
 use super::contention::Contention;
 use super::features::Features;
 use super::flow::Flow;
 use super::flow_table::FlowTable;
 use super::frontend::Frontend;
-use super::link::LinkMeter;
 use super::load::{LoadCount, LoadReport};
 use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::moves::MoveDetector;
@@ -90,8 +90,6 @@
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
-    /// Use of this host's link, if it is limited and the deployment is contended.
-    link: Option<LinkMeter>,
     /// Admission by service, where callers compete for room.
     contention: IndexMap<String, Contention>,
     news: PressureNews,
@@ -100,6 +98,8 @@
     counted_at: Instant,
     /// Demand in each data centre at the decision on the current flow; a reused buffer.
     demands: Vec<CentreDemand>,
+    /// This host's link, if it is limited and the deployment is contended.
+    link: Option<OwnLink>,
     current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
@@ -212,7 +212,7 @@
         self.version = catalog.version();
         self.contended = self.config.features.contended || catalog.has_bulk_routes();
         self.warmup.set_catalog(self.config.features.warmup_limit.as_ref(), catalog);
-        self.measure_link();
+        self.protect_link();
         let mut kept: IndexMap<SocketAddrV4, Frontend> = IndexMap::new();
         for (address, route) in catalog.routes() {
             let frontend = match self.frontends.swap_remove(&address) {
@@ -307,6 +307,7 @@
         self.record_overdue(now, &overdue);
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
+        self.expire_bulk(now);
         if self.is_link_busy(now) {
             self.centres.set_reachable();
         } else {
@@ -331,7 +332,7 @@
         if let Some(link) = &mut self.link
             && now == arrived
         {
-            link.record_packet(now, segment.length);
+            link.meter.record_packet(now, segment.length);
         }
         let idempotency = match self.frontends.get(&segment.flow_key.frontend) {
             None if self.is_current(now) && segment.kind == SegmentKind::Syn => {
@@ -385,9 +386,9 @@
             }
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
-        } else if let Some(cause) =
-            self.refuse_for_link(times, segment).or_else(|| self.refuse_for_room(now, segment))
-        {
+        } else if let Some(verdict) = self.yield_link(times, segment) {
+            return verdict;
+        } else if let Some(cause) = self.refuse_for_room(now, segment) {
             self.record_refusal(segment, cause);
             return Verdict::Reset(cause);
         }
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -23,6 +23,7 @@
         idempotency: Idempotency,
     ) -> Verdict {
         let PacketTimes { now, arrived } = times;
+        self.track_bulk(now, segment);
         let known = self.flows.get(segment.flow_key);
         if known.is_some_and(|flow| !flow.may_continue_with(segment)) {
             return self.forward_stray(now, segment);
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -11,6 +11,7 @@
 mod room;
 mod rush;
 mod share;
+mod uploads;
 mod warmup;
 mod world;
 
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -11,7 +11,7 @@
 use lagoongauge::mark::contention::AdmissionCounts;
 use lagoongauge::mark::held::HeldPackets;
 use lagoongauge::mark::warmup::HostGroup;
-use lagoongauge::mark::{EvidenceCounts, Router};
+use lagoongauge::mark::{EvidenceCounts, LinkUse, Router};
 use lagoongauge::roster::{Entry, FeedStatuses, MergeOutcome, Roster, TargetRecord};
 use lagoongauge::time::{Instant, Span};
 
@@ -182,6 +182,11 @@
         (router.evidence_counts(), router.ejected_count())
     }
 
+    /// Returns the use of this host's link; nothing if it is not measured.
+    pub fn link_use(&self) -> LinkUse {
+        self.router().link_use().unwrap_or_default()
+    }
+
     pub(super) fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
