Replay a broken link and lossy links against pooled evidence

A host whose links to a quarter of the targets are broken doubts them alone, and none is ejected anywhere.

--- a/lagoongauge/tests/marks/evidence.rs
+++ b/lagoongauge/tests/marks/evidence.rs
@@ -26,6 +26,10 @@
     hosts: Vec<Fixture>,
     budgets: Vec<EvidenceBudget>,
     dead: Vec<TargetId>,
+    /// The only host that can't reach the dead targets, or `None` if no host can.
+    cut_off: Option<usize>,
+    /// Percentage of SYNs that links lose.
+    loss: u16,
     /// SYNs without an answer: caller, host, and when the caller sent the first one.
     waiting: Vec<(u16, usize, u64)>,
     next_caller: u16,
@@ -49,6 +53,8 @@
             hosts: (0..host_count).map(host).collect(),
             budgets: vec![EvidenceBudget::default(); host_count],
             dead: Vec::new(),
+            cut_off: None,
+            loss: 0,
             waiting: Vec::new(),
             next_caller: 0,
             elapsed: 0,
@@ -98,7 +104,9 @@
 
     fn send_syn(&mut self, caller: u16, host: usize, sent_at: u64) {
         let target = target_of(self.hosts[host].open(caller));
-        if self.dead.contains(&target) {
+        let cut_off = self.cut_off.is_none_or(|cut_off| cut_off == host);
+        let lost = caller.wrapping_mul(25_173) % 100 < self.loss;
+        if lost || (cut_off && self.dead.contains(&target)) {
             self.misplaced.push(self.elapsed);
             self.waiting.push((caller, host, sent_at));
             return;
@@ -209,6 +217,34 @@
     assert!(centre.ejected_counts().iter().all(|count| *count == 0));
 }
 
+/// The links of one host to a quarter of the targets are broken: it doubts them, alone.
+#[test]
+fn a_host_with_a_broken_link_ejects_no_target() {
+    let mut centre = Centre::new(28, 40, true).with_dead_targets(1..=10);
+    centre.cut_off = Some(3);
+    for _ in 0..40 {
+        centre.run(100);
+        assert!(centre.ejected_counts().iter().all(|count| *count == 0));
+    }
+    let statements: u64 =
+        centre.hosts.iter().map(|host| host.router.evidence_counts().accepted).sum();
+    assert!(statements > 0, "the host spoke");
+}
+
+/// Links lose a tenth of the packets, so that every target leaves some SYNs unanswered.
+#[test]
+fn lossy_links_hardly_keep_flows_from_targets() {
+    let mut centre = Centre::new(28, 40, true);
+    centre.loss = 10;
+    let mut ejected = 0;
+    for _ in 0..40 {
+        centre.run(100);
+        ejected += centre.ejected_counts().iter().sum::<usize>();
+    }
+    let average = ejected as f64 / (40 * 28) as f64;
+    assert!(average < 4.0, "{average} of 40 targets are ejected at a host");
+}
+
 #[test]
 fn a_host_that_hears_nothing_says_nothing() {
     let mut host = contended_host(&[1, 2, 3, 4]);
