Name admission's parts by the terms of the field

Renames only, in code, tests and pages: pressures in place of news, saturated in place of crowded, overload in place of rush. Behaviour is as before.

--- a/lagoongauge/src/mark/contention.rs
+++ b/lagoongauge/src/mark/contention.rs
@@ -71,13 +71,13 @@
         self.recent.is_empty() && self.counts.is_empty()
     }
 
-    /// Returns the requests a slot up to which a flow is admitted; `crowded` tells whether this host
+    /// Returns the requests a slot up to which a flow is admitted; `saturated` tells whether this host
     /// has had little room for some time, rather than just now.
-    pub fn requests_per_slot(&self, priority: u8, crowded: bool) -> u32 {
+    pub fn requests_per_slot(&self, priority: u8, saturated: bool) -> u32 {
         let is_highest = self.recent.keys().all(|other| priority <= *other);
         if is_highest || self.is_starved(priority) {
             HIGHEST_REQUESTS_PER_SLOT
-        } else if crowded {
+        } else if saturated {
             LOWER_REQUESTS_PER_SLOT
         } else {
             SPIKE_REQUESTS_PER_SLOT
--- a/lagoongauge/src/mark/load.rs
+++ b/lagoongauge/src/mark/load.rs
@@ -34,7 +34,7 @@
     pub age: Span,
 }
 
-/// Load counts of one entry host for all targets with open flows, and its news of pressure.
+/// Load counts of one entry host for all targets with open flows, and the pressures that it knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LoadReport {
     /// Load counts by target mark.
@@ -76,7 +76,7 @@
     }
 }
 
-/// Decodes the demand section; one that is absent or unreadable counts as no news.
+/// Decodes the demand section; one that is absent or unreadable counts as empty.
 fn decode_pressures(sections: &[u8]) -> Vec<ServicePressure> {
     let Some((&EMPTY_EVIDENCE, section)) = sections.split_first() else { return Vec::new() };
     let decoded = postcard::take_from_bytes::<Vec<ServicePressure>>(section);
--- a/lagoongauge/src/mark/room.rs
+++ b/lagoongauge/src/mark/room.rs
@@ -1,8 +1,8 @@
 //! Room that one entry host may use in each data centre.
 //!
-//! Load pattern: callers crowd in one data centre while others have slots to spare, or the targets
+//! Load pattern: callers press on one data centre while others have slots to spare, or the targets
 //! of a data centre are evacuated, dead or slow. A host's share of its own data centre follows from
-//! its own counts alone and needs no news. Of another data centre a host uses only what the hosts
+//! its own counts alone and needs no reports. Of another data centre a host uses only what the hosts
 //! there have recently reported to be spare; reports are seconds old, so what nobody reported
 //! recently is not used.
 
@@ -11,11 +11,11 @@
 use super::load::ServicePressure;
 use crate::time::{Instant, Span};
 
-/// Age at which news of a data centre no longer counts.
-const NEWS_LIFETIME: Span = Span::seconds(4);
+/// Age at which a pressure no longer counts.
+const SAMPLE_LIFETIME: Span = Span::seconds(4);
 
-/// Maximum number of data centres and services of which news is kept.
-const MAX_NEWS: usize = 32;
+/// Maximum number of pressures that are kept, of services in data centres.
+const MAX_SAMPLES: usize = 32;
 
 /// Interval at which this host updates its own pressure.
 const UPDATE_INTERVAL: Span = Span::millis(200);
@@ -27,7 +27,7 @@
 const FULL_PRESSURE: u8 = 100;
 
 /// Pressure from which on lower priorities leave the last of the room to the highest one, in percent.
-const CROWDED_PRESSURE: u8 = 75;
+const SATURATION_PRESSURE: u8 = 75;
 
 /// Highest pressure that is told apart; the highest priority may take more than the lower ones.
 const MAX_PRESSURE: u8 = 200;
@@ -48,9 +48,9 @@
     pub open: bool,
 }
 
-/// News of how full a service's targets in a data centre are.
+/// Measurement of how full a service's targets in a data centre are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct News {
+struct Sample {
     /// In percent of the room.
     pressure: u8,
     measured_at: Instant,
@@ -58,15 +58,16 @@
 
 /// Identifies a service in a data centre on the wire, by hashes of their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct NewsKey {
+struct PressureKey {
     centre: u32,
     service: u32,
 }
 
-/// Latest news of all data centres, each measured by one of its hosts and passed on by others.
+/// Latest pressure of each service in each data centre, measured by a host there and passed on by
+/// others.
 #[derive(Debug, Clone, Default)]
-pub struct PressureNews {
-    news: IndexMap<NewsKey, News>,
+pub struct PressureTable {
+    samples: IndexMap<PressureKey, Sample>,
 }
 
 impl CentreDemand {
@@ -95,87 +96,91 @@
     spare_percent / (centres as u32).saturating_sub(1).max(1)
 }
 
-impl PressureNews {
-    /// Returns the part of a data centre that is spare, in percent; 0 without recent news.
+impl PressureTable {
+    /// Returns the part of a data centre that is spare, in percent; 0 without a recent
+    /// report.
     pub fn spare_percent(&self, now: Instant, centre: &str, service: &str) -> u32 {
-        let news = self.news.get(&NewsKey::of(centre, service));
-        let recent = news.filter(|news| now.since(news.measured_at) < NEWS_LIFETIME);
-        recent.map_or(0, |news| u32::from(FULL_PRESSURE.saturating_sub(news.pressure)))
+        let sample = self.samples.get(&PressureKey::of(centre, service));
+        let recent = sample.filter(|sample| now.since(sample.measured_at) < SAMPLE_LIFETIME);
+        recent.map_or(0, |sample| u32::from(FULL_PRESSURE.saturating_sub(sample.pressure)))
     }
 
     /// Returns whether a data centre's hosts have had little room for some time.
-    pub fn is_crowded(&self, centre: &str, service: &str) -> bool {
-        let news = self.news.get(&NewsKey::of(centre, service));
-        news.is_some_and(|news| news.pressure >= CROWDED_PRESSURE)
+    pub fn is_saturated(&self, centre: &str, service: &str) -> bool {
+        let sample = self.samples.get(&PressureKey::of(centre, service));
+        sample.is_some_and(|sample| sample.pressure >= SATURATION_PRESSURE)
     }
 
     /// Returns whether callers ask for a service in another data centre.
     pub fn is_asked_elsewhere(&self, own_centre: &str, service: &str) -> bool {
-        let own = NewsKey::of(own_centre, service);
-        let mut others = self.news.iter().filter(|(key, _)| key.centre != own.centre);
-        others.any(|(key, news)| key.service == own.service && news.pressure > 0)
+        let own = PressureKey::of(own_centre, service);
+        let mut others = self.samples.iter().filter(|(key, _)| key.centre != own.centre);
+        others.any(|(key, sample)| key.service == own.service && sample.pressure > 0)
     }
 
-    /// Returns the highest pressure of any service in a data centre; 0 without news.
+    /// Returns the highest pressure of any service in a data centre; 0 if none is known.
     pub fn highest_pressure(&self, centre: &str) -> u8 {
         let centre = crc32fast::hash(centre.as_bytes());
-        let own = self.news.iter().filter(|(key, _)| key.centre == centre);
-        own.map(|(_, news)| news.pressure).max().unwrap_or(0)
+        let own = self.samples.iter().filter(|(key, _)| key.centre == centre);
+        own.map(|(_, sample)| sample.pressure).max().unwrap_or(0)
     }
 
-    /// Returns the news for other hosts.
+    /// Returns the pressures for other hosts.
     pub fn report(&self, now: Instant) -> Vec<ServicePressure> {
-        let recent =
-            self.news.iter().filter(|(_, news)| now.since(news.measured_at) < NEWS_LIFETIME);
+        let recent = self
+            .samples
+            .iter()
+            .filter(|(_, sample)| now.since(sample.measured_at) < SAMPLE_LIFETIME);
         recent
-            .map(|(key, news)| ServicePressure {
+            .map(|(key, sample)| ServicePressure {
                 centre: key.centre,
                 service: key.service,
-                pressure: news.pressure,
-                age: now.since(news.measured_at),
+                pressure: sample.pressure,
+                age: now.since(sample.measured_at),
             })
             .collect()
     }
 
-    /// Averages this host's own pressure, in percent, into the news of its data centre.
+    /// Averages this host's own pressure, in percent, into that of its data centre.
     pub fn measure(&mut self, now: Instant, centre: &str, service: &str, pressure: u8) {
-        let key = NewsKey::of(centre, service);
-        let former = self.news.get(&key);
-        if former.is_some_and(|news| now.since(news.measured_at) < UPDATE_INTERVAL) {
+        let key = PressureKey::of(centre, service);
+        let former = self.samples.get(&key);
+        if former.is_some_and(|sample| now.since(sample.measured_at) < UPDATE_INTERVAL) {
             return;
         }
-        let former = u32::from(former.map_or(pressure, |news| news.pressure));
+        let former = u32::from(former.map_or(pressure, |sample| sample.pressure));
         let average = (FORMER_EIGHTHS * former + (8 - FORMER_EIGHTHS) * u32::from(pressure)) / 8;
-        self.set(key, News { pressure: average as u8, measured_at: now });
+        self.set(key, Sample { pressure: average as u8, measured_at: now });
     }
 
-    /// Takes over the news of another host where it is later, but for this host's own data centre.
+    /// Takes over later pressures that another host reports, but for this host's own data centre.
     pub fn merge(&mut self, now: Instant, own_centre: &str, reported: &[ServicePressure]) {
         let own_centre = crc32fast::hash(own_centre.as_bytes());
         for reported in reported.iter().filter(|reported| reported.centre != own_centre) {
-            let key = NewsKey { centre: reported.centre, service: reported.service };
+            let key = PressureKey { centre: reported.centre, service: reported.service };
             let measured_at = now - reported.age;
-            let is_later = self.news.get(&key).is_none_or(|news| news.measured_at < measured_at);
-            if is_later && reported.age < NEWS_LIFETIME {
-                self.set(key, News { pressure: reported.pressure, measured_at });
+            let is_later =
+                self.samples.get(&key).is_none_or(|sample| sample.measured_at < measured_at);
+            if is_later && reported.age < SAMPLE_LIFETIME {
+                self.set(key, Sample { pressure: reported.pressure, measured_at });
             }
         }
         self.expire(now);
     }
 
-    /// Removes old news.
+    /// Removes old pressures.
     pub fn expire(&mut self, now: Instant) {
-        self.news.retain(|_, news| now.since(news.measured_at) < NEWS_LIFETIME);
+        self.samples.retain(|_, sample| now.since(sample.measured_at) < SAMPLE_LIFETIME);
     }
 
-    fn set(&mut self, key: NewsKey, news: News) {
-        if self.news.len() < MAX_NEWS || self.news.contains_key(&key) {
-            self.news.insert(key, news);
+    fn set(&mut self, key: PressureKey, sample: Sample) {
+        if self.samples.len() < MAX_SAMPLES || self.samples.contains_key(&key) {
+            self.samples.insert(key, sample);
         }
     }
 }
 
-impl NewsKey {
+impl PressureKey {
     fn of(centre: &str, service: &str) -> Self {
         Self {
             centre: crc32fast::hash(centre.as_bytes()),
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -23,7 +23,7 @@
 use super::loss::{LossLedger, RequestCounts, RequestKind};
 use super::moves::MoveDetector;
 use super::placement::{Candidate, LeastCost, Policy};
-use super::room::{CentreDemand, PressureNews};
+use super::room::{CentreDemand, PressureTable};
 use super::target::TargetKey;
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
@@ -79,7 +79,7 @@
     contended: bool,
     /// Admission by service, where callers compete for room.
     contention: IndexMap<String, Contention>,
-    news: PressureNews,
+    centre_pressures: PressureTable,
     moves: MoveDetector,
     /// When the requests that take no room were last counted.
     counted_at: Instant,
@@ -128,7 +128,7 @@
             version: 0,
             contended,
             contention: IndexMap::new(),
-            news: PressureNews::default(),
+            centre_pressures: PressureTable::default(),
             moves: MoveDetector::default(),
             counted_at: Instant::default(),
             demands: Vec::new(),
@@ -239,7 +239,7 @@
 
     /// Stores the load report of another entry host.
     pub fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
-        self.news.merge(now, &self.config.centre, &report.pressures);
+        self.centre_pressures.merge(now, &self.config.centre, &report.pressures);
         self.targets.set_report(now, host, report);
     }
 
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -65,8 +65,8 @@
             Some(contention) => contention,
             None => self.contention.entry(service.into()).or_default(),
         };
-        let crowded = self.news.is_crowded(&self.config.centre, service);
-        let requests_per_slot = contention.requests_per_slot(priority, crowded);
+        let saturated = self.centre_pressures.is_saturated(&self.config.centre, service);
+        let requests_per_slot = contention.requests_per_slot(priority, saturated);
         let hosts = self.local_hosts + 1;
         for demand in &mut self.demands {
             demand.open = demand.has_room(requests_per_slot, hosts);
@@ -85,12 +85,13 @@
     /// Updates the pressure in this host's data centre that it reports to others, for the services
     /// that callers ask for here or elsewhere.
     pub(super) fn measure_pressure(&mut self, now: Instant) {
-        self.news.expire(now);
+        self.centre_pressures.expire(now);
         self.contention.retain(|_, contention| !contention.is_idle());
         self.contention.values_mut().for_each(|contention| contention.decay(now));
         let (own, hosts) = (self.own_centre.index(), self.local_hosts + 1);
         for service in self.targets.services() {
-            let asked_elsewhere = self.news.is_asked_elsewhere(&self.config.centre, service);
+            let asked_elsewhere =
+                self.centre_pressures.is_asked_elsewhere(&self.config.centre, service);
             if !asked_elsewhere && !self.contention.contains_key(service) {
                 continue;
             }
@@ -99,13 +100,13 @@
             self.demands = demands;
             let demand = self.demands.get(own).copied().unwrap_or_default();
             let pressure = demand.pressure_percent(LOWER_REQUESTS_PER_SLOT, hosts);
-            self.news.measure(now, &self.config.centre, service, pressure);
+            self.centre_pressures.measure(now, &self.config.centre, service, pressure);
         }
     }
 
-    /// Returns the news of pressure for other hosts.
+    /// Returns the pressures that this host reports to others.
     pub(super) fn pressures(&self) -> Vec<ServicePressure> {
-        self.news.report(self.last_tick.unwrap_or_default())
+        self.centre_pressures.report(self.last_tick.unwrap_or_default())
     }
 
     /// Returns the flows that were admitted and refused since the last call, by service and
@@ -118,7 +119,7 @@
     /// Returns how much of this host's part of the room is taken, in percent, at the service where
     /// it is fullest.
     pub fn pressure(&self) -> u8 {
-        self.news.highest_pressure(&self.config.centre)
+        self.centre_pressures.highest_pressure(&self.config.centre)
     }
 
     /// Collects the demand of a service in each data centre, and the part of it that this host may
@@ -126,14 +127,14 @@
     fn collect_demands(&self, now: Instant, service: &str, demands: &mut Vec<CentreDemand>) {
         self.sum_demand(now, service, demands);
         let (own, centres) = (self.own_centre.index(), demands.len());
-        // Callers of a data centre without slots get an even part of the others also without news.
+        // Callers of a data centre without slots get an even part of the others without a report, too.
         let is_displaced = demands.get(own).is_none_or(|demand| demand.slots == 0);
         let least_percent = if is_displaced { even_percent(100, centres + 1) } else { 0 };
         for ((centre, name), demand) in self.centres.iter().zip(demands) {
             demand.usable_percent = if centre == self.own_centre {
                 OWN_CENTRE_PERCENT
             } else {
-                let spare = self.news.spare_percent(now, name, service);
+                let spare = self.centre_pressures.spare_percent(now, name, service);
                 even_percent(spare, centres).max(least_percent)
             };
         }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -3,9 +3,9 @@
 mod admission;
 mod held;
 mod losses;
+mod overload;
 mod place;
 mod room;
-mod rush;
 mod share;
 mod world;
 
--- a/lagoongauge/tests/marks/rush.rs
+++ b/lagoongauge/tests/marks/overload.rs
@@ -1,4 +1,4 @@
-//! Replays a rush: for some seconds callers of two priorities open more flows than all slots serve.
+//! Replays a load: for some seconds callers of two priorities open more flows than all slots serve.
 //!
 //! Real routers of many entry hosts decide, and exchange their load reports within the byte budget.
 
@@ -23,10 +23,10 @@
 /// Length of a run.
 const RUN_MS: u64 = 5_500;
 
-/// Time span of the rush.
-const RUSH_MS: std::ops::Range<u64> = 1_000..4_000;
+/// Time span of the overload.
+const OVERLOAD_MS: std::ops::Range<u64> = 1_000..4_000;
 
-/// Time after the rush in which its last requests are still served.
+/// Time after the overload in which its last requests are still served.
 const TAIL_MS: u64 = 500;
 
 /// Delay between a caller and a host or target.
@@ -57,13 +57,13 @@
 
 /// Load of a run.
 #[derive(Debug, Clone, Copy)]
-pub struct Rush {
+pub struct Load {
     pub contended: bool,
     /// Entry hosts in each data centre.
     pub hosts: usize,
     /// Targets in each data centre.
     pub targets: usize,
-    /// Factors on the usual load of each data centre during the rush.
+    /// Factors on the usual load of each data centre during the overload.
     pub factors: &'static [f64],
     pub kinds: [Kind; 2],
     /// Whether hosts receive each other's reports.
@@ -90,10 +90,10 @@
     }
 }
 
-/// How requests ended by kind, of those that began in the rush and of those after its tail.
+/// How requests ended by kind, of those that began in the overload and of those after its tail.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Outcome {
-    pub rush: [Ends; 2],
+    pub during: [Ends; 2],
     pub after: [Ends; 2],
 }
 
@@ -128,7 +128,7 @@
 }
 
 pub struct Replay {
-    rush: Rush,
+    load: Load,
     hosts: Vec<Host>,
     targets: Vec<Target>,
     events: BTreeMap<u64, Vec<Event>>,
@@ -139,11 +139,11 @@
 }
 
 impl Replay {
-    pub fn run(rush: Rush, seed: u64) -> Outcome {
+    pub fn run(load: Load, seed: u64) -> Outcome {
         let mut replay = Self {
-            rush,
-            hosts: (0..rush.hosts * rush.factors.len()).map(|index| host(&rush, index)).collect(),
-            targets: (0..rush.targets * rush.factors.len()).map(|_| Target::default()).collect(),
+            load,
+            hosts: (0..load.hosts * load.factors.len()).map(|index| host(&load, index)).collect(),
+            targets: (0..load.targets * load.factors.len()).map(|_| Target::default()).collect(),
             events: BTreeMap::new(),
             outcome: Outcome::default(),
             random: seed,
@@ -169,11 +169,11 @@
     }
 
     fn open_flows(&mut self) {
-        let in_rush = RUSH_MS.contains(&self.now);
-        for (centre, factor) in self.rush.factors.iter().enumerate() {
-            let factor = if in_rush { *factor } else { 1.0 };
+        let overloaded = OVERLOAD_MS.contains(&self.now);
+        for (centre, factor) in self.load.factors.iter().enumerate() {
+            let factor = if overloaded { *factor } else { 1.0 };
             for kind in 0..2 {
-                let mut expected = self.rush.kinds[kind].rate * factor / 1000.0;
+                let mut expected = self.load.kinds[kind].rate * factor / 1000.0;
                 while expected > 0.0 {
                     if self.random_unit() < expected {
                         self.count(kind, self.now, |ends| ends.requests += 1);
@@ -186,7 +186,7 @@
     }
 
     fn host_in(&mut self, centre: usize) -> usize {
-        centre * self.rush.hosts + (self.random_unit() * self.rush.hosts as f64) as usize
+        centre * self.load.hosts + (self.random_unit() * self.load.hosts as f64) as usize
     }
 
     fn open(&mut self, centre: usize, kind: usize, began_at: u64, number: u8) {
@@ -265,7 +265,7 @@
             return;
         }
         let pause = 50 + (self.random_unit() * 100.0) as u64 * u64::from(attempt.number);
-        let host = self.host_in(attempt.host / self.rush.hosts);
+        let host = self.host_in(attempt.host / self.load.hosts);
         self.ports += 1;
         let caller = SocketAddrV4::new(*attempt.caller.ip(), 1024 + (self.ports % 60_000) as u16);
         let number = attempt.number + 1;
@@ -291,9 +291,9 @@
 
     /// Returns the host to which the fabric currently sends the packets of an attempt.
     fn current_host(&self, attempt: &Try) -> usize {
-        let moves = self.rush.move_interval.map_or(0, |interval| self.now / interval) as usize;
-        let (centre, index) = (attempt.host / self.rush.hosts, attempt.host % self.rush.hosts);
-        centre * self.rush.hosts + (index + moves) % self.rush.hosts
+        let moves = self.load.move_interval.map_or(0, |interval| self.now / interval) as usize;
+        let (centre, index) = (attempt.host / self.load.hosts, attempt.host % self.load.hosts);
+        centre * self.load.hosts + (index + moves) % self.load.hosts
     }
 
     fn exchange_reports(&mut self) {
@@ -306,13 +306,13 @@
             }
             let report = host.router.report();
             let size = report.to_bytes().map_or(0, |bytes| bytes.len());
-            let own = index / self.rush.hosts;
+            let own = index / self.load.hosts;
             let others = all.iter().copied().filter(|id| id.0 as usize != index);
             let (local, remote): (Vec<_>, Vec<_>) =
-                others.partition(|id| id.0 as usize / self.rush.hosts == own);
+                others.partition(|id| id.0 as usize / self.load.hosts == own);
             let mut receivers = Vec::new();
             host.scheduler.take_receivers(now, size, (&local, &remote), &mut receivers);
-            for receiver in receivers.into_iter().filter(|_| self.rush.reports) {
+            for receiver in receivers.into_iter().filter(|_| self.load.reports) {
                 let router = &mut self.hosts[receiver.0 as usize].router;
                 router.set_report(now, HostId(index as u32), LoadReport::clone(&report));
             }
@@ -320,7 +320,7 @@
     }
 
     fn work_time(&mut self, kind: usize) -> u64 {
-        let mean = self.rush.kinds[kind].work_ms as f64;
+        let mean = self.load.kinds[kind].work_ms as f64;
         (mean * (0.4 + 1.2 * self.random_unit())) as u64
     }
 
@@ -329,9 +329,9 @@
     }
 
     fn count(&mut self, kind: usize, began_at: u64, change: impl FnOnce(&mut Ends)) {
-        if RUSH_MS.contains(&began_at) {
-            change(&mut self.outcome.rush[kind]);
-        } else if (RUSH_MS.end + TAIL_MS..RUN_MS - OBJECTIVE_MS).contains(&began_at) {
+        if OVERLOAD_MS.contains(&began_at) {
+            change(&mut self.outcome.during[kind]);
+        } else if (OVERLOAD_MS.end + TAIL_MS..RUN_MS - OBJECTIVE_MS).contains(&began_at) {
             change(&mut self.outcome.after[kind]);
         }
     }
@@ -352,20 +352,20 @@
     format!("centre-{index}")
 }
 
-fn host(rush: &Rush, index: usize) -> Host {
+fn host(load: &Load, index: usize) -> Host {
     let now = Instant(OFFSET_MS - 60_000);
     let config = RouterConfig {
-        centre: centre_name(index / rush.hosts),
+        centre: centre_name(index / load.hosts),
         hash_key: HashKey([7; 16]),
         max_flows: 10_000,
-        features: Features { contended: rush.contended, ..Features::default() },
+        features: Features { contended: load.contended, ..Features::default() },
     };
     let mut router = Router::new(config);
-    router.set_catalog(&catalog(rush));
+    router.set_catalog(&catalog(load));
     router.set_current(now, true);
-    router.set_local_hosts(rush.hosts as u32 - 1);
-    for number in 0..rush.targets * rush.factors.len() {
-        let centre = centre_name(number / rush.targets);
+    router.set_local_hosts(load.hosts as u32 - 1);
+    for number in 0..load.targets * load.factors.len() {
+        let centre = centre_name(number / load.targets);
         let entry = Entry { centre, ..world::entry(number as u64 + 1, "desk") };
         router.set_target(now, &entry, false);
     }
@@ -374,7 +374,7 @@
     Host { router, scheduler: ReportScheduler::new(Instant(OFFSET_MS)) }
 }
 
-fn catalog(rush: &Rush) -> Catalog {
+fn catalog(load: &Load) -> Catalog {
     let route = |kind: usize| RawRoute {
         name: kind.to_string(),
         address: frontend(kind),
@@ -382,7 +382,7 @@
         idempotency: Idempotency::AtMostOnce,
         timeout: Span(4000),
         objective: Span(OBJECTIVE_MS),
-        priority: rush.kinds[kind].priority,
+        priority: load.kinds[kind].priority,
         bulk: false,
     };
     let raw = RawCatalog {
@@ -395,7 +395,7 @@
 }
 
 /// Bookings take half of the work, and both kinds together 1.35 times what all slots serve.
-const QUAY: Rush = Rush {
+const QUAY: Load = Load {
     contended: true,
     hosts: 14,
     targets: 20,
@@ -408,18 +408,18 @@
     move_interval: None,
 };
 
-/// The rush as it was served before admission.
-const FORMER_QUAY: Rush = Rush { contended: false, ..QUAY };
+/// The load as it was served before admission.
+const FORMER_QUAY: Load = Load { contended: false, ..QUAY };
 
 fn rejected(ends: &[Ends; 2]) -> u32 {
     ends.iter().map(|ends| ends.rejected).sum()
 }
 
 #[test]
-fn the_highest_priority_is_served_in_a_rush_and_slots_stay_busy() {
+fn the_highest_priority_is_served_in_an_overload_and_slots_stay_busy() {
     for seed in 1..=2 {
-        let former = Replay::run(FORMER_QUAY, seed).rush;
-        let [bookings, views] = Replay::run(QUAY, seed).rush;
+        let former = Replay::run(FORMER_QUAY, seed).during;
+        let [bookings, views] = Replay::run(QUAY, seed).during;
         assert!(former[0].share_on_time() < 0.85, "{former:?}");
         assert!(bookings.share_on_time() >= 0.98, "{bookings:?}");
         // The slots serve 58 % of the views beside all bookings.
@@ -429,7 +429,7 @@
 }
 
 #[test]
-fn a_rush_does_not_outlive_itself() {
+fn an_overload_does_not_outlive_its_cause() {
     let after = Replay::run(QUAY, 3).after;
     assert!(after.iter().all(|ends| ends.on_time == ends.requests), "{after:?}");
     assert_eq!(rejected(&after), 0, "{after:?}");
@@ -438,13 +438,13 @@
 /// Two data centres have more callers than they can serve, and the third has slots to spare: all
 /// three together have room for 1.15 times these.
 #[test]
-fn a_crowd_in_some_data_centres_uses_what_another_has_to_spare() {
-    let crowd = Rush { factors: &[4.6, 4.0, 1.0], ..QUAY };
-    let [bookings, views] = Replay::run(crowd, 4).rush;
-    let alone = Replay::run(Rush { reports: false, ..crowd }, 4).rush;
+fn an_overload_of_some_data_centres_uses_spare_room_in_another() {
+    let uneven = Load { factors: &[4.6, 4.0, 1.0], ..QUAY };
+    let [bookings, views] = Replay::run(uneven, 4).during;
+    let alone = Replay::run(Load { reports: false, ..uneven }, 4).during;
     assert!(bookings.share_on_time() >= 0.98, "{bookings:?}");
     assert!(views.share_on_time() >= 0.95, "{views:?}");
-    assert!(alone[0].share_on_time() >= 0.98, "own shares need no news: {alone:?}");
+    assert!(alone[0].share_on_time() >= 0.98, "own shares need no reports: {alone:?}");
     assert!(views.refused < alone[1].refused, "{views:?} {alone:?}");
 }
 
@@ -452,7 +452,7 @@
 #[test]
 fn a_lower_priority_is_not_starved() {
     let kinds = [Kind { rate: 163.0, ..QUAY.kinds[0] }, QUAY.kinds[1]];
-    let [bookings, views] = Replay::run(Rush { kinds, ..QUAY }, 5).rush;
+    let [bookings, views] = Replay::run(Load { kinds, ..QUAY }, 5).during;
     let served = views.on_time + views.late;
     let all = served + bookings.on_time + bookings.late;
     assert!(12 * served >= all, "{bookings:?} {views:?}");
@@ -461,14 +461,14 @@
 
 #[test]
 fn hosts_refuse_nothing_where_nobody_competes_for_room() {
-    let former = Replay::run(FORMER_QUAY, 6).rush;
+    let former = Replay::run(FORMER_QUAY, 6).during;
     assert!(former.iter().all(|ends| ends.refused == 0), "{former:?}");
 }
 
 /// Eighty percent of the slots are in use, and requests come unevenly.
 #[test]
 fn hardly_anything_is_refused_while_slots_are_free() {
-    let [bookings, views] = Replay::run(Rush { factors: &[3.0], ..QUAY }, 7).rush;
+    let [bookings, views] = Replay::run(Load { factors: &[3.0], ..QUAY }, 7).during;
     assert!(bookings.on_time == bookings.requests, "{bookings:?}");
     assert!(views.share_on_time() >= 0.99, "{views:?}");
     assert!(50 * (bookings.refused + views.refused) <= views.requests, "{bookings:?} {views:?}");
@@ -477,11 +477,11 @@
 /// Hosts join and leave, and with each change nearly all flows go to other hosts.
 #[test]
 fn flows_that_moved_to_other_hosts_take_no_room() {
-    let moving = Rush { move_interval: Some(1300), ..QUAY };
-    let [bookings, views] = Replay::run(Rush { factors: &[3.0], ..moving }, 8).rush;
+    let moving = Load { move_interval: Some(1300), ..QUAY };
+    let [bookings, views] = Replay::run(Load { factors: &[3.0], ..moving }, 8).during;
     assert!(bookings.share_on_time() >= 0.98, "{bookings:?}");
     assert!(views.share_on_time() >= 0.95, "{views:?}");
-    let [bookings, views] = Replay::run(moving, 8).rush;
+    let [bookings, views] = Replay::run(moving, 8).during;
     assert!(bookings.share_on_time() >= 0.98, "{bookings:?}");
     assert!(views.share_on_time() >= 0.5, "{views:?}");
 }
--- a/lagoongauge/tests/marks/room.rs
+++ b/lagoongauge/tests/marks/room.rs
@@ -3,7 +3,7 @@
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::mark::contention::Contention;
 use lagoongauge::mark::moves::MoveDetector;
-use lagoongauge::mark::room::{CentreDemand, PressureNews};
+use lagoongauge::mark::room::{CentreDemand, PressureTable};
 use lagoongauge::mark::{Cause, LoadReport, ServicePressure, Verdict};
 use lagoongauge::time::{Instant, Span};
 
@@ -12,13 +12,13 @@
 const START: Instant = Instant(100_000);
 
 fn reported(pressure: u8, age: u64) -> ServicePressure {
-    let mut other = PressureNews::default();
+    let mut other = PressureTable::default();
     other.measure(START, "b", "desk", pressure);
     ServicePressure { age: Span(age), ..other.report(START)[0] }
 }
 
-fn spare(news: &PressureNews, after: u64) -> u32 {
-    news.spare_percent(START + Span(after), "b", "desk")
+fn spare(table: &PressureTable, after: u64) -> u32 {
+    table.spare_percent(START + Span(after), "b", "desk")
 }
 
 #[test]
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn many_flows_at_once_are_no_crowd() {
+fn a_short_spike_is_no_saturation() {
     let mut contention = Contention::default();
     for _ in 0..20 {
         contention.count(1, true);
@@ -54,13 +54,13 @@
     }
     assert_eq!(contention.requests_per_slot(2, false), 4);
     assert_eq!(contention.requests_per_slot(1, false), 5, "some room is always kept");
-    let mut news = PressureNews::default();
-    news.measure(START, "b", "desk", 20);
-    let crowded_after = (1..20).find(|round| {
-        news.measure(START + Span(200 * round), "b", "desk", 166);
-        news.is_crowded("b", "desk")
+    let mut table = PressureTable::default();
+    table.measure(START, "b", "desk", 20);
+    let saturated_after = (1..20).find(|round| {
+        table.measure(START + Span(200 * round), "b", "desk", 166);
+        table.is_saturated("b", "desk")
     });
-    assert!(crowded_after.is_some_and(|round| (2..=4).contains(&round)), "{crowded_after:?}");
+    assert!(saturated_after.is_some_and(|round| (2..=4).contains(&round)), "{saturated_after:?}");
 }
 
 #[test]
@@ -90,35 +90,35 @@
 }
 
 #[test]
-fn only_recent_news_tells_of_spare_room() {
-    let mut news = PressureNews::default();
-    assert_eq!(spare(&news, 0), 0, "no news, no room");
-    news.merge(START, "a", &[reported(30, 1000)]);
-    assert_eq!(spare(&news, 0), 70);
-    news.merge(START, "a", &[reported(90, 2000)]);
-    assert_eq!(spare(&news, 0), 70, "older news arrives later");
-    news.merge(START, "a", &[reported(80, 500)]);
-    assert_eq!(spare(&news, 3499), 20);
-    assert_eq!(spare(&news, 3500), 0, "a cut link brings no news");
-    news.merge(START, "a", &[reported(0, 60_000)]);
-    assert_eq!(spare(&news, 0), 20);
+fn only_recent_reports_tell_of_spare_room() {
+    let mut table = PressureTable::default();
+    assert_eq!(spare(&table, 0), 0, "no report, no room");
+    table.merge(START, "a", &[reported(30, 1000)]);
+    assert_eq!(spare(&table, 0), 70);
+    table.merge(START, "a", &[reported(90, 2000)]);
+    assert_eq!(spare(&table, 0), 70, "an older report arrives later");
+    table.merge(START, "a", &[reported(80, 500)]);
+    assert_eq!(spare(&table, 3499), 20);
+    assert_eq!(spare(&table, 3500), 0, "a cut link brings no reports");
+    table.merge(START, "a", &[reported(0, 60_000)]);
+    assert_eq!(spare(&table, 0), 20);
 }
 
 #[test]
 fn a_host_believes_only_itself_of_its_own_data_centre() {
-    let mut news = PressureNews::default();
-    news.measure(START, "b", "desk", 100);
-    news.merge(START + Span(10), "b", &[reported(0, 0)]);
-    assert_eq!(spare(&news, 10), 0);
+    let mut table = PressureTable::default();
+    table.measure(START, "b", "desk", 100);
+    table.merge(START + Span(10), "b", &[reported(0, 0)]);
+    assert_eq!(spare(&table, 10), 0);
 }
 
 #[test]
-fn news_is_bounded() {
-    let mut news = PressureNews::default();
+fn the_table_is_bounded() {
+    let mut table = PressureTable::default();
     let many: Vec<_> =
         (0..1000).map(|service| ServicePressure { service, ..reported(1, 0) }).collect();
-    news.merge(START, "a", &many);
-    assert_eq!(news.report(START).len(), 32);
+    table.merge(START, "a", &many);
+    assert_eq!(table.report(START).len(), 32);
 }
 
 #[test]
@@ -146,7 +146,7 @@
     assert_eq!((admissions[0].0.as_str(), counts.admitted, counts.refused), ("desk", 10, 10));
 }
 
-/// The last news of a data centre that is cut off tells of spare room.
+/// The last report of a data centre that is cut off tells of spare room.
 #[test]
 fn a_data_centre_out_of_reach_has_no_room() {
     let mut fixture = Fixture::contended(&[1, 2, 3]);
@@ -174,24 +174,24 @@
     assert!(matches!(fixture.open_copy(40, 1), Verdict::Forward { .. }));
 }
 
-/// Callers crowd elsewhere, and nobody asks for the service here.
+/// Callers press elsewhere, and nobody asks for the service here.
 #[test]
 fn a_host_without_callers_reports_that_its_data_centre_is_free() {
     let mut fixture = Fixture::contended(&[1]);
     fixture.tick();
     assert_eq!(fixture.router.report().pressures, []);
-    let news = LoadReport { pressures: vec![reported(100, 500)], ..LoadReport::default() };
-    fixture.router.set_report(fixture.now, HostId(9), news);
+    let report = LoadReport { pressures: vec![reported(100, 500)], ..LoadReport::default() };
+    fixture.router.set_report(fixture.now, HostId(9), report);
     fixture.tick();
     let report = fixture.router.report();
-    let mut elsewhere = PressureNews::default();
+    let mut elsewhere = PressureTable::default();
     elsewhere.merge(START, "b", &report.pressures);
     assert_eq!(elsewhere.spare_percent(START, "a", "desk"), 100, "{report:?}");
     fixture.advance(10_000);
     assert_eq!(fixture.router.report().pressures, [], "nobody asks any more");
 }
 
-/// The data centre of this host is evacuated or dead, and no news has arrived from the others.
+/// The data centre of this host is evacuated or dead, and no report has arrived from the others.
 #[test]
 fn a_host_without_targets_in_its_data_centre_uses_an_even_part_of_the_others() {
     let mut fixture = Fixture::contended(&[1, 2, 3, 4]);
