Tell entry hosts which data centres have returned recently

Cause: an entry host that started within the warm-up time after the end of an evacuation knew nothing of it, and sent new flows to targets that had turned cold and not said so yet. Change: control hosts report ends of the last 30 s beside the evacuated data centres. The property test evacuates and takes back a data centre among starts, pauses and cuts; without the names, or without the doubt after a return, it fails.

--- a/lagoongauge/src/catalog/evacuation.rs
+++ b/lagoongauge/src/catalog/evacuation.rs
@@ -56,6 +56,8 @@
     pub revision: u64,
     /// Names of the data centres that get no new flows.
     pub centres: Vec<String>,
+    /// Names of those whose evacuation ended recently, as far as the control host saw it.
+    pub returned: Vec<String>,
 }
 
 impl EvacuationOrder {
@@ -126,7 +128,7 @@
     pub fn evacuated(&self) -> EvacuatedCentres {
         let evacuated = self.centres.iter().filter(|(_, state)| state.evacuated);
         let centres = evacuated.map(|(centre, _)| centre.clone()).collect();
-        EvacuatedCentres { revision: self.revision, centres }
+        EvacuatedCentres { revision: self.revision, centres, returned: Vec::new() }
     }
 
     /// Applies an order, unless another order was applied after its proposer had read it.
--- a/lagoongauge/src/catalog/mod.rs
+++ b/lagoongauge/src/catalog/mod.rs
@@ -9,6 +9,7 @@
 
 mod evacuation;
 mod raw;
+mod returns;
 mod store;
 
 use std::net::SocketAddrV4;
@@ -21,6 +22,7 @@
     CentreState, EvacuatedCentres, EvacuationOrder, Evacuations, OrderOutcome,
 };
 pub use self::raw::{RawCatalog, RawRoute, RawService, RawWeightedService};
+pub use self::returns::RecentReturns;
 pub use self::store::{CatalogStore, Document};
 
 /// Index of a service in its catalog.
--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/centre.rs
@@ -91,6 +91,12 @@
         self.evacuations.get(key.0)?.ended_at
     }
 
+    /// Records that the latest evacuation of a data centre has ended.
+    pub(super) fn set_returned(&mut self, now: Instant, key: CentreKey) {
+        self.set_evacuated(now, key, true);
+        self.set_evacuated(now, key, false);
+    }
+
     /// Records whether a data centre is evacuated now.
     pub(super) fn set_evacuated(&mut self, now: Instant, key: CentreKey, active: bool) {
         if self.evacuations.len() <= key.0 {
--- a/lagoongauge/src/mark/router/warmup.rs
+++ b/lagoongauge/src/mark/router/warmup.rs
@@ -18,6 +18,15 @@
         self.warmup.set_group(group);
     }
 
+    /// Records data centres whose evacuation ended recently, perhaps before this host started.
+    pub fn set_returned(&mut self, now: Instant, centres: &[String]) {
+        self.record_returns(now);
+        for centre in centres {
+            let key = self.centres.key(centre);
+            self.centres.set_returned(now, key);
+        }
+    }
+
     /// Returns whether new flows to a target are limited, as it is warming up or may be.
     ///
     /// A target that turned cold says so only in its next announcement. Until that is due, this host
--- a/lagoongauge/tests/marks/warmup.rs
+++ b/lagoongauge/tests/marks/warmup.rs
@@ -171,6 +171,33 @@
     assert_eq!(target_of(fixture.open(10)), TargetId(2));
 }
 
+fn names(centres: &[&str]) -> Vec<String> {
+    centres.iter().map(ToString::to_string).collect()
+}
+
+/// Load pattern: a data centre returns from an evacuation, and its targets turned cold meanwhile.
+#[test]
+fn targets_of_a_data_centre_that_returned_are_doubted() {
+    for started_late in [false, true] {
+        let mut fixture = limited_host(1, 1, &[1, 2], 4.0);
+        fixture.set_centre(&[2], "b");
+        if started_late {
+            fixture.router.set_evacuated(&[]);
+            fixture.router.set_returned(fixture.now, &names(&["b"]));
+        } else {
+            fixture.router.set_evacuated(&names(&["b"]));
+            fixture.open(9);
+            fixture.router.set_evacuated(&[]);
+        }
+        // An announcement from before the data centre returned proves nothing.
+        fixture.set_centre(&[2], "b");
+        let targets: Vec<u64> = (10..17).map(|caller| target_of(fixture.open(caller)).0).collect();
+        assert_eq!(targets, [1; 7]);
+        advance_in_touch(&mut fixture, WARMUP.0);
+        assert!((20..200).any(|caller| target_of(fixture.open(caller)) == TargetId(2)));
+    }
+}
+
 /// Everything that may happen to several hosts and their targets.
 #[derive(Debug, Clone, Copy)]
 enum Event {
@@ -182,6 +209,10 @@
     Reconnect(u8),
     /// These targets, as bits, end and others start in their place.
     Replace(u8),
+    /// The data centre "b" is evacuated.
+    Evacuate,
+    /// It returns; its targets have turned cold and will announce that.
+    Return,
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -194,12 +225,23 @@
         1 => host.prop_map(Event::Reconnect),
         3 => (1..ALL_TARGETS).prop_map(Event::Replace),
         1 => Just(Event::Replace(ALL_TARGETS)),
+        2 => Just(Event::Evacuate),
+        3 => Just(Event::Return),
     ]
 }
 
 const HOSTS: u8 = 9;
 
-const TARGETS: u8 = 3;
+const TARGETS: u8 = 4;
+
+/// Number of targets in data centre "a"; the others are in "b".
+const LOCAL_TARGETS: usize = 2;
+
+/// Time in which a target announces that it turned cold.
+const ANNOUNCE_DELAY: Span = Span::millis(1200);
+
+/// Time for which control hosts report the end of an evacuation.
+const RETURN_PERIOD: Span = Span::seconds(30);
 
 /// All targets, as bits.
 const ALL_TARGETS: u8 = (1 << TARGETS) - 1;
@@ -227,6 +269,8 @@
     lists: VecDeque<(Instant, Vec<HostId>)>,
     /// Number of targets that it knows to have ended.
     known_ended: usize,
+    /// Revisions of the targets and of the orders that it knows.
+    known: (u64, u64),
 }
 
 /// Several hosts that receive more flows than warming targets may take.
@@ -238,6 +282,13 @@
     targets: Vec<(u64, Instant)>,
     next_target: u64,
     ended: Vec<u64>,
+    /// What the targets have announced.
+    announced: Vec<(u64, Instant)>,
+    announce_at: Option<Instant>,
+    evacuated: bool,
+    returned_at: Option<Instant>,
+    /// Revisions of the announcements and of the orders.
+    revisions: (u64, u64),
     /// New flows to warming targets.
     flows: Vec<(u64, Instant)>,
     callers: u16,
@@ -246,10 +297,22 @@
 impl Group {
     fn new(rate: f64) -> Self {
         let now = Instant(100_000);
-        let targets = (1..=u64::from(TARGETS)).map(|target| (target, now)).collect();
-        let (hosts, flows, ended) = (Vec::new(), Vec::new(), Vec::new());
-        let next_target = u64::from(TARGETS) + 1;
-        let mut group = Self { now, hosts, rate, targets, next_target, ended, flows, callers: 0 };
+        let targets: Vec<_> = (1..=u64::from(TARGETS)).map(|target| (target, now)).collect();
+        let mut group = Self {
+            now,
+            hosts: Vec::new(),
+            rate,
+            announced: targets.clone(),
+            targets,
+            next_target: u64::from(TARGETS) + 1,
+            ended: Vec::new(),
+            announce_at: None,
+            evacuated: false,
+            returned_at: None,
+            revisions: (0, 0),
+            flows: Vec::new(),
+            callers: 0,
+        };
         group.hosts = (0..HOSTS).map(|host| group.start_host(host)).collect();
         group
     }
@@ -266,8 +329,10 @@
             last_contact: Instant::default(),
             lists: VecDeque::new(),
             known_ended: self.ended.len(),
+            known: self.revisions,
         };
-        host.learn_targets(self.now, &self.targets, &[]);
+        host.learn_orders(self.now, self.evacuated, self.returned_at);
+        host.learn_targets(self.now, &self.announced, &[]);
         host
     }
 
@@ -279,6 +344,11 @@
             Event::Cut(host) => self.hosts[usize::from(host)].cut = true,
             Event::Reconnect(host) => self.hosts[usize::from(host)].cut = false,
             Event::Replace(bits) => self.replace(bits),
+            Event::Evacuate => {
+                self.evacuated = true;
+                self.revisions.1 += 1;
+            }
+            Event::Return => self.take_back(),
         }
     }
 
@@ -286,13 +356,39 @@
         for index in (0..usize::from(TARGETS)).filter(|index| bits & (1 << index) != 0) {
             let started = (self.next_target, self.now + WARMUP);
             self.next_target += 1;
+            self.announced[index] = started;
             self.ended.push(std::mem::replace(&mut self.targets[index], started).0);
         }
+        self.revisions.0 += 1;
+    }
+
+    /// Takes data centre "b" back, unless a host is cut off that knows nothing of its evacuation.
+    fn take_back(&mut self) {
+        let unaware = |host: &Host| host.cut && host.known.1 < self.revisions.1;
+        if !self.evacuated || self.hosts.iter().any(unaware) {
+            return;
+        }
+        self.evacuated = false;
+        self.returned_at = Some(self.now);
+        self.revisions.1 += 1;
+        self.announce_at = Some(self.now + ANNOUNCE_DELAY);
+        for (_, warm_at) in &mut self.targets[LOCAL_TARGETS..] {
+            *warm_at = self.now + WARMUP;
+        }
+    }
+
+    fn announce(&mut self) {
+        if self.announce_at.is_some_and(|at| self.now >= at) {
+            self.announce_at = None;
+            self.announced.clone_from(&self.targets);
+            self.revisions.0 += 1;
+        }
     }
 
     fn step(&mut self) {
         self.now = self.now + STEP;
         let now = self.now;
+        self.announce();
         let listed: Vec<HostId> = (0u32..)
             .zip(&self.hosts)
             .filter(|(_, host)| now.since(host.last_contact) < LISTED)
@@ -304,10 +400,16 @@
             }
             host.fixture.now = now;
             host.exchange(now, HostId(own), &listed);
-            if !host.cut && host.known_ended < self.ended.len() {
-                host.learn_targets(now, &self.targets, &self.ended[host.known_ended..]);
+            if !host.cut && host.known.1 < self.revisions.1 {
+                host.learn_orders(now, self.evacuated, self.returned_at);
+            }
+            if !host.cut && host.known.0 < self.revisions.0 {
+                host.learn_targets(now, &self.announced, &self.ended[host.known_ended..]);
                 host.known_ended = self.ended.len();
             }
+            if !host.cut {
+                host.known = self.revisions;
+            }
             self.callers = self.callers.wrapping_add(1);
             let verdict = host.fixture.open(self.callers);
             if let Verdict::Forward { target, .. } = verdict
@@ -346,11 +448,21 @@
         }
     }
 
+    /// Receives the evacuated data centres, and those that returned recently.
+    fn learn_orders(&mut self, now: Instant, evacuated: bool, returned_at: Option<Instant>) {
+        let evacuated = if evacuated { names(&["b"]) } else { Vec::new() };
+        let recent = returned_at.is_some_and(|at| now.since(at) < RETURN_PERIOD);
+        let returned = if recent && evacuated.is_empty() { names(&["b"]) } else { Vec::new() };
+        self.fixture.router.set_evacuated(&evacuated);
+        self.fixture.router.set_returned(now, &returned);
+    }
+
     /// Receives the latest announcements of all targets, and which have ended.
     fn learn_targets(&mut self, now: Instant, targets: &[(u64, Instant)], ended: &[u64]) {
-        for (target, warm_at) in targets {
+        for (index, (target, warm_at)) in targets.iter().enumerate() {
+            let centre = if index < LOCAL_TARGETS { "a" } else { "b" }.into();
             let warmup = warm_at.since(now);
-            self.fixture.set_entry(&Entry { warmup, ..entry(*target, "desk") });
+            self.fixture.set_entry(&Entry { warmup, centre, ..entry(*target, "desk") });
         }
         for target in ended {
             self.fixture.set_phase(TargetId(*target), Phase::Gone);
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -13,7 +13,7 @@
 use async_std::task::sleep;
 use futures::channel::mpsc;
 use indexmap::IndexMap;
-use lagoongauge::catalog::{CatalogStore, Document, EvacuatedCentres};
+use lagoongauge::catalog::{CatalogStore, Document, EvacuatedCentres, RecentReturns};
 use lagoongauge::error::Result;
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::{Message, Store, VoterHealth};
@@ -94,6 +94,8 @@
     started_at: Instant,
     /// The evacuated data centres that were logged last.
     logged_evacuated: RefCell<EvacuatedCentres>,
+    /// Ends of evacuations that this host saw.
+    returns: RefCell<RecentReturns>,
     /// Whether the host was in contact with a quorum at the previous tick.
     was_current: Cell<bool>,
     /// The latest document in the form that is sent to entry hosts.
@@ -127,6 +129,7 @@
             stall: Cell::new(StallDetector::new(clock.now())),
             started_at: clock.now(),
             logged_evacuated: RefCell::default(),
+            returns: RefCell::default(),
             was_current: Cell::new(false),
             compressed: RefCell::default(),
             metrics,
@@ -178,7 +181,10 @@
 
     /// Returns the evacuated data centres known to be accepted.
     pub fn evacuated_centres(&self) -> EvacuatedCentres {
-        self.engine.borrow().state().evacuations().evacuated()
+        let evacuated = self.engine.borrow().state().evacuations().evacuated();
+        let mut returns = self.returns.borrow_mut();
+        returns.update(self.clock.now(), &evacuated.centres);
+        EvacuatedCentres { returned: returns.centres(), ..evacuated }
     }
 
     /// Returns the version of the document and the revision of the evacuations.
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -269,7 +269,10 @@
             return;
         }
         let former = std::mem::replace(&mut cluster.evacuated, evacuated.clone());
-        self.router().set_evacuated(&evacuated.centres);
+        let mut router = self.router();
+        router.set_evacuated(&evacuated.centres);
+        router.set_returned(self.clock.now(), &evacuated.returned);
+        drop(router);
         drop(cluster);
         if former.centres != evacuated.centres {
             log::info!(
--- a/lagoongauged/tests/entry_start.rs
+++ b/lagoongauged/tests/entry_start.rs
@@ -116,7 +116,11 @@
 
     fn send_evacuated(&mut self, revision: u64, centres: &[&str]) -> Option<()> {
         let centres = centres.iter().map(ToString::to_string).collect();
-        self.send(&FeedMessage::Evacuated(EvacuatedCentres { revision, centres }))
+        self.send(&FeedMessage::Evacuated(EvacuatedCentres {
+            revision,
+            centres,
+            returned: Vec::new(),
+        }))
     }
 
     /// Sends statuses until the feed is closed, or for some time.
