Never reset a copy of a SYN that this host did not see before

Cause: such a copy's first SYN may have gone through another host and opened the flow there, so a reset for want of a target or of room on the link would end it, and would not say truly that nothing has run. Change: for want of a target it is dropped, on a full link it is placed. A test for each.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -363,7 +363,8 @@
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         let link_busy = self.is_link_busy(now);
-        if let Some(flow) = self.flows.get(segment.flow_key) {
+        let known = self.flows.get(segment.flow_key);
+        if let Some(flow) = known {
             let retransmitted = flow.initial_sequence == segment.sequence;
             let target = &mut self.targets[flow.target];
             if retransmitted {
@@ -394,8 +395,7 @@
         }
         self.flows.remove(&mut self.targets, segment.flow_key);
         let Some(key) = self.place_flow(now, segment, avoided) else {
-            self.record_refusal(segment, Cause::NoTarget);
-            return Verdict::Reset(Cause::NoTarget);
+            return self.refuse_placement(segment, known);
         };
         self.record_placed(now, key);
         self.count_warmup_flow(now, key);
@@ -411,6 +411,16 @@
         self.forward(key, true)
     }
 
+    /// Refuses a flow that no target takes. A copy of a SYN that this host did not see before is
+    /// dropped: another host may have opened the flow, and a reset would end it.
+    fn refuse_placement(&mut self, segment: &Segment, known: Option<Flow>) -> Verdict {
+        if known.is_none() && segment.acknowledged > 0 {
+            return Verdict::Drop(Cause::NoTarget);
+        }
+        self.record_refusal(segment, Cause::NoTarget);
+        Verdict::Reset(Cause::NoTarget)
+    }
+
     fn forward(&self, key: TargetKey, new_flow: bool) -> Verdict {
         let target = &self.targets[key];
         Verdict::Forward { target: target.id, address: target.address, mark: target.mark, new_flow }
--- a/lagoongauge/src/mark/router/link.rs
+++ b/lagoongauge/src/mark/router/link.rs
@@ -42,6 +42,9 @@
     }
 
     /// Returns why a new flow must not begin now on this host's link, if it must not.
+    ///
+    /// Only a first SYN is refused. Another host may have forwarded the first one of a copy, so that a
+    /// reset would not say truly that nothing has run.
     pub(super) fn yield_link(&mut self, times: PacketTimes, segment: &Segment) -> Option<Verdict> {
         let flow_key = segment.flow_key;
         let link = self.link.as_mut()?;
@@ -54,6 +57,7 @@
         match admission {
             Admission::Begin => None,
             Admission::Wait => Some(Verdict::Hold),
+            Admission::Refuse if segment.acknowledged > 0 => None,
             Admission::Refuse => {
                 self.record_refusal(segment, Cause::LinkFull);
                 Some(Verdict::Reset(Cause::LinkFull))
--- a/lagoongauge/tests/marks/link.rs
+++ b/lagoongauge/tests/marks/link.rs
@@ -160,3 +160,16 @@
     assert_eq!(verdicts[0], Verdict::Hold);
     assert_eq!(verdicts[29], Verdict::Reset(Cause::LinkFull));
 }
+
+/// Another host may have forwarded the first SYN, so that a reset would not be true.
+#[test]
+fn a_copy_of_an_upload_s_syn_is_never_refused() {
+    let mut fixture = host_without_room();
+    for caller in 30..60 {
+        let copy = segment(caller, SegmentKind::Syn, 0, 0);
+        let flow_key = FlowKey { frontend: OTHER_FRONTEND, ..copy.flow_key };
+        let copy = Segment { flow_key, acknowledged: 1, ..copy };
+        let verdict = fixture.router.decide(fixture.now, &copy);
+        assert!(!matches!(verdict, Verdict::Reset(_)), "caller {caller}: {verdict:?}");
+    }
+}
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -444,3 +444,11 @@
     assert_eq!(fixture.router.flow_count(), 0);
     assert!(fixture.router.report().counts.is_empty());
 }
+
+/// Another host may have opened the flow, and a reset would end it.
+#[test]
+fn an_unknown_copy_of_a_syn_is_dropped_where_no_target_takes_it() {
+    let mut fixture = Fixture::new(&[]);
+    assert_eq!(fixture.open(1), Verdict::Reset(Cause::NoTarget));
+    assert_eq!(fixture.open_copy(2, 1), Verdict::Drop(Cause::NoTarget));
+}
