--- a/lagoongauge/tests/marks/room.rs
+++ b/lagoongauge/tests/marks/room.rs
@@ -4,10 +4,11 @@
 use lagoongauge::mark::contention::Contention;
 use lagoongauge::mark::moves::MoveDetector;
 use lagoongauge::mark::room::{CentreDemand, PressureTable};
-use lagoongauge::mark::{Cause, LoadReport, ServicePressure, Verdict};
+use lagoongauge::mark::{Cause, Features, LoadReport, ServicePressure, Verdict, WarmupLimit};
+use lagoongauge::roster::Entry;
 use lagoongauge::time::{Instant, Span};
 
-use crate::world::Fixture;
+use crate::world::{Fixture, entry, raw_catalog};
 
 const START: Instant = Instant(100_000);
 
@@ -202,6 +203,37 @@
     assert_eq!(placed.count(), 12, "a third of 20 requests in each: {verdicts:?}");
 }
 
+/// Creates a host with two targets in each of three data centres, its own being "a".
+fn host_between_centres() -> Fixture {
+    let warmup_limit = Some(WarmupLimit { overage: 1.5, slack: 5.0 });
+    let features = Features { contended: true, warmup_limit, ..Features::default() };
+    let mut fixture = Fixture::with_features(&[1, 2, 3, 4, 5, 6], features);
+    fixture.set_centre(&[1, 2], "b");
+    fixture.set_centre(&[3, 4], "c");
+    fixture
+}
+
+fn count_placed(fixture: &mut Fixture) -> usize {
+    let verdicts = (10..40).map(|caller| fixture.open(caller));
+    verdicts.filter(|verdict| matches!(verdict, Verdict::Forward { .. })).count()
+}
+
+#[test]
+fn slots_that_are_evacuated_or_warm_up_are_no_room() {
+    let mut evacuated = host_between_centres();
+    evacuated.router.set_evacuated(&["a".into()]);
+    assert_eq!(count_placed(&mut evacuated), 12, "a third of 20 requests in each of the others");
+    let mut warming = host_between_centres();
+    let mut catalog = raw_catalog(2);
+    catalog.services[0].warmup_rate = Some(4.0);
+    warming.router.set_catalog(&catalog.try_into().unwrap());
+    for target in [5, 6] {
+        let cold = Entry { warmup: Span::seconds(2), ..entry(target, "desk") };
+        warming.set_entry(&cold);
+    }
+    assert_eq!(count_placed(&mut warming), 12, "new flows to warming targets are limited");
+}
+
 #[test]
 fn without_any_target_the_reason_is_not_a_lack_of_room() {
     let mut fixture = Fixture::contended(&[]);
