Drop a copy of an upload's SYN while the link is full

Cause: since such a copy was placed on a full link. SYNs that wait expire before their next copy, so after a crowd every copy added an upload to the link, which stayed full. Ruled out: a reset of the copy, which would not be true where another host has opened the flow. Change: the copy is dropped. If the flow is open elsewhere the caller loses nothing; otherwise it sends the next copy.

--- a/lagoongauge/src/mark/router/link.rs
+++ b/lagoongauge/src/mark/router/link.rs
@@ -44,7 +44,8 @@
     /// Returns why a new flow must not begin now on this host's link, if it must not.
     ///
     /// Only a first SYN is refused. Another host may have forwarded the first one of a copy, so that a
-    /// reset would not say truly that nothing has run.
+    /// reset would not say truly that nothing has run; a copy that has to yield is dropped, which leaves
+    /// a flow that is open as it is.
     pub(super) fn yield_link(&mut self, times: PacketTimes, segment: &Segment) -> Option<Verdict> {
         let flow_key = segment.flow_key;
         let link = self.link.as_mut()?;
@@ -57,7 +58,7 @@
         match admission {
             Admission::Begin => None,
             Admission::Wait => Some(Verdict::Hold),
-            Admission::Refuse if segment.acknowledged > 0 => None,
+            Admission::Refuse if segment.acknowledged > 0 => Some(Verdict::Drop(Cause::LinkFull)),
             Admission::Refuse => {
                 self.record_refusal(segment, Cause::LinkFull);
                 Some(Verdict::Reset(Cause::LinkFull))
--- a/lagoongauged/src/ctl/explain.rs
+++ b/lagoongauged/src/ctl/explain.rs
@@ -213,7 +213,10 @@
             "requests of this priority had no room left at the service's targets; no request was \
              executed"
         }
-        Some(Cause::LinkFull) => "the link of the entry host was full; no request was executed",
+        Some(Cause::LinkFull) => {
+            "the link of the entry host was full; a first SYN was refused and nothing was executed, a \
+             copy was dropped, as another host may have opened the flow"
+        }
         None => "unknown cause, written by another version",
     }
 }
