Refuse new flows while targets reject requests, unless a slot is idle

Change: a host detects overload from late answers together with rejections, which overtake earlier requests at the same target. While it lasts, a new flow is opened only where a slot is idle or will be soon.

--- a/lagoongauge/src/mark/contention.rs
+++ b/lagoongauge/src/mark/contention.rs
@@ -74,8 +74,7 @@
     /// Returns the requests a slot up to which a flow is admitted; `saturated` tells whether this host
     /// has had little room for some time, rather than just now.
     pub fn requests_per_slot(&self, priority: u8, saturated: bool) -> u32 {
-        let is_highest = self.recent.keys().all(|other| priority <= *other);
-        if is_highest || self.is_starved(priority) {
+        if self.is_first(priority) {
             HIGHEST_REQUESTS_PER_SLOT
         } else if saturated {
             LOWER_REQUESTS_PER_SLOT
@@ -84,6 +83,13 @@
         }
     }
 
+    /// Returns whether a flow may use all of the room: no other flow that is offered has a higher
+    /// priority, or this priority has less than its guaranteed share.
+    pub fn is_first(&self, priority: u8) -> bool {
+        let is_highest = self.recent.keys().all(|other| priority <= *other);
+        is_highest || self.is_starved(priority)
+    }
+
     /// Counts whether a flow was admitted.
     pub fn count(&mut self, priority: u8, admitted: bool) {
         self.recent.entry(priority).or_default().count(admitted);
--- a/lagoongauge/src/mark/features.rs
+++ b/lagoongauge/src/mark/features.rs
@@ -3,6 +3,8 @@
 //! A deployment whose settings ask for none of them is routed as if they did not exist; see
 //! "Switches" in docs/design/README.md.
 
+use super::switches::Switches;
+
 /// Optional parts of routing.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Features {
@@ -14,6 +16,8 @@
     pub contended: bool,
     /// Bytes per second of this host's link, if it is limited.
     pub link_rate: Option<u64>,
+    /// Mechanisms that the operator has switched off.
+    pub switches: Switches,
 }
 
 /// Tolerance above the warm-up rate that a service declares, per target and second.
--- a/lagoongauge/src/mark/flow_table.rs
+++ b/lagoongauge/src/mark/flow_table.rs
@@ -105,11 +105,12 @@
             let timeout = frontends
                 .get(&flow_key.frontend)
                 .map_or(FLOW_IDLE_TIMEOUT, |frontend| frontend.timeout);
-            if flow.request.is_some_and(|request| now.since(request.seen_at) >= timeout) {
+            if let Some(request) = flow.request
+                && now.since(request.seen_at) >= timeout
+            {
                 overdue.push((*flow_key, *flow));
                 flow.end_request();
-                let waiting = &mut targets[flow.target].own_load.waiting;
-                *waiting = waiting.saturating_sub(1);
+                targets[flow.target].end_request(request.seen_at);
             }
         }
         overdue
@@ -159,7 +160,7 @@
     target.opening = target.opening.saturating_sub(u16::from(!flow.established));
     let own = &mut target.own_load;
     own.flows = own.flows.saturating_sub(1);
-    if flow.request.is_some() {
-        own.waiting = own.waiting.saturating_sub(1);
+    if let Some(request) = flow.request {
+        target.end_request(request.seen_at);
     }
 }
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -7,6 +7,7 @@
 mod link;
 mod losses;
 mod opening;
+mod overload;
 mod placing;
 mod warmup;
 
@@ -18,6 +19,7 @@
 
 use self::evidence::EvidencePool;
 use self::link::OwnLink;
+use self::overload::ServiceOverloads;
 use super::centre::{CentreKey, Centres};
 use super::contention::Contention;
 use super::features::Features;
@@ -28,6 +30,7 @@
 use super::moves::MoveDetector;
 use super::placement::{Candidate, LeastCost, Policy};
 use super::room::{CentreDemand, PressureTable};
+use super::switches::Mechanism;
 use super::target::{Target, TargetKey};
 use super::target_table::TargetTable;
 use super::verdict::{Cause, Verdict};
@@ -88,6 +91,8 @@
     contended: bool,
     /// Admission by service, where callers compete for room.
     contention: IndexMap<String, Contention>,
+    /// Services whose targets are overloaded.
+    overloads: ServiceOverloads,
     centre_pressures: PressureTable,
     moves: MoveDetector,
     /// When the requests that take no room were last counted.
@@ -143,6 +148,7 @@
             contended,
             link: None,
             contention: IndexMap::new(),
+            overloads: ServiceOverloads::default(),
             centre_pressures: PressureTable::default(),
             moves: MoveDetector::default(),
             counted_at: Instant::default(),
@@ -207,7 +213,9 @@
         }
         self.version = catalog.version();
         self.contended = self.config.features.contended || catalog.has_bulk_routes();
-        self.warmup.set_catalog(self.config.features.warmup_limit.as_ref(), catalog);
+        let warmup_limit = self.config.features.warmup_limit.as_ref();
+        let warmup_limit = warmup_limit.filter(|_| self.is_on(Mechanism::WarmupLimit));
+        self.warmup.set_catalog(warmup_limit, catalog);
         self.protect_link();
         let mut kept: IndexMap<SocketAddrV4, Frontend> = IndexMap::new();
         for (address, route) in catalog.routes() {
@@ -243,6 +251,11 @@
         self.local_hosts = count;
     }
 
+    /// Returns whether a mechanism is switched on.
+    fn is_on(&self, mechanism: Mechanism) -> bool {
+        self.config.features.switches.is_on(mechanism)
+    }
+
     /// Returns whether a quorum of control hosts confirms that this host's state is current. A
     /// confirmation expires, as this host may have been suspended since.
     fn is_current(&self, now: Instant) -> bool {
@@ -269,6 +282,9 @@
     /// Stores the load report of another entry host.
     pub fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
         self.centre_pressures.merge(now, &self.config.centre, &report.pressures);
+        if !self.is_on(Mechanism::LoadReports) {
+            return;
+        }
         self.targets.set_report(now, host, report);
     }
 
@@ -304,7 +320,7 @@
         self.targets.sum_reports(now);
         self.remove_gone_targets(now);
         self.expire_bulk(now);
-        if self.is_link_busy(now) {
+        if self.is_link_busy(now) || !self.is_on(Mechanism::CentreSuspicion) {
             self.centres.set_reachable();
         } else {
             self.centres.update(now, self.own_centre, self.targets.iter());
@@ -323,7 +339,8 @@
     pub fn decide_held(&mut self, now: Instant, arrived: Instant, segment: &Segment) -> Verdict {
         self.handle_stall(now);
         if self.version == 0 {
-            return Verdict::Hold;
+            let holds = self.is_on(Mechanism::HeldPackets);
+            return if holds { Verdict::Hold } else { Verdict::Drop(Cause::Starting) };
         }
         if let Some(link) = &mut self.link
             && now == arrived
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -10,6 +10,7 @@
 use crate::mark::flow::syn_copy_delay;
 use crate::mark::placement::Policy;
 use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent};
+use crate::mark::switches::Mechanism;
 use crate::mark::target::TargetKey;
 use crate::mark::target_table::UsableTargets;
 use crate::mark::{Cause, Segment, ServicePressure};
@@ -21,7 +22,7 @@
 impl<P: Policy> Router<P> {
     /// Returns whether a SYN has to wait: its request is late, and there is no room for it.
     pub(super) fn must_yield_syn(&self, now: Instant, arrived: Instant, segment: &Segment) -> bool {
-        if self.stopping || !is_recovering(now, self.ready_at) {
+        if self.stopping || !is_recovering(now, self.ready_at) || !self.is_on(Mechanism::LateWait) {
             return false;
         }
         let Some(frontend) = self.frontends.get(&segment.flow_key.frontend) else { return false };
@@ -38,7 +39,7 @@
     /// that arrives later nobody can tell whether it was repeated.
     pub(super) fn must_yield_data(&self, now: Instant, arrived: Instant, key: TargetKey) -> bool {
         let held_since_start = self.ready_at.is_some_and(|ready_at| arrived < ready_at);
-        let may_wait = held_since_start && !self.stopping;
+        let may_wait = held_since_start && !self.stopping && self.is_on(Mechanism::LateWait);
         may_wait && !self.demand(now, &self.targets[key].service).has_room()
     }
 
@@ -48,7 +49,7 @@
     /// A copy of a SYN is never refused: the first may have opened the flow through another host, and
     /// then a reset would break it and would not say truly that nothing ran.
     pub(super) fn refuse_for_room(&mut self, now: Instant, segment: &Segment) -> Option<Cause> {
-        if !self.contended || segment.acknowledged > 0 {
+        if !self.contended || !self.is_on(Mechanism::Admission) || segment.acknowledged > 0 {
             return None;
         }
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
@@ -62,12 +63,14 @@
         }
         self.collect_demands(now, service, &mut demands);
         self.demands = demands;
+        let by_priority = self.is_on(Mechanism::PriorityOrder);
         let contention = match self.contention.get_mut(service) {
             Some(contention) => contention,
             None => self.contention.entry(service.into()).or_default(),
         };
         let saturated = self.centre_pressures.is_saturated(&self.config.centre, service);
-        let requests_per_slot = contention.requests_per_slot(priority, saturated);
+        let rank = if by_priority { priority } else { 0 };
+        let requests_per_slot = contention.requests_per_slot(rank, saturated);
         let hosts = self.local_hosts + 1;
         for demand in &mut self.demands {
             demand.open = demand.has_room(requests_per_slot, hosts);
@@ -113,7 +116,7 @@
     /// Returns the flows that were admitted and refused since the last call, by service and
     /// priority, where callers compete for room.
     pub fn take_admissions(&mut self) -> Vec<(String, IndexMap<u8, AdmissionCounts>)> {
-        let services = self.contention.iter_mut();
+        let services = self.contention.iter_mut().chain(self.overloads.orders_mut());
         services.map(|(service, contention)| (service.clone(), contention.take_counts())).collect()
     }
 
@@ -135,7 +138,11 @@
             demand.usable_percent = if centre == self.own_centre {
                 OWN_CENTRE_PERCENT
             } else {
-                let spare = self.centre_pressures.spare_percent(now, name, service);
+                let spare = if self.is_on(Mechanism::SpareRoom) {
+                    self.centre_pressures.spare_percent(now, name, service)
+                } else {
+                    0
+                };
                 even_percent(spare, centres).max(least_percent)
             };
         }
@@ -154,13 +161,15 @@
         }
     }
 
-    fn demand(&self, now: Instant, service: &str) -> Demand {
+    /// Returns the slots of a service in this host's data centre, and this host's requests there.
+    pub(super) fn demand(&self, now: Instant, service: &str) -> Demand {
         let (slots, waiting) =
             self.targets.slots_and_waiting(now, service, self.usable_targets(service));
         Demand { slots, waiting, hosts: self.local_hosts + 1 }
     }
 
-    fn usable_targets(&self, service: &str) -> UsableTargets<'_> {
+    /// Returns which targets of a service new flows may use now.
+    pub(super) fn usable_targets(&self, service: &str) -> UsableTargets<'_> {
         let warm_only = self.warmup.limit(service).is_some();
         UsableTargets { evacuated: &self.evacuated, warm_only }
     }
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -3,7 +3,9 @@
 use super::Router;
 use crate::catalog::Idempotency;
 use crate::mark::flow::Flow;
+use crate::mark::overload::Answer;
 use crate::mark::placement::Policy;
+use crate::mark::switches::Mechanism;
 use crate::mark::target::TargetKey;
 use crate::mark::{Cause, FlowKey, PacketTimes, Segment, SegmentKind, Verdict};
 use crate::time::{Instant, Span};
@@ -41,8 +43,8 @@
             return Verdict::Reset(Cause::TargetGone);
         }
         let request = segment.kind == SegmentKind::Data && segment.length > 0;
-        if request && idempotency == Idempotency::Idempotent && self.is_unreachable(now, key, known)
-        {
+        let may_reset = request && idempotency == Idempotency::Idempotent;
+        if may_reset && self.is_on(Mechanism::EarlyReset) && self.is_unreachable(now, key, known) {
             self.targets[key].record_retransmit(now);
             self.record_refusal(segment, Cause::TargetLost);
             self.flows.remove(&mut self.targets, segment.flow_key);
@@ -55,7 +57,9 @@
             self.flows.remove(&mut self.targets, segment.flow_key);
         } else {
             if known.is_none_or(|flow| flow.target != key) {
-                self.moves.record_resumed(now);
+                if self.is_on(Mechanism::MoveDetection) {
+                    self.moves.record_resumed(now);
+                }
                 self.flows.remove(&mut self.targets, segment.flow_key);
                 self.flows.insert(
                     &mut self.targets,
@@ -152,14 +156,19 @@
         let Some(flow) = self.flows.get_mut(flow_key) else { return };
         let before = *flow;
         let Some(request) = flow.end_request() else { return };
-        let waiting = &mut self.targets[key].own_load.waiting;
-        *waiting = waiting.saturating_sub(1);
+        let overtaken = self.targets[key].end_request(request.seen_at);
         if !answered {
             return;
         }
         if self.response_times.len() < MAX_RESPONSE_TIMES {
             self.response_times.push(now.since(request.seen_at));
         }
+        if let Some(frontend) = self.frontends.get(&flow_key.frontend) {
+            let late = now.since(request.seen_at) > frontend.objective();
+            let target = &self.targets[key];
+            let answer = Answer { late, overtaken, slots: target.slots };
+            self.overloads.record_answer(&target.service, answer);
+        }
         self.record_answer(now, flow_key, &before);
     }
 
@@ -171,7 +180,7 @@
         }
         let target = &mut self.targets[key];
         flow.begin_request(times, target.is_busy());
-        target.own_load.waiting = target.own_load.waiting.saturating_add(1);
+        target.begin_request(times.now);
         if let Some(frontend) = self.frontends.get_mut(&flow_key.frontend) {
             frontend.count_request();
         }
--- a/lagoongauge/src/mark/router/evidence.rs
+++ b/lagoongauge/src/mark/router/evidence.rs
@@ -7,6 +7,7 @@
 use crate::mark::ejection::{Change, Evidence};
 use crate::mark::evidence::Statement;
 use crate::mark::placement::Policy;
+use crate::mark::switches::Mechanism;
 use crate::mark::target::TargetKey;
 use crate::roster::Phase;
 use crate::time::{Instant, Span};
@@ -74,7 +75,7 @@
 impl<P: Policy> Router<P> {
     /// Returns whether this host pools evidence with others.
     pub fn pools_evidence(&self) -> bool {
-        self.contended
+        self.contended && self.is_on(Mechanism::PooledEvidence)
     }
 
     /// Returns the counts of pooled evidence.
@@ -94,7 +95,7 @@
 
     /// Re-evaluates the evidence on all targets; must be called several times per second.
     pub fn update_evidence(&mut self, now: Instant) {
-        if !self.contended {
+        if !self.pools_evidence() {
             self.evidence.clear();
             return;
         }
@@ -107,7 +108,7 @@
     /// Adds what this host has to tell the entry hosts of its data centre now to `statements`, which
     /// hold `limit` at most. While its own link is busy it doubts no target, as answers may wait there.
     pub fn take_statements(&mut self, now: Instant, limit: usize, statements: &mut Vec<Statement>) {
-        if !self.contended {
+        if !self.pools_evidence() {
             return;
         }
         let link_busy = self.is_link_busy(now);
@@ -134,8 +135,9 @@
     pub fn set_statements(&mut self, now: Instant, host: HostId, statements: &[Statement]) {
         self.handle_stall(now);
         for statement in statements {
-            let accepted =
-                self.contended && now >= self.stale_until && self.accept(now, host, *statement);
+            let accepted = self.pools_evidence()
+                && now >= self.stale_until
+                && self.accept(now, host, *statement);
             let counts = &mut self.evidence.counts;
             counts.accepted += u64::from(accepted);
             counts.refused += u64::from(!accepted);
--- a/lagoongauge/src/mark/router/link.rs
+++ b/lagoongauge/src/mark/router/link.rs
@@ -5,6 +5,7 @@
 use crate::mark::flow::next_syn_delay;
 use crate::mark::link::{LinkMeter, LinkUse};
 use crate::mark::placement::Policy;
+use crate::mark::switches::Mechanism;
 use crate::mark::{Cause, PacketTimes, Segment, SegmentKind, Verdict};
 use crate::time::Instant;
 
@@ -36,6 +37,7 @@
     /// Protects this host's link if it is limited and the deployment is contended.
     pub(super) fn protect_link(&mut self) {
         let rate = self.config.features.link_rate.filter(|_| self.contended);
+        let rate = rate.filter(|_| self.is_on(Mechanism::BulkLimit));
         if rate.is_none() || self.link.is_none() {
             self.link = rate.map(OwnLink::new);
         }
--- a/lagoongauge/src/mark/router/opening.rs
+++ b/lagoongauge/src/mark/router/opening.rs
@@ -4,7 +4,7 @@
 use crate::mark::flow::Flow;
 use crate::mark::placement::Policy;
 use crate::mark::{Cause, PacketTimes, Segment, Verdict};
-use crate::time::Span;
+use crate::time::{Instant, Span};
 
 /// Minimum delay at which a copy of a SYN shows that the first was not answered; with a shorter
 /// delay both may have been queued at this host.
@@ -49,7 +49,7 @@
             return Verdict::Hold;
         } else if let Some(verdict) = self.yield_link(times, segment) {
             return verdict;
-        } else if let Some(cause) = self.refuse_for_room(now, segment) {
+        } else if let Some(cause) = self.refuse_for_load(now, segment) {
             self.record_refusal(segment, cause);
             return Verdict::Reset(cause);
         }
@@ -71,6 +71,11 @@
         self.forward(key, true)
     }
 
+    /// Returns why a new flow must not be placed now for the load of its service.
+    fn refuse_for_load(&mut self, now: Instant, segment: &Segment) -> Option<Cause> {
+        self.refuse_for_overload(now, segment).or_else(|| self.refuse_for_room(now, segment))
+    }
+
     /// Refuses a flow that no target takes. A copy of a SYN that this host did not see before is
     /// dropped: another host may have opened the flow, and a reset would end it.
     fn refuse_placement(&mut self, segment: &Segment, known: Option<Flow>) -> Verdict {
--- a/lagoongauge/src/mark/router/placing.rs
+++ b/lagoongauge/src/mark/router/placing.rs
@@ -2,7 +2,8 @@
 
 use super::Router;
 use crate::flow::{FlowHash, Protocol, Tuple};
-use crate::mark::placement::{Candidate, Policy};
+use crate::mark::placement::{Candidate, Policy, TrafficPattern};
+use crate::mark::switches::Mechanism;
 use crate::mark::target::TargetKey;
 use crate::mark::{FlowKey, Segment};
 use crate::time::Instant;
@@ -17,7 +18,12 @@
     ) -> Option<TargetKey> {
         let flow_hash = self.flow_hash(segment.flow_key);
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
-        let (service, pattern) = (frontend.pick_service(flow_hash)?, frontend.traffic_pattern());
+        let service = frontend.pick_service(flow_hash)?;
+        let pattern = if self.is_on(Mechanism::FlowCosts) {
+            frontend.traffic_pattern()
+        } else {
+            TrafficPattern::SingleRequest
+        };
         let limit = self.warmup.limit(service);
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
@@ -43,6 +49,9 @@
     pub(super) fn placement_candidate(&self, now: Instant, key: TargetKey) -> Candidate {
         let target = &self.targets[key];
         let mut candidate = target.candidate(now);
+        candidate.suspect &= target.silent || self.is_on(Mechanism::TargetSuspicion);
+        candidate.local |= !self.is_on(Mechanism::RemoteCost);
+        candidate.cold &= self.is_on(Mechanism::ColdCost);
         candidate.suspect |=
             self.centres.is_unreachable(target.centre) || self.is_ejected(now, key);
         candidate
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target.rs
@@ -1,5 +1,6 @@
 //! Targets as seen by an entry host.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 
 use slotmap::new_key_type;
@@ -67,6 +68,8 @@
     /// Requests and flows of own load and `opening` that take no room, see
     /// [`super::flow_table::FlowTable::count_overstayed`].
     pub(super) overstayed: u16,
+    /// When the requests of this host that wait at it arrived, the oldest first.
+    waiting_since: VecDeque<Instant>,
     /// Load from other entry hosts, according to their reports.
     pub(super) other_load: LoadCount,
     /// When a caller last acknowledged an answer of it.
@@ -100,6 +103,7 @@
             own_load: LoadCount::default(),
             opening: 0,
             overstayed: 0,
+            waiting_since: VecDeque::new(),
             other_load: LoadCount::default(),
             last_activity: now,
             retransmits: 0,
@@ -148,6 +152,13 @@
         waiting >= u32::from(self.slots)
     }
 
+    /// Returns the requests of all hosts that wait at it, as far as this one knows, and its own that are
+    /// about to.
+    pub(super) fn known_requests(&self) -> u32 {
+        let own = u32::from(self.own_load.waiting) + u32::from(self.opening);
+        own + u32::from(self.other_load.waiting)
+    }
+
     /// Returns the requests of this host that take room: they wait at it or are about to.
     pub(super) fn pending_requests(&self) -> u32 {
         let pending = u32::from(self.own_load.waiting) + u32::from(self.opening);
@@ -229,6 +240,22 @@
         self.retransmits > 0 && self.time_since_activity(now) >= timeout
     }
 
+    /// Records that a request of this host waits at it from now on.
+    pub(super) fn begin_request(&mut self, now: Instant) {
+        self.own_load.waiting = self.own_load.waiting.saturating_add(1);
+        self.waiting_since.push_back(now);
+    }
+
+    /// Records that a request, which arrived at `seen_at`, waits no longer. Returns the number of
+    /// earlier ones that still wait.
+    pub(super) fn end_request(&mut self, seen_at: Instant) -> usize {
+        self.own_load.waiting = self.own_load.waiting.saturating_sub(1);
+        let mut waiting = self.waiting_since.iter();
+        let Some(index) = waiting.position(|since| *since == seen_at) else { return 0 };
+        self.waiting_since.remove(index);
+        index
+    }
+
     /// Returns it as a placement candidate; a suspect target is tried once per [`TRIAL_INTERVAL`].
     pub(super) fn candidate(&self, now: Instant) -> Candidate {
         let mut load = self.own_load;
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target_table.rs
@@ -84,6 +84,20 @@
         })
     }
 
+    /// Returns whether a condition holds for any target of a service that new flows may use and that
+    /// answers.
+    pub(super) fn any_usable(
+        &self,
+        now: Instant,
+        service: &str,
+        usable: UsableTargets<'_>,
+        condition: impl Fn(&Target) -> bool,
+    ) -> bool {
+        let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
+        let mut answering = targets.filter(|target| !target.silent && !target.is_suspect(now));
+        answering.any(|target| usable.contains(now, target) && condition(target))
+    }
+
     /// Adds up the usable slots of a service's targets in each data centre, and the requests of this
     /// host that wait at them or are about to, by index of the data centre. Targets that don't answer
     /// are left out.
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -1,6 +1,7 @@
 //! Routing by marks: placement of new flows, routing of later packets, resets and drops.
 
 mod admission;
+mod crowd;
 mod evacuation;
 mod evidence;
 mod held;
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -38,6 +38,7 @@
     version: IntGauge,
     flows: IntGauge,
     targets: IntGauge,
+    overloaded: IntGauge,
     ready: IntGauge,
     evacuated_centres: IntGauge,
     evidence: EvidenceMetrics,
@@ -110,6 +111,10 @@
             version: registry.gauge("catalog_version", "Version of the catalog in force.")?,
             flows: registry.gauge("flows", "Flows that are remembered.")?,
             targets: registry.gauge("serving_targets", "Targets that take new flows.")?,
+            overloaded: registry.gauge(
+                "overloaded_services",
+                "Services whose targets reject requests and answer late.",
+            )?,
             ready: registry.gauge("ready", "1 while the fabric may send packets here, else 0.")?,
             evacuated_centres: registry
                 .gauge("evacuated_centres", "Data centres that get no new flows from here.")?,
@@ -158,6 +163,7 @@
         self.flows.set(flows as i64);
         self.targets.set(targets as i64);
         self.pressure.set(state.pressure().into());
+        self.overloaded.set(state.overloaded_count() as i64);
         self.ready.set(i64::from(state.is_ready()));
         self.evacuated_centres.set(state.evacuated_count() as i64);
         self.registry.render()
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -166,6 +166,11 @@
         self.router().pressure()
     }
 
+    /// Returns the number of services whose targets are overloaded.
+    pub fn overloaded_count(&self) -> usize {
+        self.router().overloaded_count()
+    }
+
     /// Returns the flows that were admitted and refused since the last call, by service and
     /// priority, and adds them to the metrics.
     pub(super) fn take_admissions(&self) -> Vec<(String, IndexMap<u8, AdmissionCounts>)> {
--- a/soak/src/mutant.rs
+++ b/soak/src/mutant.rs
@@ -114,7 +114,7 @@
     let signal_error = |error: std::io::Error| {
         Error::new(Kind::Internal, format!("cannot install signal handlers: {error}"))
     };
-    let flags = Flags { metrics_port: None, listen_port: Some(listen) };
+    let flags = Flags { listen_port: Some(listen), ..Flags::default() };
     let (reload, stop) = (Reload::on_signal(), Stop::on_signals());
     Ok((SettingsFile::load()?, flags, reload.map_err(signal_error)?, stop.map_err(signal_error)?))
 }
