--- a/lagoongauge/src/mark/contention.rs
+++ b/lagoongauge/src/mark/admission/contention.rs
@@ -3,11 +3,11 @@
 //! Load pattern: for some seconds callers open more flows than all slots of a service can serve.
 //! Placed at once, they fill the queues of targets, which then reject requests whatever their
 //! priority; the rejected callers retry, and the retries keep the queues full. So an entry host
-//! admits a flow only while its part of the room ([`super::room`]) is not taken, and keeps the last
+//! admits a flow only while its part of the room ([`crate::mark::admission::room`]) is not taken, and keeps the last
 //! of it for the highest priority that callers currently use. Everything else is refused at once: a
 //! refused SYN has not run, and its caller may retry while there is still time.
 //!
-//! See [admission](../../../docs/design/admission.md).
+//! See [admission](../../../../docs/design/admission.md).
 
 use indexmap::IndexMap;
 
@@ -18,7 +18,7 @@
 const HIGHEST_REQUESTS_PER_SLOT: u32 = 5;
 
 /// Requests a slot up to which lower priorities are admitted, which keeps all slots busy.
-pub(super) const LOWER_REQUESTS_PER_SLOT: u32 = 3;
+pub(in crate::mark) const LOWER_REQUESTS_PER_SLOT: u32 = 3;
 
 /// Requests a slot up to which lower priorities are admitted while this host just has many at once.
 const SPIKE_REQUESTS_PER_SLOT: u32 = 4;
--- a/lagoongauge/src/mark/admission.rs
+++ b/lagoongauge/src/mark/admission/late.rs
@@ -36,11 +36,11 @@
 }
 
 /// Returns whether late requests have to wait for room.
-pub(super) fn is_recovering(now: Instant, ready_at: Option<Instant>) -> bool {
+pub(in crate::mark) fn is_recovering(now: Instant, ready_at: Option<Instant>) -> bool {
     ready_at.is_some_and(|ready_at| now.since(ready_at) < RECOVERY_PERIOD)
 }
 
 /// Returns whether a request is unlikely to be answered within its objective: half of it is over.
-pub(super) fn is_late(age: Span, objective: Span) -> bool {
+pub(in crate::mark) fn is_late(age: Span, objective: Span) -> bool {
     2 * age.0 >= objective.0
 }
--- a/lagoongauge/src/mark/overload.rs
+++ b/lagoongauge/src/mark/admission/overload.rs
@@ -10,7 +10,7 @@
 //! host it looks like an answer. It overtakes the requests that arrived at the target before it,
 //! though, which a queue never lets happen.
 //!
-//! See [admission](../../../docs/design/admission.md).
+//! See [admission](../../../../docs/design/admission.md).
 
 use crate::time::{Instant, Span};
 
--- a/lagoongauge/src/mark/room.rs
+++ b/lagoongauge/src/mark/admission/room.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use super::load::ServicePressure;
+use crate::mark::load::ServicePressure;
 use crate::time::{Instant, Span};
 
 /// Age at which a pressure no longer counts.
@@ -33,7 +33,7 @@
 const MAX_PRESSURE: u8 = 200;
 
 /// Part of its own data centre's slots that the hosts there may use.
-pub(super) const OWN_CENTRE_PERCENT: u32 = 100;
+pub(in crate::mark) const OWN_CENTRE_PERCENT: u32 = 100;
 
 /// Slots of a service in one data centre, and this host's requests there.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -92,7 +92,7 @@
 
 /// Returns the part that hosts of one data centre may use of what another has to spare, if those of
 /// all others among `centres` may use as much.
-pub(super) fn even_percent(spare_percent: u32, centres: usize) -> u32 {
+pub(in crate::mark) fn even_percent(spare_percent: u32, centres: usize) -> u32 {
     spare_percent / (centres as u32).saturating_sub(1).max(1)
 }
 
--- a/lagoongauge/src/mark/warmup.rs
+++ b/lagoongauge/src/mark/admission/warmup.rs
@@ -9,9 +9,9 @@
 
 use indexmap::IndexMap;
 
-use super::features::WarmupLimit;
 use crate::catalog::Catalog;
 use crate::id::{HostId, TargetId};
+use crate::mark::features::WarmupLimit;
 use crate::time::{Instant, Span};
 
 /// Part of a target's budget that hosts divide among themselves. The rest covers flows that arrive
--- a/lagoongauge/src/mark/evidence_budget.rs
+++ b/lagoongauge/src/mark/evidence/budget.rs
@@ -5,8 +5,8 @@
 
 use std::collections::VecDeque;
 
-use super::evidence::{MAX_STATEMENTS, encoded_size};
 use crate::id::HostId;
+use crate::mark::evidence::statement::{MAX_STATEMENTS, encoded_size};
 use crate::time::{Instant, Span};
 
 /// Maximum number of bytes sent in any [`PERIOD`], with headers: two statements to a data centre's
--- a/lagoongauge/src/mark/centre.rs
+++ b/lagoongauge/src/mark/evidence/centre.rs
@@ -2,7 +2,8 @@
 
 use indexmap::IndexMap;
 
-use super::target::Target;
+use crate::mark::key::CentreKey;
+use crate::mark::target::Target;
 use crate::time::{Instant, Span};
 
 /// Time without activity of any of its targets after which a data centre may be unreachable.
@@ -17,10 +18,6 @@
 /// Minimum number of unanswered retransmissions that make a data centre unreachable.
 const MIN_RETRANSMITS: u32 = 6;
 
-/// Index of a data centre on this entry host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct CentreKey(usize);
-
 /// Known data centres with their reachability.
 ///
 /// Control hosts notice that a data centre is cut off only after several missed announcements,
@@ -28,7 +25,7 @@
 /// unreachable as soon as callers retransmit to several of its targets and none of its targets
 /// answers, while targets in other data centres do.
 #[derive(Debug, Default)]
-pub(super) struct Centres {
+pub(in crate::mark) struct Centres {
     unreachable: IndexMap<String, bool>,
     /// Evacuations by the index of the data centre; empty where no limit on warming targets needs
     /// them.
@@ -54,55 +51,48 @@
     last_activity: Instant,
 }
 
-impl CentreKey {
-    /// Returns the index of the data centre, in the order in which they were added.
-    pub(super) fn index(self) -> usize {
-        self.0
-    }
-}
-
 impl Centres {
     /// Returns all data centres with their names, by index.
-    pub(super) fn iter(&self) -> impl ExactSizeIterator<Item = (CentreKey, &str)> {
+    pub(in crate::mark) fn iter(&self) -> impl ExactSizeIterator<Item = (CentreKey, &str)> {
         let names = self.unreachable.keys().enumerate();
-        names.map(|(index, name)| (CentreKey(index), name.as_str()))
+        names.map(|(index, name)| (CentreKey::new(index), name.as_str()))
     }
 
     /// Returns the key of a data centre, which is added if it is new.
-    pub(super) fn key(&mut self, name: &str) -> CentreKey {
+    pub(in crate::mark) fn key(&mut self, name: &str) -> CentreKey {
         if let Some(index) = self.unreachable.get_index_of(name) {
-            return CentreKey(index);
+            return CentreKey::new(index);
         }
-        CentreKey(self.unreachable.insert_full(name.into(), false).0)
+        CentreKey::new(self.unreachable.insert_full(name.into(), false).0)
     }
 
     /// Returns whether a data centre is unreachable.
-    pub(super) fn is_unreachable(&self, key: CentreKey) -> bool {
-        self.unreachable[key.0]
+    pub(in crate::mark) fn is_unreachable(&self, key: CentreKey) -> bool {
+        self.unreachable[key.index()]
     }
 
     /// Iterates over the keys of all data centres.
-    pub(super) fn keys(&self) -> impl Iterator<Item = CentreKey> + use<> {
-        (0..self.unreachable.len()).map(CentreKey)
+    pub(in crate::mark) fn keys(&self) -> impl Iterator<Item = CentreKey> + use<> {
+        (0..self.unreachable.len()).map(CentreKey::new)
     }
 
     /// Returns when this host learned that the latest evacuation of a data centre had ended.
-    pub(super) fn returned_at(&self, key: CentreKey) -> Option<Instant> {
-        self.evacuations.get(key.0)?.ended_at
+    pub(in crate::mark) fn returned_at(&self, key: CentreKey) -> Option<Instant> {
+        self.evacuations.get(key.index())?.ended_at
     }
 
     /// Records that the latest evacuation of a data centre has ended.
-    pub(super) fn set_returned(&mut self, now: Instant, key: CentreKey) {
+    pub(in crate::mark) fn set_returned(&mut self, now: Instant, key: CentreKey) {
         self.set_evacuated(now, key, true);
         self.set_evacuated(now, key, false);
     }
 
     /// Records whether a data centre is evacuated now.
-    pub(super) fn set_evacuated(&mut self, now: Instant, key: CentreKey, active: bool) {
-        if self.evacuations.len() <= key.0 {
-            self.evacuations.resize(key.0 + 1, Evacuation::default());
+    pub(in crate::mark) fn set_evacuated(&mut self, now: Instant, key: CentreKey, active: bool) {
+        if self.evacuations.len() <= key.index() {
+            self.evacuations.resize(key.index() + 1, Evacuation::default());
         }
-        let evacuation = &mut self.evacuations[key.0];
+        let evacuation = &mut self.evacuations[key.index()];
         if evacuation.active && !active {
             evacuation.ended_at = Some(now);
         }
@@ -110,12 +100,12 @@
     }
 
     /// Takes all data centres as reachable, as there is no evidence.
-    pub(super) fn set_reachable(&mut self) {
+    pub(in crate::mark) fn set_reachable(&mut self) {
         self.unreachable.values_mut().for_each(|unreachable| *unreachable = false);
     }
 
     /// Re-evaluates which data centres are unreachable; this host's own never is.
-    pub(super) fn update<'a>(
+    pub(in crate::mark) fn update<'a>(
         &mut self,
         now: Instant,
         own: CentreKey,
@@ -123,7 +113,7 @@
     ) {
         let mut evidence = vec![Evidence::default(); self.unreachable.len()];
         for target in targets {
-            let centre = &mut evidence[target.centre.0];
+            let centre = &mut evidence[target.centre.index()];
             centre.last_activity = centre.last_activity.max(target.last_activity());
             let retransmits = target.recent_retransmits(now, EVIDENCE_LIFETIME);
             centre.retransmits += u32::from(retransmits);
@@ -136,7 +126,7 @@
                 && targets >= MIN_TARGETS
                 && retransmits >= MIN_RETRANSMITS;
             let others_active = (0..evidence.len()).any(|other| other != index && is_active(other));
-            self.unreachable[index] = silent && others_active && CentreKey(index) != own;
+            self.unreachable[index] = silent && others_active && CentreKey::new(index) != own;
         }
     }
 }
--- a/lagoongauge/src/mark/ejection.rs
+++ b/lagoongauge/src/mark/evidence/ejection.rs
@@ -5,9 +5,9 @@
 
 use indexmap::IndexMap;
 
-use super::evidence::Observation;
-use super::unanswered::Doubt;
 use crate::id::HostId;
+use crate::mark::evidence::statement::Observation;
+use crate::mark::evidence::unanswered::Doubt;
 use crate::time::{Instant, Span};
 
 /// Number of hosts that must doubt a target, this one included.
@@ -36,9 +36,9 @@
 
 /// What this host itself saw of a target.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct OwnView {
-    pub(super) doubt: Option<Doubt>,
-    pub(super) answered_at: Option<Instant>,
+pub(in crate::mark) struct OwnView {
+    pub(in crate::mark) doubt: Option<Doubt>,
+    pub(in crate::mark) answered_at: Option<Instant>,
 }
 
 /// Change of a target's ejection.
@@ -82,7 +82,7 @@
 
 /// Evidence on one target.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Evidence {
+pub(in crate::mark) struct Evidence {
     statements: IndexMap<HostId, Received>,
     ejection: Option<Ejection>,
     /// When this host last made a statement about the target.
@@ -108,18 +108,18 @@
 
 impl Evidence {
     /// Returns whether it holds nothing.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::mark) fn is_empty(&self) -> bool {
         self.statements.is_empty() && self.ejection.is_none() && !self.returned_here
     }
 
     /// Returns whether the target is ejected.
-    pub(super) fn is_ejected(&self) -> bool {
+    pub(in crate::mark) fn is_ejected(&self) -> bool {
         self.ejection.is_some()
     }
 
     /// Returns whether new flows avoid the target now: it is ejected, has not answered this host
     /// since, and it is not this host's turn to try it.
-    pub(super) fn is_avoided(&self, now: Instant, answered_at: Option<Instant>) -> bool {
+    pub(in crate::mark) fn is_avoided(&self, now: Instant, answered_at: Option<Instant>) -> bool {
         self.ejection.is_some_and(|ejection| {
             let answered = answered_at.is_some_and(|answered| answered > ejection.began_at);
             !answered && now < ejection.ends_at && now < ejection.trial_at
@@ -127,12 +127,12 @@
     }
 
     /// Returns the number of hosts whose doubts are kept.
-    pub(super) fn reporters(&self) -> usize {
+    pub(in crate::mark) fn reporters(&self) -> usize {
         self.statements.values().filter(|statement| statement.observation.is_doubt()).count()
     }
 
     /// Returns what this host should state about the target now, with the time of the observation.
-    pub(super) fn next_statement(
+    pub(in crate::mark) fn next_statement(
         &self,
         now: Instant,
         own: OwnView,
@@ -163,7 +163,7 @@
     }
 
     /// Records a statement of another host; returns `false` if there are too many.
-    pub(super) fn record(
+    pub(in crate::mark) fn record(
         &mut self,
         now: Instant,
         host: HostId,
@@ -179,13 +179,13 @@
     }
 
     /// Records that this host made a statement about the target.
-    pub(super) fn record_sent(&mut self, now: Instant) {
+    pub(in crate::mark) fn record_sent(&mut self, now: Instant) {
         self.sent_at = Some(now);
         self.returned_here = false;
     }
 
     /// Records that a new flow was placed on the target.
-    pub(super) fn record_trial(&mut self, now: Instant, hosts: u32) {
+    pub(in crate::mark) fn record_trial(&mut self, now: Instant, hosts: u32) {
         if let Some(ejection) = &mut self.ejection {
             ejection.trial_at = now + trial_period(hosts);
         }
@@ -193,7 +193,7 @@
 
     /// Re-evaluates the evidence; `has_room` tells whether another target may be ejected, and
     /// `hosts` is the number of entry hosts that share the trials.
-    pub(super) fn update(
+    pub(in crate::mark) fn update(
         &mut self,
         now: Instant,
         own: OwnView,
--- a/lagoongauge/src/mark/evidence.rs
+++ b/lagoongauge/src/mark/evidence/statement.rs
@@ -2,8 +2,8 @@
 //!
 //! See docs/design/evidence.md.
 
-use super::Mark;
 use crate::error::{Error, Kind, Result};
+use crate::mark::Mark;
 use crate::time::Span;
 
 /// Maximum number of statements of a datagram.
--- a/lagoongauge/src/mark/unanswered.rs
+++ b/lagoongauge/src/mark/evidence/unanswered.rs
@@ -1,6 +1,6 @@
 //! What this entry host itself sees of a target's answers.
 
-use super::evidence::Observation;
+use crate::mark::evidence::statement::Observation;
 use crate::time::{Instant, Span};
 
 /// Time without an answer after which a packet counts as unanswered; targets answer a SYN within
@@ -12,7 +12,7 @@
 
 /// Unanswered packets to a target, and its latest answer.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Unanswered {
+pub(in crate::mark) struct Unanswered {
     /// The first and the latest packet without an answer.
     packets: Option<(Instant, Instant)>,
     /// Whether one of them is a SYN.
@@ -23,24 +23,24 @@
 
 /// Reason for which a host doubts a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Doubt {
-    pub(super) observation: Observation,
+pub(in crate::mark) struct Doubt {
+    pub(in crate::mark) observation: Observation,
     /// When the first packet without an answer was sent.
-    pub(super) since: Instant,
+    pub(in crate::mark) since: Instant,
     /// When the latest packet without an answer was sent.
-    pub(super) latest: Instant,
+    pub(in crate::mark) latest: Instant,
 }
 
 impl Unanswered {
     /// Returns when a caller last acknowledged an answer.
-    pub(super) fn answered_at(&self) -> Option<Instant> {
+    pub(in crate::mark) fn answered_at(&self) -> Option<Instant> {
         self.answered_at
     }
 
     /// Returns why the target is doubted, if it is; `answered_syn` is the time of the latest SYN to
     /// any target that was answered. An earlier packet without an answer was not held up by this
     /// host or its link.
-    pub(super) fn doubt(&self, now: Instant, answered_syn: Instant) -> Option<Doubt> {
+    pub(in crate::mark) fn doubt(&self, now: Instant, answered_syn: Instant) -> Option<Doubt> {
         let (since, latest) = self.packets?;
         let overdue = now.since(since) >= ANSWER_TIMEOUT && answered_syn > since;
         if !overdue || now.since(latest) >= UNANSWERED_LIFETIME {
@@ -52,24 +52,24 @@
     }
 
     /// Records a SYN to the target.
-    pub(super) fn record_syn(&mut self, now: Instant) {
+    pub(in crate::mark) fn record_syn(&mut self, now: Instant) {
         self.record_packet(now);
         self.syn = true;
     }
 
     /// Records data that a caller repeated.
-    pub(super) fn record_repeat(&mut self, now: Instant) {
+    pub(in crate::mark) fn record_repeat(&mut self, now: Instant) {
         self.record_packet(now);
     }
 
     /// Records an answer.
-    pub(super) fn record_answer(&mut self, now: Instant) {
+    pub(in crate::mark) fn record_answer(&mut self, now: Instant) {
         self.answered_at = Some(now);
         self.clear();
     }
 
     /// Forgets the unanswered packets.
-    pub(super) fn clear(&mut self) {
+    pub(in crate::mark) fn clear(&mut self) {
         self.packets = None;
         self.syn = false;
     }
--- a/lagoongauge/src/mark/features.rs
+++ b/lagoongauge/src/mark/features.rs
@@ -3,7 +3,7 @@
 //! A deployment whose settings ask for none of them is routed as if they did not exist; see
 //! "Switches" in docs/design/README.md.
 
-use super::switches::Switches;
+use crate::mark::switches::Switches;
 
 /// Optional parts of routing.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/lagoongauge/src/mark/held.rs
+++ b/lagoongauge/src/mark/flow/held.rs
@@ -4,12 +4,12 @@
 //! packets ever more rarely (after 200, 400, 800 and 1600 ms). A packet that is dropped by a host
 //! that will have its catalog in a moment costs its caller the whole pause until the next copy. So
 //! a host that has started without a catalog holds packets, and routes them once it has one. For some
-//! time after that, late requests are held as well ([`super::admission`]).
+//! time after that, late requests are held as well ([`crate::mark::admission::late`]).
 
 use indexmap::IndexMap;
 
-use super::flow::{next_syn_delay, syn_copy_delay};
-use super::{FlowKey, Segment, SegmentKind};
+use crate::mark::flow::{next_syn_delay, syn_copy_delay};
+use crate::mark::{FlowKey, Segment, SegmentKind};
 use crate::time::{Instant, Span};
 
 /// Maximum number of held packets, which bounds their memory to about 1.3 MB.
--- a/lagoongauge/src/mark/flow.rs
+++ b/lagoongauge/src/mark/flow/mod.rs
@@ -1,7 +1,10 @@
 //! Connection tracking: state of the flows whose packets an entry host has seen.
 
-use super::target::TargetKey;
-use super::{PacketTimes, Segment};
+pub mod held;
+pub(super) mod table;
+
+use crate::mark::key::TargetKey;
+use crate::mark::{PacketTimes, Segment};
 use crate::time::{Instant, Span};
 
 /// Half of the sequence number space; a smaller forward distance means "later".
--- a/lagoongauge/src/mark/flow_table.rs
+++ b/lagoongauge/src/mark/flow/table.rs
@@ -4,12 +4,12 @@
 
 use indexmap::IndexMap;
 
-use super::FlowKey;
-use super::admission::is_late;
-use super::flow::Flow;
-use super::frontend::Frontend;
-use super::target::TargetKey;
-use super::target_table::TargetTable;
+use crate::mark::FlowKey;
+use crate::mark::admission::late::is_late;
+use crate::mark::flow::Flow;
+use crate::mark::frontend::Frontend;
+use crate::mark::key::TargetKey;
+use crate::mark::target::table::TargetTable;
 use crate::time::{Instant, Span};
 
 /// Time without packets after which a flow is no longer tracked; its mark still routes it.
@@ -24,31 +24,36 @@
 
 /// Tracked flows; each counts as load of its target in the [`TargetTable`] that is passed in.
 #[derive(Debug)]
-pub(super) struct FlowTable {
+pub(in crate::mark) struct FlowTable {
     flows: IndexMap<FlowKey, Flow>,
     max_flows: usize,
 }
 
 impl FlowTable {
     /// Creates a table that tracks at most `max_flows` flows.
-    pub(super) fn new(max_flows: usize) -> Self {
+    pub(in crate::mark) fn new(max_flows: usize) -> Self {
         Self { flows: IndexMap::new(), max_flows }
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(in crate::mark) fn len(&self) -> usize {
         self.flows.len()
     }
 
-    pub(super) fn get(&self, flow_key: FlowKey) -> Option<Flow> {
+    pub(in crate::mark) fn get(&self, flow_key: FlowKey) -> Option<Flow> {
         self.flows.get(&flow_key).copied()
     }
 
-    pub(super) fn get_mut(&mut self, flow_key: FlowKey) -> Option<&mut Flow> {
+    pub(in crate::mark) fn get_mut(&mut self, flow_key: FlowKey) -> Option<&mut Flow> {
         self.flows.get_mut(&flow_key)
     }
 
     /// Tracks a flow unless the table is full.
-    pub(super) fn insert(&mut self, targets: &mut TargetTable, flow_key: FlowKey, flow: Flow) {
+    pub(in crate::mark) fn insert(
+        &mut self,
+        targets: &mut TargetTable,
+        flow_key: FlowKey,
+        flow: Flow,
+    ) {
         if self.flows.len() >= self.max_flows {
             return;
         }
@@ -60,26 +65,30 @@
         }
     }
 
-    pub(super) fn remove(&mut self, targets: &mut TargetTable, flow_key: FlowKey) {
+    pub(in crate::mark) fn remove(&mut self, targets: &mut TargetTable, flow_key: FlowKey) {
         if let Some(flow) = self.flows.swap_remove(&flow_key) {
             release_load(targets, &flow);
         }
     }
 
     /// Counts a copy of the SYN of a flow.
-    pub(super) fn count_repeated_syn(&mut self, flow_key: FlowKey) {
+    pub(in crate::mark) fn count_repeated_syn(&mut self, flow_key: FlowKey) {
         if let Some(flow) = self.flows.get_mut(&flow_key) {
             flow.repeated_syns = flow.repeated_syns.saturating_add(1);
         }
     }
 
     /// Removes all flows of a target.
-    pub(super) fn remove_of_target(&mut self, targets: &mut TargetTable, target: TargetKey) {
+    pub(in crate::mark) fn remove_of_target(
+        &mut self,
+        targets: &mut TargetTable,
+        target: TargetKey,
+    ) {
         self.remove_if(targets, |flow| flow.target == target);
     }
 
     /// Removes the flows without recent packets; returns those that never opened.
-    pub(super) fn remove_expired(
+    pub(in crate::mark) fn remove_expired(
         &mut self,
         now: Instant,
         targets: &mut TargetTable,
@@ -94,7 +103,7 @@
 
     /// Ends the requests whose callers no longer wait for an answer, and returns the flows as they
     /// were before.
-    pub(super) fn end_overdue_requests(
+    pub(in crate::mark) fn end_overdue_requests(
         &mut self,
         now: Instant,
         targets: &mut TargetTable,
@@ -118,7 +127,7 @@
 
     /// Counts, for each target, the requests and unopened flows that take no room: they have waited
     /// for half of the objective, or the fabric has moved them, and another host sees them end.
-    pub(super) fn count_overstayed(
+    pub(in crate::mark) fn count_overstayed(
         &self,
         now: Instant,
         moved_at: Instant,
--- a/lagoongauge/src/mark/frontend.rs
+++ b/lagoongauge/src/mark/frontend.rs
@@ -1,8 +1,8 @@
 //! Frontend addresses as seen by an entry host.
 
-use super::loss::RequestKind;
-use super::placement::TrafficPattern;
 use crate::catalog::{Catalog, Idempotency, Route};
+use crate::mark::loss::RequestKind;
+use crate::mark::placement::TrafficPattern;
 use crate::time::Span;
 
 /// Minimum number of flows assumed for the traffic pattern, as a few flows don't show it.
--- a/lagoongauge/src/mark/bulk.rs
+++ b/lagoongauge/src/mark/link/bulk.rs
@@ -9,8 +9,8 @@
 
 use indexmap::IndexMap;
 
-use super::FlowKey;
-use super::link::HEADER_BYTES;
+use super::HEADER_BYTES;
+use crate::mark::FlowKey;
 use crate::time::{Instant, Span};
 
 /// Bytes on the link that a bulk flow has under way at most: 16 full packets.
@@ -35,7 +35,7 @@
 
 /// Whether a bulk flow may begin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Admission {
+pub(in crate::mark) enum Admission {
     /// It may begin now.
     Begin,
     /// It has to wait until another one ends.
@@ -46,7 +46,7 @@
 
 /// Bulk flows that share the link.
 #[derive(Debug, Clone, Default)]
-pub(super) struct BulkFlows {
+pub(in crate::mark) struct BulkFlows {
     max_active: usize,
     active: IndexMap<FlowKey, Active>,
     /// Waiting flows, by when their callers send their next SYN or give up.
@@ -65,13 +65,13 @@
 
 impl BulkFlows {
     /// Creates the bound for a link that carries `rate` bytes per second.
-    pub(super) fn new(rate: u64) -> Self {
+    pub(in crate::mark) fn new(rate: u64) -> Self {
         let max_active = (rate * MAX_QUEUE.0 / 1000 / WINDOW_BYTES).max(1);
         Self { max_active: max_active as usize, duration: INITIAL_DURATION, ..Self::default() }
     }
 
     /// Decides on a new flow whose caller sends its next SYN at `next_syn`.
-    pub(super) fn admit(
+    pub(in crate::mark) fn admit(
         &mut self,
         now: Instant,
         flow_key: FlowKey,
@@ -91,20 +91,20 @@
     }
 
     /// Records data of a flow, which begins if this host does not know it.
-    pub(super) fn record_data(&mut self, now: Instant, flow_key: FlowKey) {
+    pub(in crate::mark) fn record_data(&mut self, now: Instant, flow_key: FlowKey) {
         let flow = self.active.entry(flow_key).or_insert(Active { began_at: now, sent_at: now });
         flow.sent_at = now;
     }
 
     /// Records that a flow has ended.
-    pub(super) fn end(&mut self, now: Instant, flow_key: FlowKey) {
+    pub(in crate::mark) fn end(&mut self, now: Instant, flow_key: FlowKey) {
         let Some(flow) = self.active.swap_remove(&flow_key) else { return };
         let sum = self.duration.0 * DURATION_WEIGHT + now.since(flow.began_at).0;
         self.duration = Span(sum / (DURATION_WEIGHT + 1));
     }
 
     /// Forgets flows that have made room, and callers that wait no longer.
-    pub(super) fn remove_expired(&mut self, now: Instant) {
+    pub(in crate::mark) fn remove_expired(&mut self, now: Instant) {
         self.active.retain(|_, flow| now.since(flow.sent_at) < IDLE_TIMEOUT);
         self.waiting.retain(|_, next_syn| now < *next_syn);
     }
--- a/lagoongauge/src/mark/link.rs
+++ b/lagoongauge/src/mark/link/meter.rs
@@ -4,12 +4,10 @@
 //! callers repeat them, and answers are acknowledged late, for all targets at once. See
 //! docs/design/link.md.
 
+use super::HEADER_BYTES;
 use super::bulk::Admission;
 use crate::time::{Instant, Span};
 
-/// Bytes of a packet on the link besides its data: its own header, and those of UDP and IP.
-pub(super) const HEADER_BYTES: u64 = 59;
-
 /// Period over which the use of the link is measured.
 const USE_PERIOD: Span = Span::millis(200);
 
@@ -44,7 +42,7 @@
 
 /// Measures how much of the link is used.
 #[derive(Debug, Clone, Default)]
-pub(super) struct LinkMeter {
+pub(in crate::mark) struct LinkMeter {
     /// Bytes per second.
     rate: u64,
     /// Bytes in the current period.
@@ -58,22 +56,22 @@
 
 impl LinkMeter {
     /// Creates a meter of a link that carries `rate` bytes per second.
-    pub(super) fn new(rate: u64) -> Self {
+    pub(in crate::mark) fn new(rate: u64) -> Self {
         Self { rate, ..Self::default() }
     }
 
     /// Returns whether packets may have waited for the link lately.
-    pub(super) fn was_busy(&self, now: Instant) -> bool {
+    pub(in crate::mark) fn was_busy(&self, now: Instant) -> bool {
         self.busy_at.is_some_and(|busy_at| now.since(busy_at) < BUSY_MEMORY)
     }
 
     /// Returns the use of the link since the start.
-    pub(super) fn usage(&self) -> LinkUse {
+    pub(in crate::mark) fn usage(&self) -> LinkUse {
         self.usage
     }
 
     /// Records a packet with `length` bytes of data.
-    pub(super) fn record_packet(&mut self, now: Instant, length: u16) {
+    pub(in crate::mark) fn record_packet(&mut self, now: Instant, length: u16) {
         if now.since(self.began_at) >= USE_PERIOD {
             self.bytes = 0;
             self.began_at = now;
@@ -87,7 +85,7 @@
     }
 
     /// Records whether a bulk flow began or was refused.
-    pub(super) fn record_admission(&mut self, admission: Admission) {
+    pub(in crate::mark) fn record_admission(&mut self, admission: Admission) {
         match admission {
             Admission::Begin => self.usage.begun_flows += 1,
             Admission::Refuse => self.usage.refused_flows += 1,
--- a/lagoongauge/src/mark/load.rs
+++ b/lagoongauge/src/mark/load/mod.rs
@@ -1,9 +1,11 @@
 //! Load reports between entry hosts.
 
+pub mod reporting;
+
 use serde::{Deserialize, Serialize};
 
-use super::Mark;
 use crate::error::{Error, Kind, Result};
+use crate::mark::Mark;
 use crate::time::Span;
 
 /// Evidence section of a report that carries none: an empty list.
--- a/lagoongauge/src/mark/loss.rs
+++ b/lagoongauge/src/mark/loss.rs
@@ -7,8 +7,8 @@
 
 use indexmap::IndexMap;
 
-use super::verdict::Cause;
 use crate::catalog::Idempotency;
+use crate::mark::verdict::Cause;
 use crate::time::Span;
 
 /// Kind of requests, as far as the catalog tells kinds apart.
--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -7,32 +7,19 @@
 //! docs/PLATFORM.md.
 
 pub mod admission;
-mod bulk;
-mod centre;
-pub mod contention;
-mod ejection;
 pub mod evidence;
-pub mod evidence_budget;
 mod features;
-mod flow;
-mod flow_table;
+pub mod flow;
 mod frontend;
-pub mod held;
+mod key;
 mod link;
-mod load;
+pub mod load;
 pub mod loss;
-pub mod moves;
-pub mod overload;
 pub mod placement;
-pub mod reporting;
-pub mod room;
 mod router;
 pub mod switches;
 mod target;
-mod target_table;
-mod unanswered;
 mod verdict;
-pub mod warmup;
 
 use std::net::SocketAddrV4;
 
@@ -41,9 +28,9 @@
 use crate::id::TargetId;
 use crate::time::Instant;
 
-pub use self::ejection::Change as EjectionKind;
+pub use self::evidence::ejection::Change as EjectionKind;
 pub use self::features::{Features, WarmupLimit};
-pub use self::link::LinkUse;
+pub use self::link::meter::LinkUse;
 pub use self::load::{LoadCount, LoadReport, ServicePressure};
 pub use self::router::{EjectionChange, EvidenceCounts, Router, RouterConfig};
 pub use self::verdict::{Cause, Verdict};
--- a/lagoongauge/src/mark/placement.rs
+++ b/lagoongauge/src/mark/placement.rs
@@ -4,7 +4,7 @@
 //! single request each; during a burst all slots are in use and queues grow. Targets differ in
 //! slots, are slow right after their start, and may have crashed without notice.
 
-use super::LoadCount;
+use crate::mark::LoadCount;
 
 /// Cost of a waiting request for a single-request flow, which queues behind it.
 const WAITING_COST: u32 = 64;
--- a/lagoongauge/src/mark/router/admission.rs
+++ b/lagoongauge/src/mark/router/admission.rs
@@ -1,18 +1,18 @@
-//! Decides which requests wait at this host, and which are refused; see [`crate::mark::admission`]
-//! and [`crate::mark::contention`].
+//! Decides which requests wait at this host, and which are refused; see [`crate::mark::admission::late`]
+//! and [`crate::mark::admission::contention`].
 
 use indexmap::IndexMap;
 
 use super::Router;
-use crate::mark::admission::{Demand, is_late, is_recovering};
-use crate::mark::centre::CentreKey;
-use crate::mark::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT};
+use crate::mark::admission::contention::{AdmissionCounts, LOWER_REQUESTS_PER_SLOT};
+use crate::mark::admission::late::{Demand, is_late, is_recovering};
+use crate::mark::admission::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent};
 use crate::mark::flow::syn_copy_delay;
+use crate::mark::key::CentreKey;
+use crate::mark::key::TargetKey;
 use crate::mark::placement::Policy;
-use crate::mark::room::{CentreDemand, OWN_CENTRE_PERCENT, even_percent};
 use crate::mark::switches::Mechanism;
-use crate::mark::target::TargetKey;
-use crate::mark::target_table::UsableTargets;
+use crate::mark::target::table::UsableTargets;
 use crate::mark::{Cause, Segment, ServicePressure};
 use crate::time::{Instant, Span};
 
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -2,11 +2,11 @@
 
 use super::Router;
 use crate::catalog::Idempotency;
+use crate::mark::admission::overload::Answer;
 use crate::mark::flow::Flow;
-use crate::mark::overload::Answer;
+use crate::mark::key::TargetKey;
 use crate::mark::placement::Policy;
 use crate::mark::switches::Mechanism;
-use crate::mark::target::TargetKey;
 use crate::mark::{Cause, FlowKey, PacketTimes, Segment, SegmentKind, Verdict};
 use crate::time::{Instant, Span};
 
--- a/lagoongauge/src/mark/router/evacuation.rs
+++ b/lagoongauge/src/mark/router/evacuation.rs
@@ -5,7 +5,7 @@
 //! at once. See docs/design/evacuation.md.
 
 use super::Router;
-use crate::mark::centre::CentreKey;
+use crate::mark::key::CentreKey;
 use crate::mark::placement::Policy;
 
 impl<P: Policy> Router<P> {
--- a/lagoongauge/src/mark/router/evidence.rs
+++ b/lagoongauge/src/mark/router/evidence.rs
@@ -4,11 +4,11 @@
 
 use super::Router;
 use crate::id::{HostId, TargetId};
-use crate::mark::ejection::{Change, Evidence};
-use crate::mark::evidence::Statement;
+use crate::mark::evidence::ejection::{Change, Evidence};
+use crate::mark::evidence::statement::Statement;
+use crate::mark::key::TargetKey;
 use crate::mark::placement::Policy;
 use crate::mark::switches::Mechanism;
-use crate::mark::target::TargetKey;
 use crate::roster::Phase;
 use crate::time::{Instant, Span};
 
--- a/lagoongauge/src/mark/router/link.rs
+++ b/lagoongauge/src/mark/router/link.rs
@@ -1,9 +1,9 @@
 //! Protects this host's link when more arrives than it can carry.
 
 use super::Router;
-use crate::mark::bulk::{Admission, BulkFlows};
 use crate::mark::flow::next_syn_delay;
-use crate::mark::link::{LinkMeter, LinkUse};
+use crate::mark::link::bulk::{Admission, BulkFlows};
+use crate::mark::link::meter::{LinkMeter, LinkUse};
 use crate::mark::placement::Policy;
 use crate::mark::switches::Mechanism;
 use crate::mark::{Cause, PacketTimes, Segment, SegmentKind, Verdict};
--- a/lagoongauge/src/mark/router/overload.rs
+++ b/lagoongauge/src/mark/router/overload.rs
@@ -1,12 +1,12 @@
 //! Refuses new flows while the targets of their service are overloaded; see
-//! [`crate::mark::overload`].
+//! [`crate::mark::admission::overload`].
 
 use indexmap::IndexMap;
 
 use super::Router;
-use crate::mark::admission::is_recovering;
-use crate::mark::contention::Contention;
-use crate::mark::overload::{Answer, Overload, target_room};
+use crate::mark::admission::contention::Contention;
+use crate::mark::admission::late::is_recovering;
+use crate::mark::admission::overload::{Answer, Overload, target_room};
 use crate::mark::placement::Policy;
 use crate::mark::switches::Mechanism;
 use crate::mark::{Cause, Segment};
--- a/lagoongauge/src/mark/router/placing.rs
+++ b/lagoongauge/src/mark/router/placing.rs
@@ -2,9 +2,9 @@
 
 use super::Router;
 use crate::flow::{FlowHash, Protocol, Tuple};
+use crate::mark::key::TargetKey;
 use crate::mark::placement::{Candidate, Policy, TrafficPattern};
 use crate::mark::switches::Mechanism;
-use crate::mark::target::TargetKey;
 use crate::mark::{FlowKey, Segment};
 use crate::time::Instant;
 
--- a/lagoongauge/src/mark/router/warmup.rs
+++ b/lagoongauge/src/mark/router/warmup.rs
@@ -1,9 +1,9 @@
-//! Limits new flows to targets that are warming up, see [`crate::mark::warmup`].
+//! Limits new flows to targets that are warming up, see [`crate::mark::admission::warmup`].
 
 use super::Router;
+use crate::mark::admission::warmup::{HostGroup, ServiceLimit};
+use crate::mark::key::TargetKey;
 use crate::mark::placement::{Candidate, Policy};
-use crate::mark::target::TargetKey;
-use crate::mark::warmup::{HostGroup, ServiceLimit};
 use crate::time::{Instant, Span};
 
 /// Time after the start of a host in which it learns of all targets that run.
--- a/lagoongauge/src/mark/switches.rs
+++ b/lagoongauge/src/mark/switches.rs
@@ -32,15 +32,15 @@
 }
 
 mechanisms! {
-    /// Refuses new flows where the contract asks for admission by room, see [`super::contention`].
+    /// Refuses new flows where the contract asks for admission by room, see [`crate::mark::admission::contention`].
     Admission = "admission",
     /// Leaves the last of the room to the highest priority.
     PriorityOrder = "priority-order",
     /// Uses what other data centres report to be spare.
     SpareRoom = "spare-room",
-    /// Refuses new flows while targets reject requests and answer late, see [`super::overload`].
+    /// Refuses new flows while targets reject requests and answer late, see [`crate::mark::admission::overload`].
     OverloadLimit = "overload-limit",
-    /// Pools with other hosts what each saw of failing targets, see [`super::evidence`].
+    /// Pools with other hosts what each saw of failing targets, see [`crate::mark::evidence::statement`].
     PooledEvidence = "pooled-evidence",
     /// Keeps new flows from targets that answer nobody at this host.
     TargetSuspicion = "target-suspicion",
@@ -48,9 +48,9 @@
     CentreSuspicion = "centre-suspicion",
     /// Resets flows into lost data centres and to lost targets, so that their callers retry.
     EarlyReset = "early-reset",
-    /// Holds packets until the first catalog is active, see [`super::held`].
+    /// Holds packets until the first catalog is active, see [`crate::mark::flow::held`].
     HeldPackets = "held-packets",
-    /// Has late requests wait for room after a start, see [`super::admission`].
+    /// Has late requests wait for room after a start, see [`crate::mark::admission::late`].
     LateWait = "late-wait",
     /// Counts the load that other hosts report.
     LoadReports = "load-reports",
@@ -60,11 +60,11 @@
     RemoteCost = "remote-cost",
     /// Places less on targets that are warming up.
     ColdCost = "cold-cost",
-    /// Forgets load that the fabric has moved to other hosts, see [`super::moves`].
+    /// Forgets load that the fabric has moved to other hosts, see [`crate::mark::admission::moves`].
     MoveDetection = "move-detection",
-    /// Bounds the bulk flows on a limited link, see [`super::link`].
+    /// Bounds the bulk flows on a limited link, see docs/design/link.md.
     BulkLimit = "bulk-limit",
-    /// Limits new flows to warming targets over all hosts, see [`super::warmup`].
+    /// Limits new flows to warming targets over all hosts, see [`crate::mark::admission::warmup`].
     WarmupLimit = "warmup-limit",
 }
 
--- a/lagoongauge/src/mark/target.rs
+++ b/lagoongauge/src/mark/target/mod.rs
@@ -1,24 +1,19 @@
 //! Targets as seen by an entry host.
 
+pub(super) mod table;
+
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 
-use slotmap::new_key_type;
-
-use super::centre::CentreKey;
-use super::ejection::OwnView;
-use super::placement::Candidate;
-use super::unanswered::Unanswered;
-use super::{LoadCount, Mark};
 use crate::id::TargetId;
+use crate::mark::evidence::ejection::OwnView;
+use crate::mark::evidence::unanswered::Unanswered;
+use crate::mark::key::CentreKey;
+use crate::mark::placement::Candidate;
+use crate::mark::{LoadCount, Mark};
 use crate::roster::{Entry, Phase};
 use crate::time::{Instant, Span};
 
-new_key_type! {
-    /// Key of a target in the router's arena.
-    pub(super) struct TargetKey;
-}
-
 /// Time without activity after which a target that receives packets becomes suspect.
 const SUSPECT_TIMEOUT: Span = Span::millis(500);
 
@@ -66,7 +61,7 @@
     /// Flows from this host that have not opened yet.
     pub(super) opening: u16,
     /// Requests and flows of own load and `opening` that take no room, see
-    /// [`super::flow_table::FlowTable::count_overstayed`].
+    /// [`crate::mark::flow::table::FlowTable::count_overstayed`].
     pub(super) overstayed: u16,
     /// When the requests of this host that wait at it arrived, the oldest first.
     waiting_since: VecDeque<Instant>,
--- a/lagoongauge/src/mark/target_table.rs
+++ b/lagoongauge/src/mark/target/table.rs
@@ -6,12 +6,13 @@
 use indexmap::map::Entry as MapEntry;
 use slotmap::SlotMap;
 
-use super::Mark;
-use super::centre::CentreKey;
-use super::load::{LoadCount, LoadReport};
-use super::room::CentreDemand;
-use super::target::{Target, TargetKey};
 use crate::id::{HostId, TargetId};
+use crate::mark::Mark;
+use crate::mark::admission::room::CentreDemand;
+use crate::mark::key::CentreKey;
+use crate::mark::key::TargetKey;
+use crate::mark::load::{LoadCount, LoadReport};
+use crate::mark::target::Target;
 use crate::roster::{Entry, Phase};
 use crate::time::{Instant, Span};
 
@@ -23,7 +24,7 @@
 
 /// Known targets by key, id, mark and service.
 #[derive(Debug, Default)]
-pub(super) struct TargetTable {
+pub(in crate::mark) struct TargetTable {
     targets: SlotMap<TargetKey, Target>,
     by_id: IndexMap<TargetId, TargetKey>,
     by_mark: IndexMap<Mark, TargetKey>,
@@ -33,11 +34,11 @@
 
 /// Which targets of a service new flows may use now.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct UsableTargets<'a> {
+pub(in crate::mark) struct UsableTargets<'a> {
     /// Data centres whose targets get no new flows.
-    pub(super) evacuated: &'a [CentreKey],
+    pub(in crate::mark) evacuated: &'a [CentreKey],
     /// Whether new flows to warming targets are limited, so that their slots can't be counted on.
-    pub(super) warm_only: bool,
+    pub(in crate::mark) warm_only: bool,
 }
 
 impl UsableTargets<'_> {
@@ -48,28 +49,28 @@
 }
 
 impl TargetTable {
-    pub(super) fn key(&self, target: TargetId) -> Option<TargetKey> {
+    pub(in crate::mark) fn key(&self, target: TargetId) -> Option<TargetKey> {
         self.by_id.get(&target).copied()
     }
 
-    pub(super) fn key_of_mark(&self, mark: Mark) -> Option<TargetKey> {
+    pub(in crate::mark) fn key_of_mark(&self, mark: Mark) -> Option<TargetKey> {
         self.by_mark.get(&mark).copied()
     }
 
     /// Returns the names of the services that have or had targets.
-    pub(super) fn services(&self) -> impl Iterator<Item = &str> {
+    pub(in crate::mark) fn services(&self) -> impl Iterator<Item = &str> {
         self.by_service.keys().map(String::as_str)
     }
 
     /// Returns the targets of a service that may receive flows.
-    pub(super) fn keys_of_service(&self, service: &str) -> &[TargetKey] {
+    pub(in crate::mark) fn keys_of_service(&self, service: &str) -> &[TargetKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the usable slots of a service's targets in this host's data centre, and the requests
     /// of this host that wait at any of its targets or are about to. Targets that don't answer are
     /// left out.
-    pub(super) fn slots_and_waiting(
+    pub(in crate::mark) fn slots_and_waiting(
         &self,
         now: Instant,
         service: &str,
@@ -86,7 +87,7 @@
 
     /// Returns whether a condition holds for any target of a service that new flows may use and that
     /// answers.
-    pub(super) fn any_usable(
+    pub(in crate::mark) fn any_usable(
         &self,
         now: Instant,
         service: &str,
@@ -101,7 +102,7 @@
     /// Adds up the usable slots of a service's targets in each data centre, and the requests of this
     /// host that wait at them or are about to, by index of the data centre. Targets that don't answer
     /// are left out.
-    pub(super) fn sum_demand(
+    pub(in crate::mark) fn sum_demand(
         &self,
         now: Instant,
         service: &str,
@@ -121,21 +122,21 @@
         }
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = &Target> + '_ {
+    pub(in crate::mark) fn iter(&self) -> impl Iterator<Item = &Target> + '_ {
         self.targets.values()
     }
 
     /// Returns the keys of all targets.
-    pub(super) fn keys(&self) -> Vec<TargetKey> {
+    pub(in crate::mark) fn keys(&self) -> Vec<TargetKey> {
         self.targets.keys().collect()
     }
 
-    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> + '_ {
+    pub(in crate::mark) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> + '_ {
         self.targets.values_mut()
     }
 
     /// Returns the targets that have been gone for longer than they are kept.
-    pub(super) fn expired(&self, now: Instant) -> Vec<TargetKey> {
+    pub(in crate::mark) fn expired(&self, now: Instant) -> Vec<TargetKey> {
         let is_expired = |target: &Target| {
             target.phase == Phase::Gone && now.since(target.gone_at) >= GONE_TARGET_RETENTION
         };
@@ -144,7 +145,7 @@
     }
 
     /// Applies a target's latest announcement, and whether the target is silent.
-    pub(super) fn set(
+    pub(in crate::mark) fn set(
         &mut self,
         now: Instant,
         entry: &Entry,
@@ -160,7 +161,7 @@
         target.silent = silent;
     }
 
-    pub(super) fn remove(&mut self, key: TargetKey) {
+    pub(in crate::mark) fn remove(&mut self, key: TargetKey) {
         let Some(target) = self.targets.remove(key) else { return };
         self.by_id.swap_remove(&target.id);
         if self.by_mark.get(&target.mark) == Some(&key) {
@@ -172,13 +173,13 @@
     }
 
     /// Stores the load report of another entry host.
-    pub(super) fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
+    pub(in crate::mark) fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
         self.reports.insert(host, (now, report));
         self.sum_reports(now);
     }
 
     /// Adds up the load reports of other entry hosts that are still valid.
-    pub(super) fn sum_reports(&mut self, now: Instant) {
+    pub(in crate::mark) fn sum_reports(&mut self, now: Instant) {
         self.reports.retain(|_, (at, _)| now.since(*at) < REPORT_LIFETIME);
         for target in self.targets.values_mut() {
             target.other_load = LoadCount::default();
--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddrV4;
 
-use super::Mark;
 use crate::id::TargetId;
+use crate::mark::Mark;
 
 /// Why a packet was not forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -88,6 +88,6 @@
     Reset(Cause),
     /// Drop it; the caller retransmits it.
     Drop(Cause),
-    /// Hold it until the first catalog is active or there is room for it, see [`super::held`].
+    /// Hold it until the first catalog is active or there is room for it, see [`crate::mark::flow::held`].
     Hold,
 }
--- a/lagoongauge/tests/marks/admission.rs
+++ b/lagoongauge/tests/marks/admission.rs
@@ -1,6 +1,6 @@
 //! Late requests wait for room after a start, and new ones go first.
 
-use lagoongauge::mark::admission::Demand;
+use lagoongauge::mark::admission::late::Demand;
 use lagoongauge::mark::{Mark, SegmentKind, Verdict};
 
 use crate::world::{Fixture, target_of};
--- a/lagoongauge/tests/marks/crowd.rs
+++ b/lagoongauge/tests/marks/crowd.rs
@@ -10,7 +10,7 @@
 use std::ops::Range;
 
 use lagoongauge::id::TargetId;
-use lagoongauge::mark::overload::{Answer, Overload};
+use lagoongauge::mark::admission::overload::{Answer, Overload};
 use lagoongauge::mark::switches::{Mechanism, Switches};
 use lagoongauge::mark::{Features, FlowKey, Mark, Segment, SegmentKind, Verdict};
 use lagoongauge::time::{Instant, Span};
--- a/lagoongauge/tests/marks/evidence.rs
+++ b/lagoongauge/tests/marks/evidence.rs
@@ -4,10 +4,10 @@
 //! silent at one moment. Each host has less than one flow a second to a target.
 
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::evidence::{
+use lagoongauge::mark::evidence::budget::EvidenceBudget;
+use lagoongauge::mark::evidence::statement::{
     MAX_STATEMENTS, Observation, Statement, decode, encode, is_evidence,
 };
-use lagoongauge::mark::evidence_budget::EvidenceBudget;
 use lagoongauge::mark::{Features, LoadReport, Mark, SegmentKind};
 use lagoongauge::roster::Phase;
 use lagoongauge::time::{Instant, Span};
--- a/lagoongauge/tests/marks/held.rs
+++ b/lagoongauge/tests/marks/held.rs
@@ -1,6 +1,6 @@
 //! Packets that arrive before the first catalog are held, bounded in number and time.
 
-use lagoongauge::mark::held::HeldPackets;
+use lagoongauge::mark::flow::held::HeldPackets;
 use lagoongauge::mark::{Segment, SegmentKind, Verdict};
 use lagoongauge::time::{Instant, Span};
 
--- a/lagoongauge/tests/marks/link.rs
+++ b/lagoongauge/tests/marks/link.rs
@@ -1,7 +1,7 @@
 //! A host whose own link is full: what it concludes from repeats and missing answers.
 
 use lagoongauge::id::TargetId;
-use lagoongauge::mark::evidence::{MAX_STATEMENTS, Observation};
+use lagoongauge::mark::evidence::statement::{MAX_STATEMENTS, Observation};
 use lagoongauge::mark::{Cause, Features, FlowKey, Mark, Segment, SegmentKind, Verdict};
 use lagoongauge::time::Span;
 
--- a/lagoongauge/tests/marks/overload.rs
+++ b/lagoongauge/tests/marks/overload.rs
@@ -8,7 +8,7 @@
 use lagoongauge::catalog::{Catalog, Idempotency, RawCatalog, RawRoute, RawWeightedService};
 use lagoongauge::flow::HashKey;
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::reporting::ReportScheduler;
+use lagoongauge::mark::load::reporting::ReportScheduler;
 use lagoongauge::mark::{
     Features, FlowKey, LoadReport, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict,
 };
--- a/lagoongauge/tests/marks/room.rs
+++ b/lagoongauge/tests/marks/room.rs
@@ -1,9 +1,9 @@
 //! Where a host has room, and the order in which it is given away.
 
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::contention::Contention;
-use lagoongauge::mark::moves::MoveDetector;
-use lagoongauge::mark::room::{CentreDemand, PressureTable};
+use lagoongauge::mark::admission::contention::Contention;
+use lagoongauge::mark::admission::moves::MoveDetector;
+use lagoongauge::mark::admission::room::{CentreDemand, PressureTable};
 use lagoongauge::mark::{Cause, Features, LoadReport, ServicePressure, Verdict, WarmupLimit};
 use lagoongauge::roster::Entry;
 use lagoongauge::time::{Instant, Span};
--- a/lagoongauge/tests/marks/share.rs
+++ b/lagoongauge/tests/marks/share.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use lagoongauge::id::HostId;
-use lagoongauge::mark::evidence_budget::EvidenceBudget;
-use lagoongauge::mark::reporting::ReportScheduler;
+use lagoongauge::mark::evidence::budget::EvidenceBudget;
+use lagoongauge::mark::load::reporting::ReportScheduler;
 use lagoongauge::time::{Instant, Span};
 
 /// Budget of a host for control traffic, both directions together.
--- a/lagoongauge/tests/marks/uploads.rs
+++ b/lagoongauge/tests/marks/uploads.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use lagoongauge::mark::held::HeldPackets;
+use lagoongauge::mark::flow::held::HeldPackets;
 use lagoongauge::mark::{Cause, Features, FlowKey, Mark, Segment, SegmentKind, Verdict};
 use lagoongauge::time::{Instant, Span};
 
--- a/lagoongauge/tests/marks/warmup.rs
+++ b/lagoongauge/tests/marks/warmup.rs
@@ -4,7 +4,7 @@
 
 use lagoongauge::catalog::{Catalog, RawService};
 use lagoongauge::id::{HostId, TargetId};
-use lagoongauge::mark::warmup::HostGroup;
+use lagoongauge::mark::admission::warmup::HostGroup;
 use lagoongauge::mark::{Cause, Features, SegmentKind, Verdict, WarmupLimit};
 use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::{Instant, Span};
--- a/lagoongauged/src/mark_entry/data_plane.rs
+++ b/lagoongauged/src/mark_entry/data_plane.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use lagoongauge::mark::held::HeldPacket;
+use lagoongauge::mark::flow::held::HeldPacket;
 use lagoongauge::mark::{Cause, Codec, PacketTimes, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
--- a/lagoongauged/src/mark_entry/evidence.rs
+++ b/lagoongauged/src/mark_entry/evidence.rs
@@ -4,8 +4,8 @@
 use std::net::{SocketAddrV4, UdpSocket};
 
 use lagoongauge::mark::EjectionChange;
-use lagoongauge::mark::evidence::{self, Statement};
-use lagoongauge::mark::evidence_budget::EvidenceBudget;
+use lagoongauge::mark::evidence::budget::EvidenceBudget;
+use lagoongauge::mark::evidence::statement::{self, Statement};
 
 use super::state::State;
 use crate::cluster::message::{host_address, host_id};
@@ -41,7 +41,7 @@
         if self.statements.is_empty() {
             return 0;
         }
-        let bytes = evidence::encode(&self.statements);
+        let bytes = statement::encode(&self.statements);
         let mut receivers = Vec::new();
         let sent = self.budget.take_receivers(now, bytes.len(), &hosts, &mut receivers);
         for host in receivers {
@@ -71,7 +71,7 @@
 
 /// Records the statements of another entry host.
 pub(super) fn receive(state: &State, from: SocketAddrV4, bytes: &[u8]) {
-    match evidence::decode(bytes) {
+    match statement::decode(bytes) {
         Ok(statements) => {
             let now = state.clock.now();
             state.router().set_statements(now, host_id(*from.ip()), &statements);
--- a/lagoongauged/src/mark_entry/load_reports.rs
+++ b/lagoongauged/src/mark_entry/load_reports.rs
@@ -5,8 +5,8 @@
 
 use async_std::task::sleep;
 use lagoongauge::mark::LoadReport;
-use lagoongauge::mark::evidence::is_evidence;
-use lagoongauge::mark::reporting::ReportScheduler;
+use lagoongauge::mark::evidence::statement::is_evidence;
+use lagoongauge::mark::load::reporting::ReportScheduler;
 
 use super::evidence::{self, EvidenceSender};
 use super::state::SharedState;
--- a/lagoongauged/src/mark_entry/loss_log.rs
+++ b/lagoongauged/src/mark_entry/loss_log.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use lagoongauge::catalog::Idempotency;
-use lagoongauge::mark::contention::AdmissionCounts;
+use lagoongauge::mark::admission::contention::AdmissionCounts;
 use lagoongauge::mark::loss::{RequestCounts, RequestKind};
 use lagoongauge::mark::{Cause, LinkUse};
 use log::kv::Value;
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format; label values come from fixed lists only.
 
 use indexmap::IndexMap;
-use lagoongauge::mark::contention::AdmissionCounts;
+use lagoongauge::mark::admission::contention::AdmissionCounts;
 use lagoongauge::mark::{Cause, EjectionKind};
 use lagoongauge::time::Span;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
--- a/lagoongauged/src/measure/burst/simulation.rs
+++ b/lagoongauged/src/measure/burst/simulation.rs
@@ -6,8 +6,8 @@
 use lagoongauge::catalog::{Catalog, Idempotency, RawCatalog, RawRoute, RawWeightedService};
 use lagoongauge::flow::HashKey;
 use lagoongauge::id::{HostId, TargetId};
+use lagoongauge::mark::load::reporting::ReportScheduler;
 use lagoongauge::mark::placement::Policy;
-use lagoongauge::mark::reporting::ReportScheduler;
 use lagoongauge::mark::{
     Features, FlowKey, LoadReport, Mark, Router, RouterConfig, Segment, SegmentKind, Verdict,
 };
