--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -9,6 +9,7 @@
 mod opening;
 mod overload;
 mod placing;
+mod status;
 mod warmup;
 
 pub use self::evidence::{EjectionChange, EvidenceCounts};
@@ -17,15 +18,14 @@
 
 use indexmap::IndexMap;
 
+use self::admission::RoomState;
 use self::evidence::EvidencePool;
 use self::link::OwnLink;
 use self::overload::ServiceOverloads;
+use self::status::HostStatus;
 use crate::catalog::Catalog;
 use crate::flow::HashKey;
 use crate::id::{HostId, TargetId};
-use crate::mark::admission::contention::Contention;
-use crate::mark::admission::moves::MoveDetector;
-use crate::mark::admission::room::{CentreDemand, PressureTable};
 use crate::mark::admission::warmup::WarmupBudget;
 use crate::mark::evidence::centre::Centres;
 use crate::mark::features::Features;
@@ -44,19 +44,6 @@
 use crate::roster::{Entry, Phase};
 use crate::time::{Instant, Span};
 
-/// Time without contact with a quorum of control hosts after which this host counts as cut off.
-const CUT_OFF_TIMEOUT: Span = Span::millis(1000);
-
-/// Time for which a confirmation by a quorum of control hosts is valid; it is renewed several times
-/// within it.
-const CONFIRMATION_LIFETIME: Span = Span::millis(1500);
-
-/// Pause of this host after which the fabric has delivered callers' retransmissions to other hosts.
-const STALL_THRESHOLD: Span = Span::millis(1000);
-
-/// Time after a stall within which this host processes the packets queued during it.
-const STALL_RECOVERY: Span = Span::millis(200);
-
 /// Configuration of a router.
 #[derive(Debug, Clone)]
 pub struct RouterConfig {
@@ -91,31 +78,15 @@
     version: u64,
     /// Whether the settings or the catalog ask for the parts for contended deployments.
     contended: bool,
-    /// Admission by service, where callers compete for room.
-    contention: IndexMap<String, Contention>,
+    /// Room in each data centre, and the order in which it is given away.
+    room: RoomState,
     /// Services whose targets are overloaded.
     overloads: ServiceOverloads,
-    centre_pressures: PressureTable,
-    moves: MoveDetector,
-    /// When the requests that take no room were last counted.
-    counted_at: Instant,
-    /// Demand in each data centre at the decision on the current flow; a reused buffer.
-    demands: Vec<CentreDemand>,
     /// This host's link, if it is limited and the deployment is contended.
     link: Option<OwnLink>,
-    current: bool,
     /// Other entry hosts of this data centre, as far as they are known.
     local_hosts: u32,
-    /// When this host last was in contact with a quorum of control hosts.
-    confirmed_at: Instant,
-    /// When the first catalog was active, or `None` before that.
-    ready_at: Option<Instant>,
-    /// Time of the latest tick, or `None` before the first one.
-    last_tick: Option<Instant>,
-    /// Until when SYNs may have been queued during a stall.
-    stale_until: Instant,
-    /// Whether this host was asked to end.
-    stopping: bool,
+    status: HostStatus,
 }
 
 impl Router {
@@ -149,19 +120,10 @@
             version: 0,
             contended,
             link: None,
-            contention: IndexMap::new(),
             overloads: ServiceOverloads::default(),
-            centre_pressures: PressureTable::default(),
-            moves: MoveDetector::default(),
-            counted_at: Instant::default(),
-            demands: Vec::new(),
-            current: false,
+            room: RoomState::default(),
             local_hosts: 0,
-            confirmed_at: Instant::default(),
-            ready_at: None,
-            last_tick: None,
-            stale_until: Instant::default(),
-            stopping: false,
+            status: HostStatus::default(),
         }
     }
 
@@ -237,17 +199,6 @@
         self.frontends = kept;
     }
 
-    /// Sets whether a quorum of control hosts confirms that this host's state is current.
-    pub fn set_current(&mut self, now: Instant, current: bool) {
-        if self.current || current {
-            self.confirmed_at = now;
-        }
-        if current {
-            self.warmup.record_contact(now);
-        }
-        self.current = current;
-    }
-
     /// Sets the number of other entry hosts in this data centre, which share its targets.
     pub fn set_local_hosts(&mut self, count: u32) {
         self.local_hosts = count;
@@ -258,22 +209,6 @@
         self.config.features.switches.is_on(mechanism)
     }
 
-    /// Returns whether a quorum of control hosts confirms that this host's state is current. A
-    /// confirmation expires, as this host may have been suspended since.
-    fn is_current(&self, now: Instant) -> bool {
-        self.current && now.since(self.confirmed_at) < CONFIRMATION_LIFETIME
-    }
-
-    /// Records that this host was asked to end: no packet has to wait for room any more.
-    pub fn set_stopping(&mut self) {
-        self.stopping = true;
-    }
-
-    /// Returns whether this host has been without contact with a quorum for some time.
-    fn is_cut_off(&self, now: Instant) -> bool {
-        !self.current && now.since(self.confirmed_at) >= CUT_OFF_TIMEOUT
-    }
-
     /// Applies a target's latest announcement, and whether the target is silent.
     pub fn set_target(&mut self, now: Instant, entry: &Entry, silent: bool) {
         let centre = self.centres.key(&entry.centre);
@@ -283,28 +218,22 @@
 
     /// Stores the load report of another entry host.
     pub fn set_report(&mut self, now: Instant, host: HostId, report: LoadReport) {
-        self.centre_pressures.merge(now, &self.config.centre, &report.pressures);
+        self.room.pressures.merge(now, &self.config.centre, &report.pressures);
         if !self.is_on(Mechanism::LoadReports) {
             return;
         }
         self.targets.set_report(now, host, report);
     }
 
-    fn has_stalled(&self, now: Instant) -> bool {
-        self.last_tick.is_some_and(|last_tick| now.since(last_tick) >= STALL_THRESHOLD)
-    }
-
     /// Handles a stall that has just ended: queued SYNs are stale, and this host saw no answers
     /// during it, which counts against no target.
     fn handle_stall(&mut self, now: Instant) {
-        if !self.has_stalled(now) {
+        if !self.status.end_stall(now) {
             return;
         }
         self.warmup.record_disturbance(now);
-        self.last_tick = Some(now);
-        self.stale_until = now + STALL_RECOVERY;
         let running = self.targets.iter_mut().filter(|target| target.phase != Phase::Gone);
-        running.for_each(|target| target.excuse_until(self.stale_until));
+        running.for_each(|target| target.excuse_until(self.status.stale_until));
         self.evidence.clear();
     }
 
@@ -313,7 +242,7 @@
     /// Must be called several times per second, as a long pause counts as a stall.
     pub fn tick(&mut self, now: Instant) {
         self.handle_stall(now);
-        self.last_tick = Some(now);
+        self.status.last_tick = Some(now);
         self.record_returns(now);
         let unopened = self.flows.remove_expired(now, &mut self.targets);
         self.record_unopened(now, &unopened);
@@ -350,17 +279,17 @@
             link.meter.record_packet(now, segment.length);
         }
         let idempotency = match self.frontends.get(&segment.flow_key.frontend) {
-            None if self.is_current(now) && segment.kind == SegmentKind::Syn => {
+            None if self.status.is_current(now) && segment.kind == SegmentKind::Syn => {
                 return Verdict::Reset(Cause::NoRoute);
             }
             None => return Verdict::Drop(Cause::NoRoute),
             Some(frontend) if frontend.is_removed() => return Verdict::Reset(Cause::RouteRemoved),
             Some(frontend) => frontend.idempotency,
         };
-        self.ready_at.get_or_insert(now);
+        self.status.ready_at.get_or_insert(now);
         let times = PacketTimes { now, arrived };
         match segment.kind {
-            SegmentKind::Syn if now < self.stale_until => Verdict::Drop(Cause::Stale),
+            SegmentKind::Syn if now < self.status.stale_until => Verdict::Drop(Cause::Stale),
             SegmentKind::Syn => self.open_flow(times, segment),
             _ => self.continue_flow(times, segment, idempotency),
         }
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -58,7 +58,7 @@
         } else {
             if known.is_none_or(|flow| flow.target != key) {
                 if self.is_on(Mechanism::MoveDetection) {
-                    self.moves.record_resumed(now);
+                    self.room.moves.record_resumed(now);
                 }
                 self.flows.remove(&mut self.targets, segment.flow_key);
                 self.flows.insert(
@@ -101,7 +101,7 @@
     /// Returns whether a flow's target, or its whole data centre, is unreachable. A host whose own
     /// link was busy may have received neither answers nor messages of control hosts.
     fn is_unreachable(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
-        let cut_off = self.is_cut_off(now) && !self.is_link_busy(now);
+        let cut_off = self.status.is_cut_off(now) && !self.is_link_busy(now);
         self.targets[key].is_unreachable(now, cut_off)
             || self.waits_for_unreachable_centre(now, key, flow)
     }
--- a/lagoongauge/src/mark/router/evidence.rs
+++ b/lagoongauge/src/mark/router/evidence.rs
@@ -136,7 +136,7 @@
         self.handle_stall(now);
         for statement in statements {
             let accepted = self.pools_evidence()
-                && now >= self.stale_until
+                && now >= self.status.stale_until
                 && self.accept(now, host, *statement);
             let counts = &mut self.evidence.counts;
             counts.accepted += u64::from(accepted);
--- a/lagoongauge/src/mark/router/opening.rs
+++ b/lagoongauge/src/mark/router/opening.rs
@@ -19,7 +19,7 @@
     pub(super) fn open_flow(&mut self, times: PacketTimes, segment: &Segment) -> Verdict {
         let PacketTimes { now, arrived } = times;
         self.record_returns(now);
-        self.demands.clear();
+        self.room.demands.clear();
         let mut avoided = None;
         let mut unseen_syns = segment.acknowledged;
         let link_busy = self.is_link_busy(now);
@@ -59,7 +59,7 @@
         };
         self.record_placed(now, key);
         self.count_warmup_flow(now, key);
-        self.moves.record_opened(now);
+        self.room.moves.record_opened(now);
         if let Some(frontend) = self.frontends.get_mut(&segment.flow_key.frontend) {
             frontend.count_flow();
         }
--- a/lagoongauge/src/mark/router/overload.rs
+++ b/lagoongauge/src/mark/router/overload.rs
@@ -79,7 +79,7 @@
     /// copy of a SYN is never refused, as for want of room.
     pub(super) fn refuse_for_overload(&mut self, now: Instant, segment: &Segment) -> Option<Cause> {
         let is_on = self.is_on(Mechanism::OverloadLimit);
-        if !is_on || segment.acknowledged > 0 || is_recovering(now, self.ready_at) {
+        if !is_on || segment.acknowledged > 0 || is_recovering(now, self.status.ready_at) {
             return None;
         }
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
--- a/lagoongauge/src/mark/router/warmup.rs
+++ b/lagoongauge/src/mark/router/warmup.rs
@@ -35,7 +35,7 @@
     pub(super) fn is_warming(&self, now: Instant, key: TargetKey, limit: ServiceLimit) -> bool {
         let target = &self.targets[key];
         let returned_at = self.centres.returned_at(target.centre);
-        let discovered = self.ready_at.is_some_and(|ready_at| {
+        let discovered = self.status.ready_at.is_some_and(|ready_at| {
             target.learned_at >= ready_at + DISCOVERY_PERIOD
                 && now.since(target.learned_at) < limit.warmup
         });
