--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -36,7 +36,7 @@
 use crate::mark::load::{LoadCount, LoadReport};
 use crate::mark::loss::{LossLedger, RequestCounts, RequestKind};
 use crate::mark::placement::{Candidate, LeastCost, Policy};
-use crate::mark::switches::Mechanism;
+use crate::mark::switches::{Mechanism, Switches};
 use crate::mark::target::Target;
 use crate::mark::target::table::TargetTable;
 use crate::mark::verdict::{Cause, Verdict};
@@ -204,9 +204,14 @@
         self.local_hosts = count;
     }
 
+    /// Returns which mechanisms are switched off.
+    pub fn switches(&self) -> Switches {
+        self.config.features.switches
+    }
+
     /// Returns whether a mechanism is switched on.
     fn is_on(&self, mechanism: Mechanism) -> bool {
-        self.config.features.switches.is_on(mechanism)
+        self.switches().is_on(mechanism)
     }
 
     /// Applies a target's latest announcement, and whether the target is silent.
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -38,6 +38,7 @@
     version: IntGauge,
     flows: IntGauge,
     targets: IntGauge,
+    disabled: IntGauge,
     overloaded: IntGauge,
     ready: IntGauge,
     evacuated_centres: IntGauge,
@@ -111,6 +112,7 @@
             version: registry.gauge("catalog_version", "Version of the catalog in force.")?,
             flows: registry.gauge("flows", "Flows that are remembered.")?,
             targets: registry.gauge("serving_targets", "Targets that take new flows.")?,
+            disabled: registry.gauge("disabled_mechanisms", "Mechanisms that are switched off.")?,
             overloaded: registry.gauge(
                 "overloaded_services",
                 "Services whose targets reject requests and answer late.",
@@ -163,6 +165,7 @@
         self.flows.set(flows as i64);
         self.targets.set(targets as i64);
         self.pressure.set(state.pressure().into());
+        self.disabled.set(state.disabled_count() as i64);
         self.overloaded.set(state.overloaded_count() as i64);
         self.ready.set(i64::from(state.is_ready()));
         self.evacuated_centres.set(state.evacuated_count() as i64);
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -166,6 +166,11 @@
         self.router().pressure()
     }
 
+    /// Returns the number of mechanisms that are switched off.
+    pub fn disabled_count(&self) -> usize {
+        self.router().switches().off().count()
+    }
+
     /// Returns the number of services whose targets are overloaded.
     pub fn overloaded_count(&self) -> usize {
         self.router().overloaded_count()
