Take late answers that overtake others for no rejections, and refuse none on new routes

The soak's targets had paused: all their answers were seen at once, late and in any order. Ruled out: a wrong catalog; the host served the version. Change: only answers in time can be rejections; a frontend with fewer than 32 recent flows is never refused for overload, as it does not make the crowd and a reset there looks like a missing route. A test for each failed before.

--- a/lagoongauge/src/mark/admission/overload.rs
+++ b/lagoongauge/src/mark/admission/overload.rs
@@ -67,9 +67,10 @@
 }
 
 impl Answer {
-    /// Returns whether the target rejected the request.
+    /// Returns whether the target rejected the request. What comes late in any order does not wait in a
+    /// full queue: after a pause of the target or of this host all answers are seen at once.
     pub fn is_rejection(self) -> bool {
-        self.overtaken >= OVERTAKEN_PER_SLOT * usize::from(self.slots.max(1))
+        !self.late && self.overtaken >= OVERTAKEN_PER_SLOT * usize::from(self.slots.max(1))
     }
 }
 
--- a/lagoongauge/src/mark/frontend.rs
+++ b/lagoongauge/src/mark/frontend.rs
@@ -11,6 +11,9 @@
 /// Number of flows at which the counters are halved, so that earlier flows count for less.
 const DECAY_FLOWS: u32 = 256;
 
+/// Number of recent flows below which a frontend is hardly used.
+const BUSY_FLOWS: u32 = 32;
+
 /// A frontend address with the services that its flows may use.
 #[derive(Debug, Clone)]
 pub(super) struct Frontend {
@@ -89,6 +92,11 @@
         }
     }
 
+    /// Returns whether so many flows are opened here that they add to a crowd.
+    pub(super) fn is_busy(&self) -> bool {
+        self.flows >= BUSY_FLOWS
+    }
+
     /// Counts a request.
     pub(super) fn count_request(&mut self) {
         self.requests = self.requests.saturating_add(1);
--- a/lagoongauge/src/mark/router/overload.rs
+++ b/lagoongauge/src/mark/router/overload.rs
@@ -76,7 +76,8 @@
     /// are full.
     ///
     /// What piles up while the fleet is down ends by itself, and late requests wait for room already. A
-    /// copy of a SYN is never refused, as for want of room.
+    /// copy of a SYN is never refused, as for want of room. A frontend that is hardly used does not make
+    /// the crowd, and a reset there would look as if this host did not know the route.
     pub(super) fn refuse_for_overload(&mut self, now: Instant, segment: &Segment) -> Option<Cause> {
         let is_on = self.is_on(Mechanism::OverloadLimit);
         if !is_on || segment.acknowledged > 0 || is_recovering(now, self.status.ready_at) {
@@ -84,7 +85,7 @@
         }
         let frontend = self.frontends.get(&segment.flow_key.frontend)?;
         let service = frontend.pick_service(self.flow_hash(segment.flow_key))?;
-        if !self.overloads.is_active(now, service) {
+        if !frontend.is_busy() || !self.overloads.is_active(now, service) {
             return None;
         }
         let by_priority = self.is_on(Mechanism::PriorityOrder);
--- a/lagoongauge/tests/marks/crowd.rs
+++ b/lagoongauge/tests/marks/crowd.rs
@@ -361,6 +361,21 @@
     }
 }
 
+/// Callers who test a route that has just been added take a reset for an older configuration.
+#[test]
+fn a_flow_to_a_new_route_is_not_refused_in_a_crowd() {
+    let mut crowd = Crowd::new(Switches::default(), 1);
+    crowd.run(CROWD_AT_MS, USUAL_LOAD);
+    crowd.run(2000, 1.15);
+    let added = SocketAddrV4::new(*FRONTEND.ip(), 20_051);
+    crowd.host.set_routes(3, &[(FRONTEND, "desk"), (OTHER_FRONTEND, "desk"), (added, "desk")]);
+    assert_eq!(crowd.host.router.overloaded_count(), 1);
+    for caller in 1..=5 {
+        let verdict = crowd.host.open_to(caller, added);
+        assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}");
+    }
+}
+
 fn answer(late: bool, overtaken: usize) -> Answer {
     Answer { late, overtaken, slots: 2 }
 }
@@ -381,6 +396,8 @@
     assert!(!observe(&mut overload, 1000, &[late; 20]), "a queue that rejects nothing");
     let quick = [[on_time; 15], [rejection; 15]].concat();
     assert!(!observe(&mut overload, 2000, &quick), "short queues");
+    let stalled = [[late; 10], [answer(true, 4); 10]].concat();
+    assert!(!observe(&mut overload, 2500, &stalled), "all answers of a pause are seen at once");
     let full = [[late; 10], [rejection; 10]].concat();
     assert!(observe(&mut overload, 3000, &full));
     assert!(observe(&mut overload, 4000, &[late; 20]), "queues are still long");
