--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -14,6 +14,7 @@
 
 use super::host::SharedHost;
 use super::message::{FeedAck, FeedMessage};
+use super::version::VersionRange;
 use crate::frame;
 
 /// Maximum interval between two messages to an entry host.
@@ -33,15 +34,37 @@
 /// Timeout for an entry host to accept a chunk of a message, and to send an acknowledgement.
 const IO_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// An entry host that subscribed to a feed.
+#[derive(Debug)]
+pub(super) struct Subscriber {
+    /// Its id.
+    pub(super) entry: HostId,
+    /// Name of its data centre.
+    pub(super) centre: String,
+    /// Version of its catalog.
+    pub(super) version: u64,
+    /// Whether another control host sends catalogs first.
+    pub(super) secondary: bool,
+    /// Versions of messages that it speaks.
+    pub(super) versions: VersionRange,
+}
+
 /// Feeds an entry host until its connection is lost.
+///
+/// Fails with `Unsupported` if the hosts have no version in common; the entry host learns it first.
 pub(super) async fn serve<S: Store + 'static>(
     host: SharedHost<S>,
-    entry: HostId,
-    centre: String,
-    (version, secondary): (u64, bool),
+    subscriber: Subscriber,
     stream: TcpStream,
 ) -> Result<()> {
+    let Subscriber { entry, centre, version, secondary, versions } = subscriber;
     let (mut reader, mut writer) = stream.split();
+    let agreed = host.versions.borrow_mut().record(entry, versions);
+    if versions != VersionRange::UNSAID {
+        let own = FeedMessage::Versions(VersionRange::OWN);
+        frame::write(&mut writer, &own, IO_TIMEOUT).await?;
+    }
+    agreed?;
     let entry_version = Cell::new(version);
     let opened = Instant::now();
     let mut sent =
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -27,6 +27,7 @@
 use super::metrics::Metrics;
 use super::stall::StallDetector;
 use super::target_batches::{TargetBatch, TargetBatches};
+use super::version::PeerVersions;
 use crate::daemon::{Clock, OpenRequests};
 use crate::engine::Engine;
 
@@ -83,6 +84,8 @@
     batches: RefCell<TargetBatches>,
     pub(super) links: RefCell<IndexMap<HostId, Link>>,
     entry_hosts: RefCell<IndexMap<HostId, EntryHost>>,
+    /// Versions that the other hosts speak.
+    pub(super) versions: RefCell<PeerVersions>,
     /// Latest heartbeats that have not been sent to the other control hosts.
     heartbeats: RefCell<IndexMap<TargetId, Heartbeat>>,
     /// Senders that wake the feeds.
@@ -123,6 +126,7 @@
             batches: RefCell::default(),
             links: RefCell::default(),
             entry_hosts: RefCell::default(),
+            versions: RefCell::default(),
             heartbeats: RefCell::default(),
             feeds: RefCell::default(),
             centres: RefCell::default(),
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -1,6 +1,6 @@
 //! Connections between control hosts.
 
-use std::io::Result;
+use std::io::{ErrorKind, Result};
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -11,8 +11,9 @@
 use lagoongauge::replica::Store;
 
 use super::host::SharedHost;
-use super::message::{Hello, PeerMessage, host_address};
+use super::message::{Greeting, Hello, PeerMessage, host_address};
 use super::outgoing::Outgoing;
+use super::version::{Incoming, VersionRange};
 use crate::daemon::{Backoff, spawn_task};
 use crate::frame;
 
@@ -25,6 +26,10 @@
 /// Time without a message after which a connection counts as lost; host lists are sent more often.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_millis(4000);
 
+/// Time before a host is connected again that speaks no version of this one; it does so only after an
+/// upgrade.
+pub(crate) const INCOMPATIBLE_PAUSE: Duration = Duration::from_secs(30);
+
 /// Outgoing messages to one control host.
 #[derive(Debug, Default)]
 pub(super) struct Link {
@@ -74,6 +79,7 @@
 async fn keep_connected<S: Store + 'static>(host: SharedHost<S>, peer: HostId) {
     let address = host_address(peer, host.setup.port);
     let mut failing = false;
+    let mut incompatible = false;
     let mut backoff = Backoff::default();
     let (sender, mut redial) = mpsc::channel(1);
     if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
@@ -90,6 +96,7 @@
                 );
                 failing = false;
                 backoff.reset();
+                incompatible = is_incompatible(&result);
             }
             Err(error) if !failing => {
                 log::warn!("failed to connect to control host {peer} at {address}: {error}");
@@ -97,15 +104,21 @@
             }
             Err(_) => {}
         }
+        host.versions.borrow_mut().remove(peer);
         if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
             link.waker = None;
             link.outgoing.end_connection();
         }
+        let pause = if incompatible { INCOMPATIBLE_PAUSE } else { backoff.next_delay() };
         // The next attempt follows whether the pause is over or the other host was seen.
-        let _ = timeout(backoff.next_delay(), redial.next()).await;
+        let _ = timeout(pause, redial.next()).await;
     }
 }
 
+fn is_incompatible(result: &Result<()>) -> bool {
+    result.as_ref().is_err_and(|error| error.kind() == ErrorKind::Unsupported)
+}
+
 fn close_reason(result: &Result<()>) -> String {
     result.as_ref().err().map_or_else(|| "connection closed by peer".into(), ToString::to_string)
 }
@@ -117,8 +130,8 @@
     stream: TcpStream,
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
-    let hello = Hello::Control { host: host.setup.host };
-    frame::write(&mut writer, &hello, ACK_TIMEOUT).await?;
+    let greeting = Greeting::new(Hello::Control { host: host.setup.host });
+    frame::write(&mut writer, &greeting, ACK_TIMEOUT).await?;
     let (sender, mut wakeups) = mpsc::channel(1);
     queue_state(host, peer, sender);
     let sender_task = async {
@@ -130,12 +143,19 @@
         }
     }
     .fuse();
+    let mut versions_known = false;
     let receiver_task = async {
         loop {
             let has_unacked = |link: &Link| link.outgoing.has_unacknowledged();
             let unacked = host.links.borrow().get(&peer).is_some_and(has_unacked);
             let limit = if unacked { ACK_TIMEOUT } else { IDLE_TIMEOUT };
-            let count: u64 = frame::read(&mut reader, limit).await?;
+            let bytes = frame::read_bytes(&mut reader, limit).await?;
+            let (count, trailer) = frame::decode_prefix(&bytes)?;
+            // Only the first acknowledgement of a connection tells the versions.
+            if !versions_known {
+                host.versions.borrow_mut().record(peer, VersionRange::from_trailer(trailer)?)?;
+                versions_known = true;
+            }
             if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
                 link.outgoing.handle_ack(count);
             }
@@ -164,21 +184,38 @@
 }
 
 /// Receives messages from another control host and acknowledges each with their count.
+///
+/// Fails with `Unsupported` if the hosts have no version in common; the other one learns it first.
 pub(super) async fn receive<S: Store + 'static>(
     host: SharedHost<S>,
     peer: HostId,
+    versions: VersionRange,
     stream: TcpStream,
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
+    let agreed = host.versions.borrow_mut().record(peer, versions);
+    if let Err(incompatible) = agreed {
+        frame::write(&mut writer, &(0u64, VersionRange::OWN), ACK_TIMEOUT).await?;
+        return Err(incompatible.into());
+    }
     host.add_controls(&[peer]);
     if let Some(link) = host.links.borrow_mut().get_mut(&peer) {
         link.dial_now();
     }
     let mut count = 0u64;
     loop {
-        let message: PeerMessage = frame::read(&mut reader, IDLE_TIMEOUT).await?;
-        host.handle_message(peer, message);
+        let bytes = frame::read_bytes(&mut reader, IDLE_TIMEOUT).await?;
+        match Incoming::from_bytes(&bytes)? {
+            Incoming::Known(message) => host.handle_message(peer, message),
+            Incoming::Unknown(variant) => {
+                host.versions.borrow_mut().count_unknown(peer, variant);
+            }
+        }
         count += 1;
-        frame::write(&mut writer, &count, ACK_TIMEOUT).await?;
+        if count == 1 && versions != VersionRange::UNSAID {
+            frame::write(&mut writer, &(count, VersionRange::OWN), ACK_TIMEOUT).await?;
+        } else {
+            frame::write(&mut writer, &count, ACK_TIMEOUT).await?;
+        }
     }
 }
--- a/lagoongauged/src/cluster/message.rs
+++ b/lagoongauged/src/cluster/message.rs
@@ -1,5 +1,6 @@
 //! Messages between control hosts, and from control hosts to entry hosts.
 
+use std::io::Result;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use lagoongauge::catalog::EvacuatedCentres;
@@ -8,6 +9,19 @@
 use serde::{Deserialize, Serialize};
 
 use super::compressed::{CompressedDocument, CompressedTargets};
+use super::version::{Extensible, VersionRange};
+use crate::frame;
+
+/// First frame on every connection: who opened it, and which versions that host speaks.
+///
+/// Hosts of the first version send the hello alone and ignore what follows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Greeting {
+    /// The host that opened the connection.
+    pub hello: Hello,
+    /// Versions that it speaks.
+    pub versions: VersionRange,
+}
 
 /// First message on every connection, which identifies the host that opened it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +65,19 @@
     Heartbeats(Vec<Heartbeat>),
 }
 
+impl Greeting {
+    /// Greets as a host of this version.
+    pub fn new(hello: Hello) -> Self {
+        Self { hello, versions: VersionRange::OWN }
+    }
+
+    /// Decodes the content of a frame; fails with `InvalidData`.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        let (hello, trailer) = frame::decode_prefix(bytes)?;
+        Ok(Self { hello, versions: VersionRange::from_trailer(trailer)? })
+    }
+}
+
 impl PeerMessage {
     /// Returns whether the message must not be delivered late, as its meaning changes with time.
     pub(super) fn is_transient(&self) -> bool {
@@ -80,6 +107,16 @@
     /// Evacuated data centres. They are sent only once there was an order, as entry hosts of earlier
     /// versions can't read them.
     Evacuated(EvacuatedCentres),
+    /// Versions that the control host speaks; sent first, and only to an entry host that said its own.
+    Versions(VersionRange),
+}
+
+impl Extensible for PeerMessage {
+    const VARIANTS: u32 = 5;
+}
+
+impl Extensible for FeedMessage {
+    const VARIANTS: u32 = 6;
 }
 
 /// Another entry host with which an entry host shares its load counts.
--- a/lagoongauged/src/cluster/metrics.rs
+++ b/lagoongauged/src/cluster/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{Histogram, IntGauge, IntGaugeVec};
 
 use super::host::Host;
+use super::version::VersionMetrics;
 use crate::daemon::metrics::MetricRegistry;
 
 /// Upper bounds of the buckets of the change histogram, in seconds.
@@ -23,6 +24,7 @@
     entry_hosts: IntGauge,
     targets: IntGaugeVec,
     evacuated_centres: IntGauge,
+    versions: VersionMetrics,
 }
 
 /// Values of the label `state`, in the order of `Host::count_targets`.
@@ -54,6 +56,7 @@
             evacuated_centres: registry
                 .gauge("evacuated_centres", "Data centres that operators have evacuated.")?,
             targets: registry.gauge_vec("targets", "Targets that are known, by state.", "state")?,
+            versions: VersionMetrics::new(&registry)?,
             registry,
         })
     }
@@ -77,6 +80,7 @@
         for (state, count) in TARGET_STATES.iter().zip(host.count_targets()) {
             self.targets.with_label_values(&[state]).set(count);
         }
+        self.versions.update(&host.versions.borrow());
         self.registry.render()
     }
 }
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -18,11 +18,13 @@
 mod run;
 pub mod stall;
 pub mod target_batches;
+pub mod version;
 
 pub use self::bounds::{Bounds, ExceededBound};
 pub use self::compressed::{CompressedDocument, CompressedTargets};
 pub(crate) use self::feed::FEED_TIMEOUT;
 pub use self::host::{Host, Setup, SharedHost};
+pub(crate) use self::link::INCOMPATIBLE_PAUSE;
 pub use self::roster_file::RosterFile;
 pub use self::run::run;
 
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -1,6 +1,7 @@
 //! Startup and main loop of a control host.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,11 +12,12 @@
 use lagoongauge::time::{Instant, Span};
 
 use super::change_log::ChangeLog;
+use super::feed::{self, Subscriber};
 use super::host::{Host, Setup, SharedHost, gossip};
-use super::message::{Hello, host_address};
+use super::link;
+use super::message::{Greeting, Hello, host_address};
 use super::metrics::Metrics;
 use super::roster_file::{RosterFile, persist_changes};
-use super::{feed, link};
 use crate::daemon::{Clock, Stop, isolate_task, spawn_task};
 use crate::engine::Engine;
 use crate::frame;
@@ -135,8 +137,8 @@
 async fn accept_connections<S: Store + 'static>(host: SharedHost<S>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let task = handle_connection(Rc::clone(&host), stream);
+            Ok((stream, peer)) => {
+                let task = handle_connection(Rc::clone(&host), peer, stream);
                 spawn_local(isolate_task("connection from another host", task));
             }
             Err(error) => {
@@ -147,10 +149,14 @@
     }
 }
 
-async fn handle_connection<S: Store + 'static>(host: SharedHost<S>, stream: TcpStream) {
+async fn handle_connection<S: Store + 'static>(
+    host: SharedHost<S>,
+    peer: SocketAddr,
+    stream: TcpStream,
+) {
     let result = serve_connection(host, stream).await;
     if let Err(error) = result {
-        log::debug!("connection from another host ended: {error}");
+        log::debug!("connection from {peer} ended: {error}");
     }
 }
 
@@ -160,11 +166,15 @@
 ) -> io::Result<()> {
     frame::configure(&stream)?;
     let mut reader = stream.clone();
-    match frame::read(&mut reader, HELLO_TIMEOUT).await? {
-        Hello::Control { host: peer } => link::receive(host, peer, stream).await,
+    let bytes = frame::read_bytes(&mut reader, HELLO_TIMEOUT).await?;
+    let Greeting { hello, versions } = Greeting::from_bytes(&bytes)?;
+    match hello {
+        Hello::Control { host: peer } => link::receive(host, peer, versions, stream).await,
         Hello::Entry { host: entry, centre, version, secondary } => {
             log::info!("entry host {entry} in {centre} subscribed with version {version}");
-            let result = feed::serve(host, entry, centre, (version, secondary), stream).await;
+            let subscriber = Subscriber { entry, centre, version, secondary, versions };
+            let result = feed::serve(Rc::clone(&host), subscriber, stream).await;
+            host.versions.borrow_mut().remove(entry);
             log::info!("feed of entry host {entry} ended");
             result
         }
--- a/lagoongauged/src/frame.rs
+++ b/lagoongauged/src/frame.rs
@@ -92,6 +92,21 @@
 where
     R: AsyncRead + Unpin,
     T: DeserializeOwned,
+{
+    decode_prefix(&read_bytes(reader, time_limit).await?).map(|(message, _)| message)
+}
+
+/// Decodes the message at the start of a frame's content, and returns the bytes that follow it; fails
+/// with `InvalidData`.
+pub fn decode_prefix<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8])> {
+    postcard::take_from_bytes(bytes).map_err(|error| invalid_data(&error))
+}
+
+/// Reads the content of a frame; fails with `TimedOut` if a chunk of it does not arrive in time, and
+/// with `InvalidData` if it is too long.
+pub async fn read_bytes<R>(reader: &mut R, time_limit: Duration) -> Result<Vec<u8>>
+where
+    R: AsyncRead + Unpin,
 {
     let mut length = [0; 4];
     timeout(time_limit, reader.read_exact(&mut length)).await.map_err(|_| timed_out())??;
@@ -105,7 +120,7 @@
     for chunk in bytes.chunks_mut(CHUNK_BYTES) {
         timeout(time_limit, reader.read_exact(chunk)).await.map_err(|_| timed_out())??;
     }
-    postcard::from_bytes(&bytes).map_err(|error| invalid_data(&error))
+    Ok(bytes)
 }
 
 fn timed_out() -> Error {
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -9,12 +9,15 @@
 use async_std::task::sleep;
 use futures::future::pending;
 use futures::{AsyncReadExt, AsyncWrite, FutureExt, pin_mut, select};
+use indexmap::IndexMap;
 use lagoongauge::catalog::{Catalog, Document, EvacuatedCentres};
 use lagoongauge::id::HostId;
 
 use super::state::{Decode, FEED_COUNT, PRIMARY_FEED, SharedState};
 use crate::cluster::FEED_TIMEOUT;
-use crate::cluster::message::{FeedAck, FeedMessage, Hello, host_address};
+use crate::cluster::INCOMPATIBLE_PAUSE;
+use crate::cluster::message::{FeedAck, FeedMessage, Greeting, Hello, host_address};
+use crate::cluster::version::{Incoming, VersionRange};
 use crate::daemon::{Backoff, isolate_task};
 use crate::frame;
 
@@ -51,8 +54,19 @@
 ) {
     let mut next_index = feed;
     let mut backoff = Backoff::default();
+    // Control hosts that speak no version of this host, with the time until which they are left out.
+    let mut avoided: IndexMap<HostId, Instant> = IndexMap::new();
     loop {
-        let Some(control) = choose_control(&entry, &state, &active, feed, &mut next_index) else {
+        avoided.retain(|_, until| Instant::now() < *until);
+        let taken = |control: HostId| {
+            let others = active
+                .borrow()
+                .iter()
+                .enumerate()
+                .any(|(other, active)| other != feed && *active == Some(control));
+            others || avoided.contains_key(&control)
+        };
+        let Some(control) = choose_control(&entry, &state, taken, &mut next_index) else {
             sleep(backoff.next_delay()).await;
             continue;
         };
@@ -61,28 +75,27 @@
         active.borrow_mut()[feed] = None;
         match result {
             Ok(()) => backoff.reset(),
+            Err(error) if error.kind() == ErrorKind::Unsupported => {
+                avoided.insert(control, Instant::now() + INCOMPATIBLE_PAUSE);
+            }
             Err(error) => log::debug!("failed to connect to control host {control}: {error}"),
         }
         sleep(backoff.next_delay()).await;
     }
 }
 
-/// Returns the next control host that no other feed uses, in the order given by [`rank_control`].
+/// Returns the next control host that is not taken, in the order given by [`rank_control`].
 fn choose_control(
     entry: &EntryInfo,
     state: &SharedState,
-    active: &ActiveControls,
-    feed: usize,
+    is_taken: impl Fn(HostId) -> bool,
     next_index: &mut usize,
 ) -> Option<HostId> {
     let mut controls = state.controls();
     controls.sort_by_key(|control| rank_control(entry.host, *control));
-    let active = *active.borrow();
-    let others = active.iter().enumerate().filter(|(other, _)| *other != feed);
-    let taken: Vec<HostId> = others.filter_map(|(_, active)| *active).collect();
     let count = controls.len();
-    let order = (0..count).map(|step| (*next_index + step) % count);
-    let index = order.into_iter().find(|index| !taken.contains(&controls[*index]))?;
+    let mut order = (0..count).map(|step| (*next_index + step) % count);
+    let index = order.find(|index| !is_taken(controls[*index]))?;
     *next_index = index + 1;
     Some(controls[index])
 }
@@ -96,7 +109,8 @@
     crc32fast::hash(&bytes)
 }
 
-/// Subscribes to one control host until the feed is lost; fails if it can't be connected.
+/// Subscribes to one control host until the feed is lost; fails if it can't be connected, and with
+/// `Unsupported` if it speaks no version of this host.
 async fn subscribe<D: Decode>(
     feed: usize,
     entry: &EntryInfo,
@@ -108,7 +122,7 @@
     log::info!("subscribed to control host {control}");
     state.set_connected(feed, true);
     let result = {
-        let receiver_task = receive_feed(feed, entry, state, decoder, stream);
+        let receiver_task = receive_feed(feed, entry, state, decoder, (control, stream));
         let receiver_task = isolate_task("feed", receiver_task).fuse();
         let watcher_task = wait_until_behind(feed, state).fuse();
         pin_mut!(receiver_task, watcher_task);
@@ -119,7 +133,10 @@
     };
     state.set_connected(feed, false);
     log::warn!("subscription to control host {control} lost: {result:?}");
-    Ok(())
+    result.or_else(|error| match error.kind() {
+        ErrorKind::Unsupported => Err(error),
+        _ => Ok(()),
+    })
 }
 
 async fn receive_feed<D: Decode>(
@@ -127,18 +144,31 @@
     entry: &EntryInfo,
     state: &SharedState,
     decoder: &D,
-    stream: TcpStream,
+    (control, stream): (HostId, TcpStream),
 ) -> Result<()> {
     let (mut reader, mut writer) = stream.split();
     let version = state.version();
     let secondary = feed != PRIMARY_FEED;
     let hello = Hello::Entry { host: entry.host, centre: entry.centre.clone(), version, secondary };
-    frame::write(&mut writer, &hello, FEED_TIMEOUT).await?;
+    frame::write(&mut writer, &Greeting::new(hello), FEED_TIMEOUT).await?;
+    let mut first = true;
     let mut last_current = Instant::now();
     let mut pending_catalog = None;
     let mut pending_evacuated: Option<EvacuatedCentres> = None;
     loop {
-        match frame::read(&mut reader, FEED_TIMEOUT).await? {
+        let bytes = frame::read_bytes(&mut reader, FEED_TIMEOUT).await?;
+        let message = match Incoming::from_bytes(&bytes)? {
+            Incoming::Known(message) => message,
+            Incoming::Unknown(variant) => {
+                state.versions().count_unknown(control, variant);
+                continue;
+            }
+        };
+        if std::mem::take(&mut first) {
+            state.versions().record(control, said_versions(&message))?;
+        }
+        match message {
+            FeedMessage::Versions(_) => {}
             FeedMessage::Catalog(data) => pending_catalog = decode(decoder, &data.decompress()?),
             FeedMessage::Targets(targets) => state.set_targets(feed, targets),
             FeedMessage::CompressedTargets(targets) => {
@@ -192,6 +222,15 @@
     pending::<()>().await;
 }
 
+/// Returns the versions of a control host by the first message on its feed; one of the first version
+/// does not say them.
+fn said_versions(message: &FeedMessage) -> VersionRange {
+    match message {
+        FeedMessage::Versions(versions) => *versions,
+        _ => VersionRange::UNSAID,
+    }
+}
+
 fn panicked() -> Error {
     Error::new(ErrorKind::InvalidData, "a message of the control host led to a panic")
 }
--- a/lagoongauged/src/mark_entry/metrics.rs
+++ b/lagoongauged/src/mark_entry/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 use super::state::State;
+use crate::cluster::version::VersionMetrics;
 use crate::daemon::metrics::{MetricRegistry, advance_to};
 
 /// Upper bounds of the histogram of response times, in seconds.
@@ -43,6 +44,7 @@
     ready: IntGauge,
     evacuated_centres: IntGauge,
     evidence: EvidenceMetrics,
+    versions: VersionMetrics,
 }
 
 /// Metrics of the evidence that entry hosts pool on failing targets.
@@ -121,6 +123,7 @@
             evacuated_centres: registry
                 .gauge("evacuated_centres", "Data centres that get no new flows from here.")?,
             evidence: EvidenceMetrics::new(&registry)?,
+            versions: VersionMetrics::new(&registry)?,
             registry,
         })
     }
@@ -156,6 +159,7 @@
             advance_to(&self.dropped.with_label_values(&[cause.name()]), counters.dropped(cause));
         }
         self.evidence.update(state);
+        self.versions.update(&state.versions());
         let link = state.link_use();
         advance_to(&self.link_carried, link.carried_bytes);
         advance_to(&self.bulk_begun, link.begun_flows);
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -19,6 +19,7 @@
 use super::decision_log::DecisionLog;
 use super::metrics::Metrics;
 use crate::cluster::message::Neighbour;
+use crate::cluster::version::PeerVersions;
 use crate::daemon::Clock;
 
 /// Number of control hosts that an entry host subscribes to at a time.
@@ -78,6 +79,7 @@
     router: Mutex<Router>,
     cluster: Mutex<ClusterState>,
     held: Mutex<HeldPackets>,
+    versions: Mutex<PeerVersions>,
     /// Wakes the thread that releases held packets.
     releaser: SyncSender<()>,
     start_time: Instant,
@@ -117,6 +119,7 @@
             router: Mutex::new(router),
             cluster: Mutex::new(cluster),
             held: Mutex::default(),
+            versions: Mutex::default(),
             releaser,
             start_time: clock.now(),
             stopping: AtomicBool::new(false),
@@ -205,6 +208,11 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the versions that control hosts speak.
+    pub(super) fn versions(&self) -> MutexGuard<'_, PeerVersions> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns all known control hosts.
     pub(super) fn controls(&self) -> Vec<HostId> {
         self.cluster().controls.clone()
--- a/lagoongauged/tests/entry_start.rs
+++ b/lagoongauged/tests/entry_start.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,7 @@
 use lagoongauge::time::Span;
 use lagoongauged::cluster::CompressedDocument;
 use lagoongauged::cluster::message::{FeedMessage, Hello, host_id};
+use lagoongauged::cluster::version::{Version, VersionRange};
 use lagoongauged::daemon::Stop;
 use lagoongauged::frame;
 use lagoongauged::mark_entry::{self, Decode, Options, State};
@@ -75,6 +76,11 @@
     }
 }
 
+/// Versions of a host that also speaks a later one.
+fn later_versions() -> VersionRange {
+    VersionRange::try_from((Version::FIRST, Version(9))).unwrap()
+}
+
 fn target() -> Entry {
     Entry {
         target: TargetId(1),
@@ -100,6 +106,11 @@
         self.0.write_all(&frame::encode(message).unwrap()).ok()
     }
 
+    fn send_bytes(&mut self, message: &[u8]) -> Option<()> {
+        let length = (message.len() as u32).to_be_bytes();
+        self.0.write_all(&[&length, message].concat()).ok()
+    }
+
     fn send_status(&mut self, current: bool) -> Option<()> {
         let controls = controls();
         self.send(&FeedMessage::Status { current, controls, neighbours: Vec::new() })
@@ -283,3 +294,43 @@
     let taken_after = taken_after.expect("the evacuation is never taken");
     assert!(taken_after > Duration::from_millis(1000), "taken after {taken_after:?}");
 }
+
+/// A control host of a later version may send messages that this host does not know.
+#[test]
+fn unknown_messages_of_a_control_host_are_skipped() {
+    let script: Script = Arc::new(|mut feed, secondary| {
+        feed.send(&FeedMessage::Versions(later_versions()))?;
+        if secondary {
+            return feed.repeat_status(true, TEST_LIMIT);
+        }
+        feed.send_bytes(&[77, 1, 2, 3])?;
+        feed.send_target(false)?;
+        feed.send_status(true)?;
+        feed.send_catalog()?;
+        feed.repeat_status(true, TEST_LIMIT)
+    });
+    let ready_after = run_until(104, script, READY_LIMIT, State::is_ready);
+    assert!(ready_after.is_some(), "the host is not ready after {READY_LIMIT:?}");
+}
+
+/// A control host that speaks no version of this host is left alone, and another one is used.
+#[test]
+fn a_control_host_without_a_common_version_is_left_alone() {
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&connections);
+    let script: Script = Arc::new(move |mut feed, secondary| {
+        if counted.fetch_add(1, Ordering::SeqCst) == 0 {
+            let versions = VersionRange::try_from((Version(40), Version(41))).unwrap();
+            return feed.send(&FeedMessage::Versions(versions));
+        }
+        if !secondary {
+            feed.send_target(false)?;
+            feed.send_status(true)?;
+            feed.send_catalog()?;
+        }
+        feed.repeat_status(true, TEST_LIMIT)
+    });
+    let ready_after = run_until(105, script, TEST_LIMIT, State::is_ready);
+    assert!(ready_after.is_some(), "the host is not ready after {TEST_LIMIT:?}");
+    assert!(connections.load(Ordering::SeqCst) <= 3, "the host connects in a loop");
+}
