Count a control host as current only with all that was accepted before

Ruled out: entry hosts' own order of messages. A replica is now current once an entry of the leader's term is committed there, and a new leader tells its commit index at once. The test fails without the check.

--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -186,9 +186,13 @@
         self.setup.seeds = seeds;
     }
 
-    /// Returns whether this replica had contact with a leader within `limit`; on the leader,
-    /// whether a quorum answered it within `limit`.
-    pub fn has_leader_within(&self, now: Instant, limit: Span) -> bool {
+    /// Returns whether the state machine is as new as a leader knew it within `limit`: this replica
+    /// had contact with the leader then, or on the leader, a quorum answered it; and an entry of the
+    /// leader's term is committed here, so that all entries that were committed before are.
+    pub fn is_current_within(&self, now: Instant, limit: Span) -> bool {
+        if self.log.term(self.commit) != Some(self.ballot.term) {
+            return false;
+        }
         if self.is_leader() {
             return self.quorum_round(None).is_some_and(|round| now.since(round) < limit);
         }
--- a/lagoongauge/src/replica/leader.rs
+++ b/lagoongauge/src/replica/leader.rs
@@ -254,7 +254,12 @@
         if index <= self.commit || self.log.term(index) != Some(self.ballot.term) {
             return;
         }
+        let first = self.commit < leader.first_index;
         self.commit_to(index);
+        if first {
+            // The followers can't tell before whether their state is current.
+            self.send_heartbeats();
+        }
         if !self.configuration().is_voter(own) && self.check_configuration_committed().is_ok() {
             self.step_down();
         }
--- a/lagoongauge/tests/replica/rules.rs
+++ b/lagoongauge/tests/replica/rules.rs
@@ -255,7 +255,7 @@
     assert!(replica.core.is_leader());
     replica.now = replica.now + Span::seconds(5);
     let now = replica.now;
-    assert!(!replica.core.has_leader_within(now, Span::seconds(1)));
+    assert!(!replica.core.is_current_within(now, Span::seconds(1)));
     assert!(replica.core.propose(now, vec![1]).is_err(), "its lease has expired");
     assert!(replica.core.read_after(now).is_err());
     replica.advance(0);
--- a/lagoongauge/tests/replica/unattended.rs
+++ b/lagoongauge/tests/replica/unattended.rs
@@ -107,6 +107,36 @@
     }
 }
 
+/// A host whose disk holds an older commit index than was known before hears of the new leader before it
+/// hears of all that was accepted.
+#[test]
+fn a_follower_is_current_only_with_all_that_was_accepted_before() {
+    for seed in 0..40 {
+        let mut world = unattended_world(5);
+        world.timing = program_timing();
+        world.restart_all();
+        world.run(ELECTION_ROUNDS + seed);
+        let leader = find_leader(&world).unwrap();
+        world.propose(leader, b"last").unwrap().unwrap();
+        world.run(2);
+        let accepted = world.accepted.len();
+        world.restart_all();
+        let mut seen = 0;
+        while seen < world.hosts.len() {
+            world.run(1);
+            seen = 0;
+            for host in 0..world.hosts.len() {
+                let core = world.hosts[host].core.as_ref().unwrap();
+                if core.is_current_within(world.now(host), Span::seconds(1)) {
+                    let applied = core.machine().commands.len();
+                    assert_eq!(applied, accepted, "host {host} in run {seed} is not current");
+                    seen += 1;
+                }
+            }
+        }
+    }
+}
+
 /// Restarts all hosts in turn; returns how long after the start of a quorum a leader stands.
 fn time_from_quorum(world: &mut World) -> u64 {
     let count = world.hosts.len();
--- a/lagoongauged/src/engine.rs
+++ b/lagoongauged/src/engine.rs
@@ -97,9 +97,9 @@
     }
 
     /// Returns whether this host had contact with a quorum within `limit`, as the leader or through
-    /// it.
+    /// it, and has all changes that were accepted before.
     pub fn is_current(&self, now: Instant, limit: Span) -> bool {
-        self.core.has_leader_within(now, limit)
+        self.core.is_current_within(now, limit)
     }
 
     /// Returns all voters and learners.
