--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -92,6 +92,8 @@
     })?;
     let host = Rc::new(Host::new(setup, clock, engine, metrics));
     host.add_controls(&host.setup.seeds.clone());
+    // The members of the group as stored, of which the settings need not name any.
+    host.add_controls(&host.controls());
     serve(Rc::clone(&host)).await?;
     spawn_task("listener", accept_connections(Rc::clone(&host), listener));
     host.restore_targets(roster_file.read());
