Connect to hosts that were seen running at once, and to whichever control host runs

Cause: a link to a host without power tries again every 120 ms, also after that host has connected here; a feed of an entry host waited up to 500 ms for the control host of its choice while others ran; and the word of a new quorum waited 15 ms for a batch. Now a sign of the other host starts an attempt, a feed tries further control hosts 25 ms after each other and takes the first that answers, and a change of the quorum goes out at once.

--- a/lagoongauged/src/cluster/feed.rs
+++ b/lagoongauged/src/cluster/feed.rs
@@ -75,7 +75,8 @@
         loop {
             sent.raise_version(entry_version.get());
             send_changes(&host, entry, &centre, &mut sent, &mut writer).await?;
-            wait_for_changes(&mut wakeups).await;
+            let current = host.is_current();
+            wait_for_changes(&mut wakeups, || host.is_current() != current).await;
         }
     }
     .fuse();
@@ -163,8 +164,9 @@
     Ok(())
 }
 
-async fn wait_for_changes(wakeups: &mut mpsc::Receiver<()>) {
-    if timeout(STATUS_INTERVAL, wakeups.next()).await.is_ok() {
+/// Waits until there may be something to send; what is urgent is not held back for a batch.
+async fn wait_for_changes(wakeups: &mut mpsc::Receiver<()>, is_urgent: impl Fn() -> bool) {
+    if timeout(STATUS_INTERVAL, wakeups.next()).await.is_ok() && !is_urgent() {
         sleep(BATCH_DELAY).await;
     }
 }
--- a/lagoongauged/src/cluster/link.rs
+++ b/lagoongauged/src/cluster/link.rs
@@ -35,7 +35,7 @@
 pub(super) struct Link {
     outgoing: Outgoing,
     waker: Option<mpsc::Sender<()>>,
-    /// Ends the pause before the next connection attempt.
+    /// Starts the next connection attempt before it is due.
     redial: Option<mpsc::Sender<()>>,
     /// Whether the link's task has been started.
     running: bool,
@@ -86,7 +86,7 @@
         link.redial = Some(sender);
     }
     loop {
-        match frame::dial(address, CONNECT_TIMEOUT).await {
+        match frame::dial_with_signs(address, &mut redial, CONNECT_TIMEOUT).await {
             Ok(stream) => {
                 log::info!("connected to control host {peer} at {address}");
                 let result = run_connection(&host, peer, stream).await;
--- a/lagoongauged/src/frame.rs
+++ b/lagoongauged/src/frame.rs
@@ -9,8 +9,12 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use futures::stream::FuturesUnordered;
-use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, StreamExt};
+use async_std::task::sleep;
+use futures::future::select_ok;
+use futures::stream::{self, FuturesUnordered};
+use futures::{
+    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, Stream, StreamExt, select,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use socket2::SockRef;
@@ -25,23 +29,61 @@
 /// second.
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Delay between the first attempts to connect to one host and to the next of several; a host that runs
+/// answers within a round trip.
+const STAGGER: Duration = Duration::from_millis(25);
+
 /// Opens a connection to a host; fails with `TimedOut` if it does not answer in time.
 ///
 /// A host that is powered off does not answer and may come up at any moment, so further attempts
 /// are started until one succeeds or fails.
 pub async fn dial(address: SocketAddrV4, time_limit: Duration) -> Result<TcpStream> {
-    let stream = timeout(time_limit, connect(address)).await.map_err(|_| timed_out())??;
+    dial_with_signs(address, &mut stream::pending(), time_limit).await
+}
+
+/// Opens a connection to the first of several hosts that answers, and returns its index with it.
+///
+/// Earlier ones are preferred: each of the others is tried [`STAGGER`] later than the one before. Fails
+/// as [`dial`] does if none answers, and with `NotFound` without addresses.
+pub async fn dial_any(
+    addresses: &[SocketAddrV4],
+    time_limit: Duration,
+) -> Result<(usize, TcpStream)> {
+    if addresses.is_empty() {
+        return Err(Error::new(ErrorKind::NotFound, "no host to connect to is known"));
+    }
+    let attempts = addresses.iter().enumerate().map(|(index, address)| {
+        Box::pin(async move {
+            sleep(STAGGER * index as u32).await;
+            dial(*address, time_limit).await.map(|stream| (index, stream))
+        })
+    });
+    select_ok(attempts).await.map(|(first, _)| first)
+}
+
+/// Opens a connection to a host as [`dial`] does, with another attempt at each sign that the host runs.
+pub async fn dial_with_signs(
+    address: SocketAddrV4,
+    signs: &mut (impl Stream<Item = ()> + Unpin),
+    time_limit: Duration,
+) -> Result<TcpStream> {
+    let stream = timeout(time_limit, connect(address, signs)).await.map_err(|_| timed_out())??;
     configure(&stream)?;
     Ok(stream)
 }
 
 /// Starts parallel attempts and returns the result of the first one that completes.
-async fn connect(address: SocketAddrV4) -> Result<TcpStream> {
+async fn connect(
+    address: SocketAddrV4,
+    signs: &mut (impl Stream<Item = ()> + Unpin),
+) -> Result<TcpStream> {
     let mut attempts = FuturesUnordered::new();
     loop {
         attempts.push(TcpStream::connect(address));
-        if let Ok(Some(result)) = timeout(ATTEMPT_INTERVAL, attempts.next()).await {
-            return result;
+        let mut next_attempt = Box::pin(timeout(ATTEMPT_INTERVAL, signs.next()).fuse());
+        select! {
+            result = attempts.select_next_some() => return result,
+            _ = next_attempt => {}
         }
     }
 }
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -27,6 +27,9 @@
 /// Time without contact with a quorum after which a control host's feed is given up.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Interval at which a feed of a starting host checks whether the primary one is connected.
+const PRIMARY_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Interval at which a starting host compares its feeds.
 const BEHIND_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -57,47 +60,50 @@
     // Control hosts that speak no version of this host, with the time until which they are left out.
     let mut avoided: IndexMap<HostId, Instant> = IndexMap::new();
     loop {
+        wait_for_primary(feed, &state, &active).await;
         avoided.retain(|_, until| Instant::now() < *until);
-        let taken = |control: HostId| {
-            let others = active
-                .borrow()
-                .iter()
-                .enumerate()
-                .any(|(other, active)| other != feed && *active == Some(control));
-            others || avoided.contains_key(&control)
-        };
-        let Some(control) = choose_control(&entry, &state, taken, &mut next_index) else {
-            sleep(backoff.next_delay()).await;
-            continue;
-        };
-        active.borrow_mut()[feed] = Some(control);
-        let result = subscribe(feed, &entry, &state, &*decoder, control).await;
-        active.borrow_mut()[feed] = None;
-        match result {
-            Ok(()) => backoff.reset(),
-            Err(error) if error.kind() == ErrorKind::Unsupported => {
-                avoided.insert(control, Instant::now() + INCOMPATIBLE_PAUSE);
+        let mut controls = order_controls(&entry, &state, next_index);
+        controls.retain(|control| {
+            !avoided.contains_key(control) && !active.borrow().contains(&Some(*control))
+        });
+        let addresses: Vec<_> =
+            controls.iter().map(|control| host_address(*control, entry.port)).collect();
+        let dialed = frame::dial_any(&addresses, CONNECT_TIMEOUT).await;
+        match dialed.map(|(index, stream)| (controls[index], stream)) {
+            Ok((control, stream)) if !active.borrow().contains(&Some(control)) => {
+                active.borrow_mut()[feed] = Some(control);
+                let result = subscribe(feed, &entry, &state, &*decoder, (control, stream)).await;
+                active.borrow_mut()[feed] = None;
+                next_index += 1;
+                if result.is_err_and(|error| error.kind() == ErrorKind::Unsupported) {
+                    avoided.insert(control, Instant::now() + INCOMPATIBLE_PAUSE);
+                } else {
+                    backoff.reset();
+                }
             }
-            Err(error) => log::debug!("failed to connect to control host {control}: {error}"),
+            // The other feed took the same control host first.
+            Ok(_) => {}
+            Err(error) => log::debug!("failed to connect to any control host: {error}"),
         }
         sleep(backoff.next_delay()).await;
     }
 }
 
-/// Returns the next control host that is not taken, in the order given by [`rank_control`].
-fn choose_control(
-    entry: &EntryInfo,
-    state: &SharedState,
-    is_taken: impl Fn(HostId) -> bool,
-    next_index: &mut usize,
-) -> Option<HostId> {
+/// Has the other feeds of a starting host wait for the primary one, so that the first control host that
+/// answers serves that.
+async fn wait_for_primary(feed: usize, state: &SharedState, active: &ActiveControls) {
+    while feed != PRIMARY_FEED && state.version() == 0 && active.borrow()[PRIMARY_FEED].is_none() {
+        sleep(PRIMARY_INTERVAL).await;
+    }
+}
+
+/// Returns the control hosts in the order of [`rank_control`], which begins with the given index.
+fn order_controls(entry: &EntryInfo, state: &SharedState, first_index: usize) -> Vec<HostId> {
     let mut controls = state.controls();
     controls.sort_by_key(|control| rank_control(entry.host, *control));
-    let count = controls.len();
-    let mut order = (0..count).map(|step| (*next_index + step) % count);
-    let index = order.find(|index| !is_taken(controls[*index]))?;
-    *next_index = index + 1;
-    Some(controls[index])
+    let count = controls.len().max(1);
+    controls.rotate_left(first_index % count);
+    controls
 }
 
 /// Returns the sort key of a control host; it differs between entry hosts, which spreads their
@@ -109,16 +115,14 @@
     crc32fast::hash(&bytes)
 }
 
-/// Subscribes to one control host until the feed is lost; fails if it can't be connected, and with
-/// `Unsupported` if it speaks no version of this host.
+/// Subscribes to one control host until the feed is lost, and returns why it was.
 async fn subscribe<D: Decode>(
     feed: usize,
     entry: &EntryInfo,
     state: &SharedState,
     decoder: &D,
-    control: HostId,
+    (control, stream): (HostId, TcpStream),
 ) -> Result<()> {
-    let stream = frame::dial(host_address(control, entry.port), CONNECT_TIMEOUT).await?;
     log::info!("subscribed to control host {control}");
     state.set_connected(feed, true);
     let result = {
@@ -133,10 +137,7 @@
     };
     state.set_connected(feed, false);
     log::warn!("subscription to control host {control} lost: {result:?}");
-    result.or_else(|error| match error.kind() {
-        ErrorKind::Unsupported => Err(error),
-        _ => Ok(()),
-    })
+    result
 }
 
 async fn receive_feed<D: Decode>(
--- a/lagoongauged/tests/feed.rs
+++ b/lagoongauged/tests/feed.rs
@@ -254,3 +254,31 @@
     }
     assert_eq!(accepting.join().unwrap(), 3);
 }
+
+/// A host that is seen running is connected at once, not with the next attempt.
+#[test]
+fn a_sign_of_the_other_host_starts_an_attempt_at_once() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = std::net::TcpListener::from(socket);
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    // With a full accept queue the listener drops SYNs, like a host without power.
+    let queued: Vec<_> = (0..3)
+        .map(|_| std::net::TcpStream::connect_timeout(&address.into(), Duration::from_millis(30)))
+        .collect();
+    assert!(queued.last().unwrap().is_err(), "accept queue is not full");
+    let (mut signs, mut receiver) = futures::channel::mpsc::channel(1);
+    let started = std::time::Instant::now();
+    let accepting = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(130));
+        let first = listener.accept();
+        signs.try_send(()).unwrap();
+        (first, listener)
+    });
+    let limit = Duration::from_millis(600);
+    let dialed = task::block_on(frame::dial_with_signs(address, &mut receiver, limit));
+    let took = started.elapsed();
+    assert!(dialed.is_ok() && took < Duration::from_millis(220), "{dialed:?} after {took:?}");
+    drop(accepting.join());
+}
