Invite entry hosts from control hosts that start

Cause: an entry host has no disk and knows the three control hosts of its settings. Way chosen: control hosts store which entry hosts they fed, beside the roster in a part that version 1 ignores, and invite them with a datagram that version 1 drops. Weighed: more control hosts in the settings (not ours to set), an entry host that asks its neighbours (they know none either after a loss of power).

--- a/lagoongauge/src/roster/mod.rs
+++ b/lagoongauge/src/roster/mod.rs
@@ -145,11 +145,11 @@
         }
     }
 
-    /// Returns what a later process restores.
+    /// Returns what a later process restores of the targets.
     pub fn to_stored(&self) -> StoredRoster {
         let silent = self.targets.values().filter(|record| record.silent);
         let silent = silent.map(|record| record.entry.target).collect();
-        StoredRoster { entries: self.entries(), silent }
+        StoredRoster { entries: self.entries(), silent, entry_hosts: Vec::new() }
     }
 
     /// Returns all entries, for other hosts.
--- a/lagoongauge/tests/roster.rs
+++ b/lagoongauge/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use lagoongauge::id::TargetId;
+use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::roster::{
     Entry, FeedStatuses, Heartbeat, MergeOutcome, Phase, Roster, StoredRoster,
 };
@@ -76,7 +76,18 @@
 fn a_roster_stored_by_an_earlier_version_is_read() {
     let entries = vec![entry(1, 5, 3), with_address(entry(2, 5, 3), 2)];
     let bytes = postcard::to_stdvec(&entries).unwrap();
-    let stored = StoredRoster { entries, silent: Vec::new() };
+    let stored = StoredRoster { entries, ..StoredRoster::default() };
+    assert_eq!(StoredRoster::from_bytes(&bytes), Ok(stored));
+}
+
+/// Entry hosts follow at the end, which earlier versions ignore.
+#[test]
+fn stored_entry_hosts_are_read_and_do_not_change_what_precedes_them() {
+    let silent = vec![TargetId(1)];
+    let before = StoredRoster { entries: vec![entry(1, 5, 3)], silent, entry_hosts: Vec::new() };
+    let stored = StoredRoster { entry_hosts: vec![HostId(8), HostId(9)], ..before.clone() };
+    let bytes = stored.to_bytes().unwrap();
+    assert!(bytes.starts_with(&before.to_bytes().unwrap()));
     assert_eq!(StoredRoster::from_bytes(&bytes), Ok(stored));
 }
 
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -2,10 +2,11 @@
 
 mod announcements;
 mod documents;
+mod entries;
 mod evacuation;
 mod gossip;
 
-use std::cell::{Cell, RefCell, RefMut};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use super::bounds::Bounds;
 use super::compressed::CompressedDocument;
 use super::link::Link;
-use super::message::{Neighbour, PeerMessage};
+use super::message::PeerMessage;
 use super::metrics::Metrics;
 use super::stall::StallDetector;
 use super::target_batches::{TargetBatch, TargetBatches};
@@ -32,6 +33,7 @@
 use crate::engine::Engine;
 
 pub(super) use self::documents::CONFIRM_TIMEOUT;
+use self::entries::EntryHost;
 pub(super) use self::gossip::gossip;
 
 /// Interval at which [`wait_until`] checks its condition.
@@ -40,9 +42,6 @@
 /// Time without contact with a quorum after which this host no longer counts as current.
 const QUORUM_TIMEOUT: Span = Span::millis(1000);
 
-/// Time for which an entry host remains listed after it was last reported as fed.
-const ENTRY_HOST_TTL: Span = Span::seconds(4);
-
 /// Options of a control host.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -64,13 +63,6 @@
     pub linger: Span,
 }
 
-/// Entry host fed by a control host.
-#[derive(Debug, Clone)]
-struct EntryHost {
-    centre: String,
-    last_heard: Instant,
-}
-
 /// A control host.
 pub struct Host<S> {
     /// Its options.
@@ -84,6 +76,8 @@
     batches: RefCell<TargetBatches>,
     pub(super) links: RefCell<IndexMap<HostId, Link>>,
     entry_hosts: RefCell<IndexMap<HostId, EntryHost>>,
+    /// Entry hosts that were fed before this host started, until they are forgotten.
+    former_entries: RefCell<Vec<HostId>>,
     /// Versions that the other hosts speak.
     pub(super) versions: RefCell<PeerVersions>,
     /// Latest heartbeats that have not been sent to the other control hosts.
@@ -126,6 +120,7 @@
             batches: RefCell::default(),
             links: RefCell::default(),
             entry_hosts: RefCell::default(),
+            former_entries: RefCell::default(),
             versions: RefCell::default(),
             heartbeats: RefCell::default(),
             feeds: RefCell::default(),
@@ -140,8 +135,9 @@
         }
     }
 
-    /// Restores the targets known to the previous process.
+    /// Restores the targets and the entry hosts known to the previous process.
     pub(super) fn restore_targets(&self, stored: StoredRoster) {
+        self.former_entries.borrow_mut().clone_from(&stored.entry_hosts);
         log::info!("restored {} targets from the stored roster", stored.entries.len());
         self.roster.borrow_mut().restore(self.clock.now(), stored);
     }
@@ -211,32 +207,12 @@
         hosts
     }
 
-    /// Returns the entry hosts fed by any control host, with their data centres.
-    pub fn entry_hosts(&self) -> Vec<(HostId, String)> {
-        let entry_hosts = self.live_entry_hosts();
-        entry_hosts.iter().map(|(host, entry)| (*host, entry.centre.clone())).collect()
-    }
-
-    /// Returns the entry hosts with which an entry host shares its load counts.
-    pub(super) fn neighbours(&self, of: HostId, centre: &str) -> Vec<Neighbour> {
-        let entry_hosts = self.live_entry_hosts();
-        let centres = entry_hosts.iter().map(|(host, entry)| (*host, entry.centre.as_str()));
-        Neighbour::choose(centres, of, centre)
-    }
-
     /// Returns the encoded changes of targets after a revision, or `None` if there are none; fails
     /// with `InvalidData` if they can't be encoded.
     pub(super) fn target_batch(&self, since: u64) -> std::io::Result<Option<TargetBatch>> {
         self.batches.borrow_mut().batch_since(&self.roster.borrow(), since)
     }
 
-    fn live_entry_hosts(&self) -> RefMut<'_, IndexMap<HostId, EntryHost>> {
-        let now = self.clock.now();
-        let mut entry_hosts = self.entry_hosts.borrow_mut();
-        entry_hosts.retain(|_, entry| now.since(entry.last_heard) < ENTRY_HOST_TTL);
-        entry_hosts
-    }
-
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics(&self) -> String {
         self.metrics.render(self).unwrap_or_else(|error| {
@@ -309,12 +285,6 @@
         }
     }
 
-    /// Records that an entry host is being fed.
-    pub(super) fn record_entry_host(&self, host: HostId, centre: String) {
-        let last_heard = self.clock.now();
-        self.entry_hosts.borrow_mut().insert(host, EntryHost { centre, last_heard });
-    }
-
     /// Creates links to control hosts that were not known before.
     pub fn add_controls(&self, hosts: &[HostId]) {
         let mut links = self.links.borrow_mut();
--- a/lagoongauged/src/cluster/mod.rs
+++ b/lagoongauged/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod compressed;
 mod feed;
 mod host;
+pub mod invitation;
 mod link;
 pub mod message;
 mod metrics;
--- a/lagoongauged/src/cluster/roster_file.rs
+++ b/lagoongauged/src/cluster/roster_file.rs
@@ -98,16 +98,17 @@
     host: SharedHost<S>,
     writer: SyncSender<StoredRoster>,
 ) {
-    let mut written = 0;
+    let mut written = (0, Vec::new());
     loop {
         sleep(POLL_INTERVAL).await;
-        let revision = host.roster.borrow().revision();
-        if revision == written {
+        let current = (host.roster.borrow().revision(), host.stored_entries());
+        if current == written {
             continue;
         }
-        let roster = host.roster.borrow().to_stored();
+        let entry_hosts = current.1.clone();
+        let roster = StoredRoster { entry_hosts, ..host.roster.borrow().to_stored() };
         if writer.try_send(roster).is_ok() {
-            written = revision;
+            written = current;
         }
     }
 }
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -14,6 +14,7 @@
 use super::change_log::ChangeLog;
 use super::feed::{self, Subscriber};
 use super::host::{Host, Setup, SharedHost, gossip};
+use super::invitation::invite;
 use super::link;
 use super::message::{Greeting, Hello, host_address};
 use super::metrics::Metrics;
@@ -102,6 +103,7 @@
     })?;
     spawn_task("roster", persist_changes(Rc::clone(&host), writer));
     spawn_task("gossip", gossip(Rc::clone(&host)));
+    spawn_task("invitations", invite(Rc::clone(&host)));
     let mut change_log = ChangeLog::default();
     let mut stopped_at = None;
     while !may_end(&host, &mut stopped_at, stop) {
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task::sleep;
 use futures::future::pending;
-use futures::{AsyncReadExt, AsyncWrite, FutureExt, pin_mut, select};
+use futures::{AsyncReadExt, AsyncWrite, FutureExt, StreamExt, pin_mut, select};
 use indexmap::IndexMap;
 use lagoongauge::catalog::{Catalog, Document, EvacuatedCentres};
 use lagoongauge::id::HostId;
@@ -56,6 +57,7 @@
     active: ActiveControls,
 ) {
     let mut next_index = feed;
+    let mut invitations = state.watch_invitations();
     let mut backoff = Backoff::default();
     // Control hosts that speak no version of this host, with the time until which they are left out.
     let mut avoided: IndexMap<HostId, Instant> = IndexMap::new();
@@ -68,7 +70,11 @@
         });
         let addresses: Vec<_> =
             controls.iter().map(|control| host_address(*control, entry.port)).collect();
-        let dialed = frame::dial_any(&addresses, CONNECT_TIMEOUT).await;
+        let dialed = select! {
+            dialed = Box::pin(frame::dial_any(&addresses, CONNECT_TIMEOUT)).fuse() => dialed,
+            // There is another control host to try.
+            _ = invitations.next() => continue,
+        };
         match dialed.map(|(index, stream)| (controls[index], stream)) {
             Ok((control, stream)) if !active.borrow().contains(&Some(control)) => {
                 active.borrow_mut()[feed] = Some(control);
@@ -85,7 +91,8 @@
             Ok(_) => {}
             Err(error) => log::debug!("failed to connect to any control host: {error}"),
         }
-        sleep(backoff.next_delay()).await;
+        // An invitation ends the pause.
+        let _ = timeout(backoff.next_delay(), invitations.next()).await;
     }
 }
 
--- a/lagoongauged/src/mark_entry/load_reports.rs
+++ b/lagoongauged/src/mark_entry/load_reports.rs
@@ -1,4 +1,5 @@
-//! Load reports that entry hosts send each other, and what they say of failing targets.
+//! Datagrams between hosts: load reports of entry hosts, what they say of failing targets, and
+//! invitations of control hosts.
 
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::time::Duration;
@@ -10,6 +11,7 @@
 
 use super::evidence::{self, EvidenceSender};
 use super::state::SharedState;
+use crate::cluster::invitation::is_invitation;
 use crate::cluster::message::{host_address, host_id};
 use crate::daemon::isolate;
 
@@ -54,7 +56,7 @@
     }
 }
 
-/// Receives load reports and evidence of other entry hosts; runs on its own thread.
+/// Receives load reports and evidence of other entry hosts, and invitations of control hosts; runs on its own thread.
 pub(super) fn receive_reports(state: &SharedState, socket: &UdpSocket) {
     let mut bytes = vec![0; MAX_REPORT_BYTES];
     loop {
@@ -76,6 +78,8 @@
 fn receive(state: &SharedState, from: SocketAddrV4, bytes: &[u8]) {
     if is_evidence(bytes) {
         evidence::receive(state, from, bytes);
+    } else if is_invitation(bytes) {
+        state.handle_invitation(host_id(*from.ip()));
     } else {
         store_report(state, from, bytes);
     }
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use futures::channel::mpsc;
 use indexmap::{IndexMap, IndexSet};
 use lagoongauge::catalog::{Catalog, Document, EvacuatedCentres};
 use lagoongauge::error::Result;
@@ -32,6 +33,9 @@
 /// of control hosts that starts at the same time has a leader by then.
 const STARTUP_GRACE: Span = Span::millis(1500);
 
+/// Maximum number of known control hosts up to which invitations are accepted.
+const MAX_INVITED_CONTROLS: usize = 32;
+
 /// Maximum number of changed targets of one message that are logged individually.
 const MAX_LOGGED_CHANGES: usize = 20;
 
@@ -80,6 +84,8 @@
     cluster: Mutex<ClusterState>,
     held: Mutex<HeldPackets>,
     versions: Mutex<PeerVersions>,
+    /// Wake the feeds when there is another control host to try.
+    invitations: Mutex<Vec<mpsc::Sender<()>>>,
     /// Wakes the thread that releases held packets.
     releaser: SyncSender<()>,
     start_time: Instant,
@@ -120,6 +126,7 @@
             cluster: Mutex::new(cluster),
             held: Mutex::default(),
             versions: Mutex::default(),
+            invitations: Mutex::default(),
             releaser,
             start_time: clock.now(),
             stopping: AtomicBool::new(false),
@@ -228,6 +235,32 @@
         }
     }
 
+    /// Adds a control host that invites this host, and has the feeds try it at once. A host that knows
+    /// control hosts in contact with a quorum has their list instead.
+    pub(super) fn handle_invitation(&self, control: HostId) {
+        let mut cluster = self.cluster();
+        let known = cluster.controls.contains(&control) || cluster.feed_statuses.is_current();
+        if known || cluster.controls.len() >= MAX_INVITED_CONTROLS {
+            return;
+        }
+        cluster.controls.push(control);
+        drop(cluster);
+        log::info!("invited by control host {control}");
+        // If the channel is full, the feed is about to look at the control hosts anyway.
+        self.invitations().iter_mut().for_each(|feed| drop(feed.try_send(())));
+    }
+
+    /// Returns a receiver that is woken when there is another control host to try.
+    pub(super) fn watch_invitations(&self) -> mpsc::Receiver<()> {
+        let (sender, receiver) = mpsc::channel(1);
+        self.invitations().push(sender);
+        receiver
+    }
+
+    fn invitations(&self) -> MutexGuard<'_, Vec<mpsc::Sender<()>>> {
+        self.invitations.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the entry hosts that receive load reports: those of this data centre, then others.
     pub(super) fn neighbours(&self) -> (Vec<HostId>, Vec<HostId>) {
         let cluster = self.cluster();
--- a/lagoongauged/tests/compat/datagrams.rs
+++ b/lagoongauged/tests/compat/datagrams.rs
@@ -5,6 +5,7 @@
 use lagoongauge::mark::evidence::statement::{self, Observation, Statement};
 use lagoongauge::mark::{LoadCount, LoadReport, Mark, ServicePressure};
 use lagoongauge::time::Span;
+use lagoongauged::cluster::invitation::INVITATION;
 
 use crate::{check, recorded};
 
@@ -45,3 +46,10 @@
     check(&expected, &statement::encode(&statements));
     assert_eq!(statement::decode(&recorded(&expected)), Ok(statements.to_vec()));
 }
+
+/// The first version knows no invitations and takes them for damaged load reports.
+#[test]
+fn an_invitation_is_no_load_report() {
+    assert!(LoadReport::from_bytes(&INVITATION).is_err());
+    assert!(!statement::is_evidence(&INVITATION));
+}
--- a/lagoongauged/tests/compat/storage.rs
+++ b/lagoongauged/tests/compat/storage.rs
@@ -101,7 +101,11 @@
         ],
         target(),
     );
-    let roster = StoredRoster { silent: vec![target.target], entries: vec![target] };
+    let roster = StoredRoster {
+        silent: vec![target.target],
+        entries: vec![target],
+        entry_hosts: Vec::new(),
+    };
     check(&expected, &roster.to_bytes().unwrap());
     assert_eq!(StoredRoster::from_bytes(&recorded(&expected)), Ok(roster));
 }
--- a/lagoongauged/tests/entry_start.rs
+++ b/lagoongauged/tests/entry_start.rs
@@ -18,6 +18,7 @@
 use lagoongauge::roster::{Entry, Phase};
 use lagoongauge::time::Span;
 use lagoongauged::cluster::CompressedDocument;
+use lagoongauged::cluster::invitation::INVITATION;
 use lagoongauged::cluster::message::{FeedMessage, Hello, host_id};
 use lagoongauged::cluster::version::{Version, VersionRange};
 use lagoongauged::daemon::Stop;
@@ -183,7 +184,18 @@
     limit: Duration,
     condition: impl Fn(&State) -> bool + 'static,
 ) -> Option<Duration> {
-    let port = start_controls(&script);
+    run_with(number, controls(), start_controls(&script), limit, condition)
+}
+
+/// Runs an entry host that knows these control hosts, which listen on a port, until a condition holds;
+/// returns how long that took, or `None` if it took longer than `limit`.
+fn run_with(
+    number: u8,
+    seeds: Vec<HostId>,
+    port: u16,
+    limit: Duration,
+    condition: impl Fn(&State) -> bool + 'static,
+) -> Option<Duration> {
     let packets = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let Ok(SocketAddr::V4(packet_address)) = packets.local_addr() else { unreachable!() };
     drop(packets);
@@ -192,7 +204,7 @@
         centre: "a".into(),
         port,
         listen_port: port,
-        seeds: controls(),
+        seeds,
         announce_interval: Span(1200),
         packet_address,
         linger: Span(0),
@@ -334,3 +346,28 @@
     assert!(ready_after.is_some(), "the host is not ready after {TEST_LIMIT:?}");
     assert!(connections.load(Ordering::SeqCst) <= 3, "the host connects in a loop");
 }
+
+/// After a loss of power the control hosts of the settings may be the last to start; others invite the
+/// host.
+#[test]
+fn an_invited_host_needs_no_control_host_of_its_settings() {
+    let script: Script = Arc::new(|mut feed, secondary| {
+        if !secondary {
+            feed.send_target(false)?;
+            feed.send_status(true)?;
+            feed.send_catalog()?;
+        }
+        feed.repeat_status(true, TEST_LIMIT)
+    });
+    let port = start_controls(&script);
+    let entry = SocketAddrV4::new(Ipv4Addr::new(127, 0, 7, 106), port);
+    let inviting = thread::spawn(move || {
+        let socket = UdpSocket::bind((CONTROLS[0], 0)).unwrap();
+        thread::sleep(Duration::from_millis(100));
+        socket.send_to(&INVITATION, entry).unwrap();
+    });
+    let seeds = vec![host_id(Ipv4Addr::new(127, 0, 7, 9))];
+    let ready_after = run_with(106, seeds, port, READY_LIMIT, State::is_ready);
+    inviting.join().unwrap();
+    assert!(ready_after.is_some(), "the host is not ready after {READY_LIMIT:?}");
+}
