--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -8,6 +8,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task::sleep;
+use futures::channel::oneshot;
 use futures::future::pending;
 use futures::{AsyncReadExt, AsyncWrite, FutureExt, StreamExt, pin_mut, select};
 use indexmap::IndexMap;
@@ -28,8 +29,9 @@
 /// Time without contact with a quorum after which a control host's feed is given up.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Interval at which a feed of a starting host checks whether the primary one is connected.
-const PRIMARY_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest time for which the secondary feed waits at the start for the primary one to connect, so that
+/// the first control host that answers serves that.
+const PRIMARY_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Interval at which a starting host compares its feeds.
 const BEHIND_INTERVAL: Duration = Duration::from_millis(30);
@@ -48,6 +50,15 @@
 /// Control host that each feed uses; no two feeds use the same one.
 pub(super) type ActiveControls = Rc<RefCell<[Option<HostId>; FEED_COUNT]>>;
 
+/// Order in which the feeds of a starting host connect.
+#[derive(Debug)]
+pub(super) enum StartOrder {
+    /// The primary feed, which tells the other one when it is connected.
+    First(oneshot::Sender<()>),
+    /// The secondary feed.
+    Second(oneshot::Receiver<()>),
+}
+
 /// Keeps one feed connected to any control host, with back-off between attempts.
 pub(super) async fn keep_connected<D: Decode>(
     feed: usize,
@@ -55,14 +66,20 @@
     state: SharedState,
     decoder: Rc<D>,
     active: ActiveControls,
+    order: StartOrder,
 ) {
+    let mut connected = None;
+    match order {
+        StartOrder::First(sender) => connected = Some(sender),
+        // The primary feed may fail to connect for long, and then this one tries as well.
+        StartOrder::Second(primary) => drop(timeout(PRIMARY_TIMEOUT, primary).await),
+    }
     let mut next_index = feed;
     let mut invitations = state.watch_invitations();
     let mut backoff = Backoff::default();
     // Control hosts that speak no version of this host, with the time until which they are left out.
     let mut avoided: IndexMap<HostId, Instant> = IndexMap::new();
     loop {
-        wait_for_primary(feed, &state, &active).await;
         avoided.retain(|_, until| Instant::now() < *until);
         let mut controls = order_controls(&entry, &state, next_index);
         controls.retain(|control| {
@@ -78,6 +95,9 @@
         match dialed.map(|(index, stream)| (controls[index], stream)) {
             Ok((control, stream)) if !active.borrow().contains(&Some(control)) => {
                 active.borrow_mut()[feed] = Some(control);
+                if let Some(sender) = connected.take() {
+                    drop(sender.send(()));
+                }
                 let result = subscribe(feed, &entry, &state, &*decoder, (control, stream)).await;
                 active.borrow_mut()[feed] = None;
                 next_index += 1;
@@ -96,14 +116,6 @@
     }
 }
 
-/// Has the other feeds of a starting host wait for the primary one, so that the first control host that
-/// answers serves that.
-async fn wait_for_primary(feed: usize, state: &SharedState, active: &ActiveControls) {
-    while feed != PRIMARY_FEED && state.version() == 0 && active.borrow()[PRIMARY_FEED].is_none() {
-        sleep(PRIMARY_INTERVAL).await;
-    }
-}
-
 /// Returns the control hosts in the order of [`rank_control`], which begins with the given index.
 fn order_controls(entry: &EntryInfo, state: &SharedState, first_index: usize) -> Vec<HostId> {
     let mut controls = state.controls();
--- a/lagoongauged/src/mark_entry/run.rs
+++ b/lagoongauged/src/mark_entry/run.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_std::task::sleep;
+use futures::channel::oneshot;
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::flow::HashKey;
 use lagoongauge::id::HostId;
@@ -15,11 +16,11 @@
 
 use super::data_plane::DataPlane;
 use super::decision_log::DecisionLog;
-use super::feed::{self, ActiveControls, EntryInfo};
+use super::feed::{self, ActiveControls, EntryInfo, StartOrder};
 use super::load_reports;
 use super::loss_log::LossLog;
 use super::metrics::Metrics;
-use super::state::{Decode, FEED_COUNT, State};
+use super::state::{Decode, State};
 use crate::cluster::message::host_address;
 use crate::daemon::{Clock, Stop, spawn, spawn_task};
 
@@ -108,11 +109,13 @@
     spawn_task("load reports", load_reports::send_reports(Arc::clone(&state), report_socket, port));
     serve(Arc::clone(&state)).await?;
     let (decoder, active) = (Rc::new(decoder), ActiveControls::default());
-    for feed in 0..FEED_COUNT {
+    let (connected, primary) = oneshot::channel();
+    let orders = [StartOrder::First(connected), StartOrder::Second(primary)];
+    for (feed, order) in orders.into_iter().enumerate() {
         let entry = EntryInfo { host, centre: centre.clone(), port };
         let decoder = Rc::clone(&decoder);
         let (state, active) = (Arc::clone(&state), Rc::clone(&active));
-        spawn_task("feed", feed::keep_connected(feed, entry, state, decoder, active));
+        spawn_task("feed", feed::keep_connected(feed, entry, state, decoder, active, order));
     }
     let mut response_times = Vec::new();
     let mut loss_log = LossLog::new();
