--- a/lagoongauged/src/frame.rs
+++ b/lagoongauged/src/frame.rs
@@ -10,8 +10,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task::sleep;
-use futures::future::select_ok;
-use futures::stream::{self, FuturesUnordered};
+use futures::stream::{self, FusedStream, FuturesUnordered};
 use futures::{
     AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt, Stream, StreamExt, select,
 };
@@ -41,24 +40,35 @@
     dial_with_signs(address, &mut stream::pending(), time_limit).await
 }
 
-/// Opens a connection to the first of several hosts that answers, and returns its index with it.
+/// Opens a connection to the first of several hosts that answers, and returns its address with it.
 ///
-/// Earlier ones are preferred: each of the others is tried [`STAGGER`] later than the one before. Fails
-/// as [`dial`] does if none answers, and with `NotFound` without addresses.
+/// Earlier ones are preferred: each of the others is tried [`STAGGER`] later than the one before. Hosts of
+/// `more` are tried as soon as they are named. Fails as [`dial`] does if none answers, and with `NotFound`
+/// without addresses.
 pub async fn dial_any(
     addresses: &[SocketAddrV4],
+    more: &mut (impl FusedStream<Item = SocketAddrV4> + Unpin),
     time_limit: Duration,
-) -> Result<(usize, TcpStream)> {
-    if addresses.is_empty() {
-        return Err(Error::new(ErrorKind::NotFound, "no host to connect to is known"));
+) -> Result<(SocketAddrV4, TcpStream)> {
+    let dial_after = async |delay, address| {
+        sleep(delay).await;
+        dial(address, time_limit).await.map(|stream| (address, stream))
+    };
+    let mut attempts = FuturesUnordered::new();
+    for (index, address) in addresses.iter().enumerate() {
+        attempts.push(dial_after(STAGGER * index as u32, *address));
+    }
+    let mut last = Err(Error::new(ErrorKind::NotFound, "no host to connect to is known"));
+    while !attempts.is_empty() {
+        select! {
+            address = more.select_next_some() => attempts.push(dial_after(Duration::ZERO, address)),
+            result = attempts.select_next_some() => match result {
+                Ok(first) => return Ok(first),
+                Err(error) => last = Err(error),
+            },
+        }
     }
-    let attempts = addresses.iter().enumerate().map(|(index, address)| {
-        Box::pin(async move {
-            sleep(STAGGER * index as u32).await;
-            dial(*address, time_limit).await.map(|stream| (index, stream))
-        })
-    });
-    select_ok(attempts).await.map(|(first, _)| first)
+    last
 }
 
 /// Opens a connection to a host as [`dial`] does, with another attempt at each sign that the host runs.
--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -18,7 +18,7 @@
 use super::state::{Decode, FEED_COUNT, PRIMARY_FEED, SharedState};
 use crate::cluster::FEED_TIMEOUT;
 use crate::cluster::INCOMPATIBLE_PAUSE;
-use crate::cluster::message::{FeedAck, FeedMessage, Greeting, Hello, host_address};
+use crate::cluster::message::{FeedAck, FeedMessage, Greeting, Hello, host_address, host_id};
 use crate::cluster::version::{Incoming, VersionRange};
 use crate::daemon::{Backoff, isolate_task};
 use crate::frame;
@@ -87,16 +87,15 @@
         });
         let addresses: Vec<_> =
             controls.iter().map(|control| host_address(*control, entry.port)).collect();
-        let dialed = select! {
-            dialed = Box::pin(frame::dial_any(&addresses, CONNECT_TIMEOUT)).fuse() => dialed,
-            // There is another control host to try.
-            _ = invitations.next() => continue,
-        };
-        match dialed.map(|(index, stream)| (controls[index], stream)) {
+        let mut invited =
+            (&mut invitations).map(|control| host_address(control, entry.port)).fuse();
+        let dialed = frame::dial_any(&addresses, &mut invited, CONNECT_TIMEOUT).await;
+        match dialed.map(|(address, stream)| (host_id(*address.ip()), stream)) {
             Ok((control, stream)) if !active.borrow().contains(&Some(control)) => {
                 active.borrow_mut()[feed] = Some(control);
                 if let Some(sender) = connected.take() {
-                    drop(sender.send(()));
+                    // The secondary feed may have given up waiting.
+                    sender.send(()).unwrap_or_default();
                 }
                 let result = subscribe(feed, &entry, &state, &*decoder, (control, stream)).await;
                 active.borrow_mut()[feed] = None;
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -84,8 +84,8 @@
     cluster: Mutex<ClusterState>,
     held: Mutex<HeldPackets>,
     versions: Mutex<PeerVersions>,
-    /// Wake the feeds when there is another control host to try.
-    invitations: Mutex<Vec<mpsc::Sender<()>>>,
+    /// Tell the feeds of control hosts that invite this host.
+    invitations: Mutex<Vec<mpsc::Sender<HostId>>>,
     /// Wakes the thread that releases held packets.
     releaser: SyncSender<()>,
     start_time: Instant,
@@ -246,18 +246,18 @@
         cluster.controls.push(control);
         drop(cluster);
         log::info!("invited by control host {control}");
-        // If the channel is full, the feed is about to look at the control hosts anyway.
-        self.invitations().iter_mut().for_each(|feed| drop(feed.try_send(())));
+        // If the channel is full, the feed has other control hosts to try.
+        self.invitations().iter_mut().for_each(|feed| drop(feed.try_send(control)));
     }
 
-    /// Returns a receiver that is woken when there is another control host to try.
-    pub(super) fn watch_invitations(&self) -> mpsc::Receiver<()> {
-        let (sender, receiver) = mpsc::channel(1);
+    /// Returns a receiver of the control hosts that invite this host from now on.
+    pub(super) fn watch_invitations(&self) -> mpsc::Receiver<HostId> {
+        let (sender, receiver) = mpsc::channel(MAX_INVITED_CONTROLS);
         self.invitations().push(sender);
         receiver
     }
 
-    fn invitations(&self) -> MutexGuard<'_, Vec<mpsc::Sender<()>>> {
+    fn invitations(&self) -> MutexGuard<'_, Vec<mpsc::Sender<HostId>>> {
         self.invitations.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
