--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -440,7 +440,9 @@
         self.update_targets(now, cluster, &changed);
     }
 
-    /// Updates changed targets in the router, then logs some of them after unlocking it.
+    /// Updates changed targets in the router, then logs some of them after unlocking it. What a host learns
+    /// at its start changes nothing that it believed, and is only counted: the lines of a whole roster
+    /// would take processor time that callers wait for.
     fn update_targets(&self, now: Instant, cluster: &ClusterState, changed: &[TargetId]) {
         let records = || changed.iter().filter_map(|target| cluster.roster.get(*target));
         let silent = |record: &TargetRecord| cluster.feed_statuses.is_silent(record.entry.target);
@@ -450,7 +452,8 @@
         }
         drop(router);
         let confirmed = cluster.feed_statuses.is_current();
-        for record in records().take(MAX_LOGGED_CHANGES) {
+        let logged = if cluster.synced { MAX_LOGGED_CHANGES } else { 0 };
+        for record in records().take(logged) {
             let (name, phase) =
                 (record.entry.target.to_string(), format!("{:?}", record.entry.phase));
             log::info!(
@@ -459,7 +462,7 @@
                 "target changed"
             );
         }
-        let more = changed.len().saturating_sub(MAX_LOGGED_CHANGES);
+        let more = changed.len().saturating_sub(logged);
         if more > 0 {
             log::info!(belief = "target", more = more; "more targets changed");
         }
