--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -50,6 +50,9 @@
         /// Path of lagoon-platform; by default in the folder of this program
         #[bpaf(long, argument("PATH"))]
         program: Option<PathBuf>,
+        /// Path of an earlier version of lagoon-platform, which hosts run at some of their starts
+        #[bpaf(long, argument("PATH"))]
+        old: Option<PathBuf>,
         /// Folder for the settings, disks and logs of each seed
         #[bpaf(long, argument("FOLDER"), fallback("target/soak".into()))]
         logs: PathBuf,
@@ -75,7 +78,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Options::Run { seed, seconds, hosts, net, program, logs, wrong } => {
+        Options::Run { seed, seconds, hosts, net, program, old, logs, wrong } => {
             let internal_error = |error: std::io::Error| {
                 Error::new(Kind::Internal, format!("cannot perform the run: {error}"))
             };
@@ -90,7 +93,8 @@
             let program = program.unwrap_or_else(|| executable.with_file_name("lagoon-platform"));
             let folder = logs.join(format!("seed-{seed}-net-{net}"));
             let duration = seconds * 1000;
-            let config = RunConfig { seed, duration, hosts, net, program, folder, mutant: wrong };
+            let config =
+                RunConfig { seed, duration, hosts, net, program, old, folder, mutant: wrong };
             let outcome = block_on(run::run(&config)).map_err(internal_error)?;
             run::print_outcome(&config, &outcome);
             let has_findings = !outcome.findings.is_empty();
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -6,6 +6,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::net::{API_PORT, LISTEN_PORT, PACKET_PORT, PROXY_PORT, READINESS_PORT};
@@ -26,10 +28,37 @@
     pub path: PathBuf,
     /// Arguments in front of the usual ones.
     pub leading_args: Vec<String>,
+    /// An earlier version, which hosts run at some of their starts.
+    pub old: Option<OldProgram>,
     /// Folder for settings, disks and logs.
     pub folder: PathBuf,
 }
 
+/// An earlier version of the program.
+#[derive(Debug, Clone)]
+pub struct OldProgram {
+    /// Path of the executable.
+    pub path: PathBuf,
+    /// Seed that decides which starts run it.
+    pub seed: u64,
+}
+
+impl Program {
+    /// Returns the executable and its leading arguments for a start of a host. With an earlier version,
+    /// each start runs either one, so that hosts are upgraded and rolled back in any order.
+    fn choose(&self, address: Ipv4Addr, start: u64) -> (&Path, &[String]) {
+        let runs_old = |old: &&OldProgram| {
+            let mut rng = ChaCha8Rng::seed_from_u64(old.seed ^ u64::from(u32::from(address)) << 16);
+            rng.set_word_pos(start.into());
+            rng.random()
+        };
+        match self.old.as_ref().filter(runs_old) {
+            Some(old) => (&old.path, &[]),
+            None => (&self.path, &self.leading_args),
+        }
+    }
+}
+
 /// A host's process; it is killed on drop.
 #[derive(Debug)]
 pub struct Process {
@@ -39,13 +68,16 @@
     pub disabled: bool,
     role: Role,
     program: Program,
+    /// Number of starts so far.
+    starts: u64,
     child: Option<Child>,
 }
 
 impl Process {
     /// Creates a host and its disk folder, without starting its process.
     pub fn new(address: Ipv4Addr, role: Role, program: &Program) -> io::Result<Self> {
-        let process = Self { address, disabled: true, role, program: program.clone(), child: None };
+        let program = program.clone();
+        let process = Self { address, disabled: true, role, program, starts: 0, child: None };
         fs::create_dir_all(process.data_dir())?;
         Ok(process)
     }
@@ -58,8 +90,10 @@
             Role::Entry => "entry",
             Role::Control => "control",
         };
-        let child = Command::new(&self.program.path)
-            .args(&self.program.leading_args)
+        self.starts += 1;
+        let (path, leading_args) = self.program.choose(self.address, self.starts);
+        let child = Command::new(path)
+            .args(leading_args)
             .args(["--listen", &LISTEN_PORT.to_string(), role])
             .env("LAGOONGAUGE_CONFIG", self.file_path("conf"))
             .stdin(Stdio::null())
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -15,7 +15,7 @@
 use crate::mutant::Mutant;
 use crate::net::{LoopbackNet, PACKET_PORT};
 use crate::plan;
-use crate::process::{Process, Program, Role, recreate_folder};
+use crate::process::{OldProgram, Process, Program, Role, recreate_folder};
 use crate::proxy::start_proxy;
 use crate::{callers, operator, targets};
 
@@ -51,6 +51,8 @@
     pub net: u8,
     /// Path of the program `lagoon-platform`.
     pub program: PathBuf,
+    /// Path of an earlier version, which hosts run at some of their starts.
+    pub old: Option<PathBuf>,
     /// Folder for settings, disks and logs.
     pub folder: PathBuf,
     /// Variant with a deliberate bug that is run in place of the program.
@@ -119,12 +121,13 @@
 
 fn program_to_run(config: &RunConfig) -> Program {
     let folder = config.folder.clone();
+    let old = config.old.clone().map(|path| OldProgram { path, seed: config.seed });
     match config.mutant {
-        None => Program { path: config.program.clone(), leading_args: Vec::new(), folder },
+        None => Program { path: config.program.clone(), leading_args: Vec::new(), old, folder },
         Some(mutant) => {
             let path = std::env::current_exe().unwrap_or_else(|_| "lagoon-soak".into());
             let leading_args = vec!["host".into(), "--wrong".into(), mutant.name().into()];
-            Program { path, leading_args, folder }
+            Program { path, leading_args, old, folder }
         }
     }
 }
