--- a/lagoongauged/src/mark_entry/feed.rs
+++ b/lagoongauged/src/mark_entry/feed.rs
@@ -154,6 +154,7 @@
         }
     };
     state.set_connected(feed, false);
+    state.versions().remove(control);
     log::warn!("subscription to control host {control} lost: {result:?}");
     result
 }
