review: case 2, a late DELETE of a former lifetime ends the new one

A control host that was frozen reads the DELETE of a backend that has started again under its id, and entry hosts reset the open flows of the new lifetime, which lives and gets no new flow.

--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -163,6 +163,11 @@
         false
     }
 
+    /// Returns what the backend says of itself in its answers: its id and its lifetime.
+    pub fn instance(&self) -> String {
+        instance(&self.identity)
+    }
+
     /// Returns the ids of the requests that ran.
     pub fn ran(&self) -> Vec<String> {
         self.shared.ran.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -344,10 +349,10 @@
             {
                 let body = format!("answer to {id}");
                 let data = format!(
-                    "HTTP/1.1 200 OK\r\nInstance-Id: i-{:x}\r\nResponse-Signature: {}\r\n\
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nResponse-Signature: {:x}\r\n\
                      Content-Length: {}\r\n\r\n{body}",
-                    identity.id,
-                    identity.born,
+                    instance(identity),
+                    identity.id ^ identity.born,
                     body.len()
                 );
                 let packet = Packet {
@@ -386,6 +391,10 @@
     }
 }
 
+fn instance(identity: &Identity) -> String {
+    format!("i-{:x}/{}", identity.id, identity.born)
+}
+
 /// Returns a packet back to the sender of `packet`.
 fn reply(packet: &Packet, flags: u8) -> Packet {
     let echo = packet.echo;
