--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -231,16 +231,6 @@
         spawn(&self.record, &self.root, &mut self.entries[number], "9464")
     }
 
-    /// Starts the process of an entry host whose standard output is a pipe.
-    pub fn start_entry_piped(&mut self, number: usize) -> Result<()> {
-        let machine = &mut self.entries[number];
-        let mut command = command(&self.root, machine, "9464");
-        let child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
-        self.record.line(format!("platform: started {} at {}", machine.name, machine.address));
-        machine.process = Some(child);
-        Ok(())
-    }
-
     /// Makes a call of the operator: the control hosts are tried in turn until one answers with 2xx or
     /// 4xx, for at most `limit`. Returns the status.
     pub fn operate(&self, method: &str, path: &str, body: &str, limit: Duration) -> Option<u16> {
