review: case 4, one lost answer to a SYN ends the flow after a pause

The copy of the SYN is placed at a second target; after a pause the flow's packets go to the first one, whose echo the client received last, and which resets the flow.

--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -101,6 +101,13 @@
     tries: u32,
 }
 
+impl Unacked {
+    /// Records a packet that is sent now.
+    fn new(packet: Packet) -> Self {
+        Self { packet, at: Instant::now() + FIRST_RETRY, pause: FIRST_RETRY, tries: 0 }
+    }
+}
+
 impl Backend {
     /// Starts a lifetime: takes flows at its address, and reports to `controls`, the first of them first.
     pub fn start(
@@ -319,8 +326,8 @@
         };
         let answer =
             Packet { seq, ack: flow.expected, echo: packet.echo, ..reply(packet, SYN | ACK) };
-        self.flows.entry(key).or_insert(flow);
         self.send(&answer);
+        self.flows.entry(key).or_insert(Flow { unacked: Some(Unacked::new(answer)), ..flow });
     }
 
     fn handle_data(&mut self, packet: &Packet) {
@@ -364,20 +371,23 @@
                 };
                 flow.seq = flow.seq.wrapping_add(packet.data.len() as u32);
                 packets.push(packet.clone());
-                let at = now + FIRST_RETRY;
-                flow.unacked = Some(Unacked { packet, at, pause: FIRST_RETRY, tries: 0 });
+                flow.unacked = Some(Unacked::new(packet));
             }
             if let Some(unacked) = &mut flow.unacked
                 && now >= unacked.at
-                && unacked.tries < MAX_RETRIES
             {
                 unacked.pause = (unacked.pause * 2).min(LAST_RETRY);
                 unacked.at = now + unacked.pause;
                 unacked.tries += 1;
-                packets.push(Packet { echo: flow.echo, ..unacked.packet.clone() });
+                if unacked.tries <= MAX_RETRIES {
+                    packets.push(Packet { echo: flow.echo, ..unacked.packet.clone() });
+                }
             }
         }
         packets.iter().for_each(|packet| self.send(packet));
+        self.flows.retain(|_, flow| {
+            flow.unacked.as_ref().is_none_or(|unacked| unacked.tries <= MAX_RETRIES)
+        });
     }
 
     /// Sends a packet to the client's address, at the port of the packets.
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -26,6 +26,8 @@
     socket: UdpSocket,
     /// Entry hosts in rotation.
     pub entries: Vec<SocketAddrV4>,
+    /// Datagrams to this client that the network is about to lose.
+    pub losses: usize,
     next_port: u16,
 }
 
@@ -65,7 +67,8 @@
     ) -> Result<Self> {
         let socket = UdpSocket::bind((address, PACKET_PORT))?;
         let name = name.to_string();
-        Ok(Self { record: record.clone(), name, address, socket, entries, next_port: 40_001 })
+        let (record, losses, next_port) = (record.clone(), 0, 40_001);
+        Ok(Self { record, name, address, socket, entries, losses, next_port })
     }
 
     /// Opens a flow; `Err` tells how the attempt ended.
@@ -126,6 +129,26 @@
         outcome
     }
 
+    /// Sends nothing on an open flow for some time. What arrives on it meanwhile is taken in; returns how
+    /// the flow ended if it was reset.
+    pub fn idle(&mut self, flow: &mut Flow, time: Duration) -> Option<Outcome> {
+        let until = Instant::now() + time;
+        while let Some(packet) = self.receive(flow.source, until) {
+            let from = packet.echo;
+            self.line(format!(
+                "{} on idle flow {}, echo {from:08x}",
+                packet.flag_names(),
+                flow.source
+            ));
+            if packet.flags & RST != 0 {
+                return Some(outcome_of_reset(&packet));
+            }
+            // The last echo that was received on the flow goes into the next packet.
+            flow.echo = packet.echo;
+        }
+        None
+    }
+
     /// Closes a flow, without waiting for the answer.
     pub fn close(&mut self, flow: &Flow) {
         self.send(&flow.packet(ACK | FIN, Vec::new()));
@@ -168,7 +191,7 @@
     }
 
     /// Waits for a packet of the flow with this source.
-    fn receive(&self, source: SocketAddrV4, until: Instant) -> Option<Packet> {
+    fn receive(&mut self, source: SocketAddrV4, until: Instant) -> Option<Packet> {
         let mut bytes = [0; 2048];
         loop {
             let left = until.saturating_duration_since(Instant::now());
@@ -176,8 +199,13 @@
                 return None;
             }
             self.socket.set_read_timeout(Some(left)).ok()?;
-            let Ok((length, _)) = self.socket.recv_from(&mut bytes) else { continue };
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes) else { continue };
             let Some(packet) = Packet::decode(&bytes[..length]) else { continue };
+            if self.losses > 0 {
+                self.losses -= 1;
+                self.line(format!("network: lost {} from {from}", packet.flag_names()));
+                continue;
+            }
             if packet.destination == source {
                 return Some(packet);
             }
