review: case 2, a planned replacement and one lost disk end the group

A control host that is asked to end for its replacement still counts as a voter for 2.4 s; if another one loses its disk within that time, two of four voters are left for good, and the configuration is never read or changed again. The former cases 2 to 4 are 3 to 5 now, by gravity.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")" || exit 2
 folder=$PWD
 cd ../.. || exit 2
-program=target/review/release/lost_syn_ack
+program=target/review/release/other_writer
 if [ ! -x "$program" ] || [ ! -x target/release/lagoon-platform ]; then
     echo "build the programs of the deploy file and run review/build.sh first" >&2
     exit 2
--- a/review/standin/src/bin/killed_catching_up.rs
+++ b/review/standin/src/bin/killed_catching_up.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 use review_standin::client::Outcome;
-use review_standin::cluster::{CALL_LIMIT, CONTROL_PORT, Machine, Shape, Signal};
-use review_standin::http;
-use review_standin::scene::{self, BUDGET, CONFIG_PATH, Scene, Verdict, configuration, route};
+use review_standin::cluster::{Machine, Shape, Signal};
+use review_standin::scene::{
+    self, BUDGET, CONFIG_PATH, RESTART_DELAY, Scene, Verdict, configuration, route,
+};
 
 /// Pause between two changes of a storm, as on the days of the site.
 const STORM_GAP: Duration = Duration::from_millis(60);
@@ -22,9 +23,6 @@
 /// Time for which the host is down at first, and a storm of changes goes on.
 const DOWN_TIME: Duration = Duration::from_millis(3500);
 
-/// Delay after which a killed process is started again.
-const RESTART_DELAY: Duration = Duration::from_millis(500);
-
 /// `CatchUpS` and some time beyond it, in which the host is lost no more.
 const CATCH_UP: Duration = Duration::from_millis(5000);
 
@@ -38,7 +36,7 @@
 const PORT: u16 = 443;
 
 fn main() -> ExitCode {
-    scene::run(&Shape { controls: 4, entries: 2, settings: "" }, play)
+    scene::run(&Shape::TSENKHER, play)
 }
 
 fn play(scene: &mut Scene) -> Result<Verdict> {
@@ -46,7 +44,7 @@
     let backend = scene.start_backend(1, scene.controls())?;
     let mut version = 1;
     change(scene, &mut version, FIRST_CHANGES)?;
-    let leader = find_leader(scene).ok_or_else(|| Error::other("no leader"))?;
+    let leader = scene.find_leader()?;
     let count = scene.cluster.controls.len();
     let victim = (leader + 1) % count;
     if scene.trouble {
@@ -71,7 +69,7 @@
     if scene.trouble {
         final_fault(scene, (victim + 1) % count)?;
     }
-    let read = read_back(scene, version)?;
+    let read = scene.read_back(&configuration(version, &[PORT]), RECOVERY)?;
     let mut client = scene.client()?;
     let outcome = match client.open(route(PORT)) {
         Ok(mut flow) => client.request(&mut flow, "last", BUDGET),
@@ -99,13 +97,6 @@
     Ok(())
 }
 
-fn find_leader(scene: &Scene) -> Option<usize> {
-    scene.cluster.controls.iter().position(|control| {
-        http::call_once(control.at(CONTROL_PORT), "GET", CONFIG_PATH, "", CALL_LIMIT)
-            .is_ok_and(|response| response.status == 200)
-    })
-}
-
 fn kill(scene: &mut Scene, number: usize) {
     let control = &mut scene.cluster.controls[number];
     control.kill();
@@ -146,31 +137,3 @@
     }
     Ok(())
 }
-
-/// Reads the configuration at all nodes until it is the newest one, or the time to recover is over.
-/// Meanwhile the platform starts processes again that have ended.
-fn read_back(scene: &mut Scene, version: u64) -> Result<bool> {
-    let until = Instant::now() + RECOVERY;
-    let newest = configuration(version, &[PORT]);
-    let mut last = Vec::new();
-    loop {
-        let answers = scene.controls().into_iter().map(|control| {
-            let answer = http::call(control, "GET", CONFIG_PATH, "", CALL_LIMIT);
-            answer.map(|answer| (answer.status, answer.body == newest)).ok()
-        });
-        let answers: Vec<_> = answers.collect();
-        let read = answers.contains(&Some((200, true)));
-        if answers != last {
-            let line =
-                format!("operator: GET {CONFIG_PATH}: status and whether newest: {answers:?}");
-            scene.record.line(line);
-            last = answers;
-        }
-        if read || Instant::now() >= until {
-            scene.forget_ended();
-            return Ok(read);
-        }
-        scene.restart_ended()?;
-        sleep(RESTART_DELAY);
-    }
-}
--- a/review/standin/src/bin/lost_syn_ack.rs
+++ b/review/standin/src/bin/lost_syn_ack.rs
@@ -18,7 +18,7 @@
 const PORT: u16 = 443;
 
 fn main() -> ExitCode {
-    scene::run(&Shape { controls: 4, entries: 2, settings: "" }, play)
+    scene::run(&Shape::TSENKHER, play)
 }
 
 fn play(scene: &mut Scene) -> Result<Verdict> {
--- a/review/standin/src/bin/other_writer.rs
+++ b/review/standin/src/bin/other_writer.rs
@@ -19,7 +19,7 @@
 const PORT: u16 = 443;
 
 fn main() -> ExitCode {
-    scene::run(&Shape { controls: 4, entries: 2, settings: "" }, play)
+    scene::run(&Shape::TSENKHER, play)
 }
 
 fn play(scene: &mut Scene) -> Result<Verdict> {
--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -56,6 +56,7 @@
     pub record: Record,
     pub controls: Vec<Machine>,
     pub entries: Vec<Machine>,
+    pub zones: &'static [&'static str],
     root: PathBuf,
     folder: PathBuf,
     subnet: [u8; 2],
@@ -64,16 +65,30 @@
 /// Size and settings of an installation.
 #[derive(Debug, Clone)]
 pub struct Shape {
+    /// Names of the zones.
+    pub zones: &'static [&'static str],
     /// Control hosts, each in the zone of its number.
     pub controls: u8,
+    /// Those of them that are not there at first: the last ones, in the zone of the one before them.
+    pub spares: u8,
     /// Entry hosts, all in the first zone.
     pub entries: u8,
-    /// Further lines of the settings files.
-    pub settings: &'static str,
+}
+
+impl Shape {
+    /// Machines of tsenkher-ulb: four control hosts, and two entry hosts of its first zone.
+    pub const TSENKHER: Self = Self { zones: TSENKHER_ZONES, controls: 4, spares: 0, entries: 2 };
+
+    /// Machines of cbgha-bookings: three control hosts and one that replaces the last of them, and two
+    /// entry hosts of its first zone.
+    pub const CBGHA: Self = Self { zones: CBGHA_ZONES, controls: 4, spares: 1, entries: 2 };
 }
 
 /// Zones of tsenkher-ulb.
-pub const ZONES: [&str; 4] = ["bzd-hall", "khu-hall", "sbd-hall", "chd-hall"];
+const TSENKHER_ZONES: &[&str] = &["bzd-hall", "khu-hall", "sbd-hall", "chd-hall"];
+
+/// Zones of cbgha-bookings.
+const CBGHA_ZONES: &[&str] = &["pasco-hall", "kennewick-hall", "richland-hall"];
 
 impl Machine {
     /// Returns the address of an API of this machine.
@@ -132,7 +147,7 @@
     /// Starts all machines within some milliseconds; `root` is the repository.
     pub fn start(record: Record, root: &Path, shape: &Shape) -> Result<Self> {
         let mut cluster = Self::prepare(record, root, shape)?;
-        for number in 0..cluster.controls.len() {
+        for number in 0..usize::from(shape.controls - shape.spares) {
             cluster.start_control(number, true)?;
         }
         for number in 0..cluster.entries.len() {
@@ -147,8 +162,11 @@
         let name = format!("review-{}-{}-{}", std::process::id(), subnet[0], subnet[1]);
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder)?;
+        let zones = shape.zones;
+        let first_spare = shape.controls - shape.spares;
+        let zone = |number: u8| usize::from(number.min(first_spare - 1)) % zones.len();
         let machine = |role: &'static str, first: u8, number: u8, zone: usize| {
-            let name = format!("{role}-{}-{number}", ZONES[zone]);
+            let name = format!("{role}-{}-{number}", zones[zone]);
             Machine {
                 address: Ipv4Addr::new(127, subnet[0], subnet[1], first + number),
                 process: None,
@@ -158,13 +176,13 @@
                 name,
             }
         };
-        let controls = (0..shape.controls)
-            .map(|number| machine("control", 1, number, usize::from(number) % 4));
+        let controls =
+            (0..shape.controls).map(|number| machine("control", 1, number, zone(number)));
         let entries = (0..shape.entries).map(|number| machine("entry", 31, number, 0));
         let (controls, entries) = (controls.collect(), entries.collect());
         let root = root.to_path_buf();
-        let cluster = Self { record, controls, entries, root, folder, subnet };
-        cluster.write_settings(true, shape.settings)?;
+        let cluster = Self { record, controls, entries, zones, root, folder, subnet };
+        cluster.write_settings()?;
         Ok(cluster)
     }
 
@@ -174,14 +192,15 @@
     }
 
     /// Writes the settings files of all machines.
-    pub fn write_settings(&self, bootstrap: bool, more: &str) -> Result<()> {
+    fn write_settings(&self) -> Result<()> {
         let seeds = self.controls.iter().take(3);
         let seeds: Vec<_> = seeds.map(|seed| seed.at(CONTROL_PORT).to_string()).collect();
-        let zones: String =
-            ZONES.iter().map(|zone| format!("Zones.{zone}=ulaanbaatar\n")).collect();
+        let names = self.zones;
+        let region = if names == CBGHA_ZONES { "mid-columbia" } else { "ulaanbaatar" };
+        let zones: String = names.iter().map(|zone| format!("Zones.{zone}={region}\n")).collect();
         for machine in self.controls.iter().chain(&self.entries) {
             let ip = machine.address;
-            let zone = ZONES.iter().find(|zone| machine.name.contains(**zone)).unwrap_or(&ZONES[0]);
+            let zone = names.iter().find(|zone| machine.name.contains(**zone)).unwrap_or(&names[0]);
             let control = machine.role == "control";
             let (class, serves) = if control { ("core", "control") } else { ("front", "front") };
             let listen = if control {
@@ -196,8 +215,8 @@
             };
             let text = format!(
                 "NodeName={}\nRole={}\nMachineClass={class}\nServes={serves}\nIp={ip}\nZone={zone}\n\
-                 Region=ulaanbaatar\n{zones}{listen}InternalPorts={INTERNAL_PORT},{}\nSeeds={}\n\
-                 Bootstrap={bootstrap}\nLossCounts={control}\nLimits.LinkMbps=1000.0\n\
+                 Region={region}\n{zones}{listen}InternalPorts={INTERNAL_PORT},{}\nSeeds={}\n\
+                 Bootstrap=true\nLossCounts={control}\nLimits.LinkMbps=1000.0\n\
                  Discovery=registration\nEntry=announce\nHeartbeatIntervalMs=1200\n\
                  Contracts=base,drain,config,cost,recover,flows\nFaultTolerance.Machines=1\n\
                  FaultTolerance.Zones=1\nFaultTolerance.Regions=0\nBounds.SeedLagS=3\n\
@@ -205,7 +224,7 @@
                  Bounds.CatchUpS=4\nBounds.DrainMs=3000\nBounds.GraceS=6\nBounds.LossSlackMs=200\n\
                  Bounds.ConfigApplyMs=3000\nBounds.RollbackSlackMs=250\nBounds.MaxStretchMs=12000\n\
                  Bounds.RecoveryS=12\nBounds.ReorderWindowMs=2000\nBounds.MaxFlowS=60\n\
-                 config_mode=highest\nHash=mod\nForwardingMode=echo\n{more}",
+                 config_mode=highest\nHash=mod\nForwardingMode=echo\n",
                 machine.name,
                 machine.role,
                 INTERNAL_PORT + 15,
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -8,6 +8,5 @@
 pub mod cluster;
 pub mod http;
 pub mod packet;
-pub mod proxy;
 pub mod record;
 pub mod scene;
--- a/review/standin/src/scene.rs
+++ b/review/standin/src/scene.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 use crate::backend::{Backend, Identity, unix_millis};
 use crate::client::Client;
-use crate::cluster::{CONTROL_PORT, Cluster, PACKET_PORT, Shape, ZONES};
+use crate::cluster::{CALL_LIMIT, CONTROL_PORT, Cluster, PACKET_PORT, Shape};
+use crate::http;
 use crate::record::Record;
 
 /// Name of the only service.
@@ -23,6 +25,9 @@
 /// Time that a backend works on a request.
 const WORK: Duration = Duration::from_millis(30);
 
+/// Delay after which a process that has ended is started again.
+pub const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 /// Time within which the installation has to have started.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -106,7 +111,7 @@
             born: unix_millis(),
             service: service.into(),
             address: SocketAddrV4::new(self.cluster.stand_in(number), 8080),
-            zone: ZONES[0].into(),
+            zone: self.cluster.zones[0].into(),
         }
     }
 
@@ -116,6 +121,43 @@
         Client::bind(&self.record, "C1", self.cluster.stand_in(50), entries)
     }
 
+    /// Returns the number of the control host that answers reads itself.
+    pub fn find_leader(&self) -> Result<usize> {
+        let leads = |control: &SocketAddrV4| {
+            http::call_once(*control, "GET", CONFIG_PATH, "", CALL_LIMIT)
+                .is_ok_and(|response| response.status == 200)
+        };
+        let leader = self.controls().iter().position(leads);
+        leader.ok_or_else(|| Error::other("no control host answers reads"))
+    }
+
+    /// Reads the configuration at all nodes until it is the newest one, or the time is over. Meanwhile the
+    /// platform starts processes again that have ended by themselves.
+    pub fn read_back(&mut self, newest: &str, limit: Duration) -> Result<bool> {
+        let until = Instant::now() + limit;
+        let mut last = Vec::new();
+        loop {
+            let answers = self.controls().into_iter().map(|control| {
+                let answer = http::call(control, "GET", CONFIG_PATH, "", CALL_LIMIT);
+                answer.map(|answer| (answer.status, answer.body == newest)).ok()
+            });
+            let answers: Vec<_> = answers.collect();
+            let read = answers.contains(&Some((200, true)));
+            if answers != last {
+                self.record.line(format!(
+                    "operator: GET {CONFIG_PATH}: status and whether newest: {answers:?}"
+                ));
+                last = answers;
+            }
+            if read || Instant::now() >= until {
+                self.forget_ended();
+                return Ok(read);
+            }
+            self.restart_ended()?;
+            sleep(RESTART_DELAY);
+        }
+    }
+
     /// Starts the control hosts again whose processes have ended by themselves, as the platform does.
     pub fn restart_ended(&mut self) -> Result<()> {
         for number in 0..self.cluster.controls.len() {
