Give the vote of a control host back before a planned end

Cause: the new host votes at once, so four voted and three had to agree, and the former host counted for 2.4 s of silence after its planned end. A disk lost within that time left two of four, and without a leader nobody can be removed.

Ruled out: the new host does not vote yet (it does after 0.1 s); a store lost what it held (the same disks serve once the vote is given back).

A leader removes itself.

Why it works: the group shrinks from four to three before the host is gone, so the next loss leaves two of three.

--- a/lagoongauge/src/replica/codec.rs
+++ b/lagoongauge/src/replica/codec.rs
@@ -77,6 +77,8 @@
             answer.set_offset(*offset);
         }
         Body::Join => body.set_join(()),
+        Body::Leave => body.set_leave(()),
+        Body::LeaveAnswer => body.set_leave_answer(()),
     }
 }
 
@@ -141,6 +143,8 @@
             }
         }
         Which::Join(()) => Body::Join,
+        Which::Leave(()) => Body::Leave,
+        Which::LeaveAnswer(()) => Body::LeaveAnswer,
     })
 }
 
--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -8,6 +8,7 @@
 
 use super::StateMachine;
 use super::configuration::{Change, Configuration, Identity};
+use super::departure::Departure;
 use super::entry::{Entry, Payload, Position};
 use super::leader::Peer;
 use super::log::Log;
@@ -80,6 +81,8 @@
     /// Candidates over which this host has precedence, and when it last stood in their place.
     pub(super) replaced: IndexMap<Identity, Instant>,
     pub(super) next_join: Instant,
+    /// Whether this host is about to end.
+    pub(super) departure: Departure,
     pub(super) next_commit_record: Instant,
     pub(super) incoming: Option<Incoming>,
     pub(super) outbox: Outbox,
@@ -117,6 +120,7 @@
             rival_seen: None,
             replaced: IndexMap::new(),
             next_join: now,
+            departure: Departure::default(),
             next_commit_record: now,
             incoming: None,
             outbox: Outbox::default(),
@@ -354,7 +358,8 @@
     pub(super) fn request_join_if_due(&mut self) {
         let has_leader = self.now < self.leader_contact + self.setup.timing.election_max;
         let configured = self.configuration().contains(self.setup.identity);
-        if self.now < self.next_join || (configured && has_leader) {
+        let leaving = self.departure != Departure::Staying;
+        if leaving || self.now < self.next_join || (configured && has_leader) {
             return;
         }
         self.next_join = self.now + Span(self.setup.timing.heartbeat.0 * JOIN_INTERVAL_HEARTBEATS);
--- a/lagoongauge/src/replica/election.rs
+++ b/lagoongauge/src/replica/election.rs
@@ -22,6 +22,8 @@
         match body {
             Body::PreVote { last } => return self.handle_pre_vote(from, term, last),
             Body::PreVoteAnswer { granted: true } => return self.count_pre_vote(from, term),
+            Body::Leave => return self.handle_leave(from),
+            Body::LeaveAnswer => return self.handle_leave_answer(from),
             Body::Vote { .. } if self.has_recent_leader() => return,
             _ => {}
         }
@@ -51,6 +53,7 @@
 
     pub(super) fn tick_follower(&mut self) {
         self.request_join_if_due();
+        self.request_leave_if_due();
         if self.now < self.election_deadline {
             return;
         }
--- a/lagoongauge/src/replica/leader.rs
+++ b/lagoongauge/src/replica/leader.rs
@@ -31,6 +31,8 @@
     pub(super) last_answered: Option<Instant>,
     /// Start of the peer's silence if it has never answered this leader.
     pub(super) silent_since: Instant,
+    /// Until when it counts as about to end, as it told this leader.
+    pub(super) leaving_until: Option<Instant>,
     /// When the last message was sent.
     last_sent: Option<Instant>,
     /// When a message last included the newest entry.
@@ -39,7 +41,8 @@
 
 impl Peer {
     fn new(next: u64, silent_since: Instant) -> Self {
-        let (chunk_round, last_answered, last_sent, all_sent_at) = Default::default();
+        let (chunk_round, last_answered, leaving_until, last_sent, all_sent_at) =
+            Default::default();
         Self {
             matched: 0,
             next,
@@ -48,6 +51,7 @@
             chunk_round,
             last_answered,
             silent_since,
+            leaving_until,
             last_sent,
             all_sent_at,
         }
@@ -151,6 +155,7 @@
             return;
         }
         self.update_membership();
+        self.finish_own_departure();
         let now = self.now;
         let heartbeat = self.setup.timing.heartbeat;
         let Role::Leader(leader) = &self.role else { return };
--- a/lagoongauge/src/replica/membership.rs
+++ b/lagoongauge/src/replica/membership.rs
@@ -13,6 +13,7 @@
 impl<M: StateMachine> Core<M> {
     /// Passes a request to join to the driver, which knows the hosts that operators allow.
     pub(super) fn handle_join(&mut self, from: Identity) {
+        self.forget_departure(from);
         if self.is_leader() && from.incarnation != 0 && !self.configuration().contains(from) {
             self.outbox.push(Action::JoinRequested(from));
         }
@@ -93,8 +94,11 @@
     }
 
     /// Returns the time since a peer last answered; 0 while this leader is so new that an answer may
-    /// still be on its way.
+    /// still be on its way. A host that is about to end counts as silent for longest.
     pub(super) fn silence(&self, identity: Identity) -> Span {
+        if self.is_departing(identity) {
+            return Span(u64::MAX);
+        }
         let Role::Leader(leader) = &self.role else { return Span(0) };
         let Some(peer) = leader.peers.get(&identity) else { return Span(0) };
         if self.now.since(leader.elected_at) < self.setup.timing.election_min {
--- a/lagoongauge/src/replica/message.rs
+++ b/lagoongauge/src/replica/message.rs
@@ -38,7 +38,11 @@
             Body::ChunkAnswer { round, position, offset } => {
                 is_reachable(position) && round.0.max(*offset) <= MAX_NUMBER
             }
-            Body::PreVoteAnswer { .. } | Body::VoteAnswer { .. } | Body::Join => true,
+            Body::PreVoteAnswer { .. }
+            | Body::VoteAnswer { .. }
+            | Body::Join
+            | Body::Leave
+            | Body::LeaveAnswer => true,
         };
         body && self.term <= MAX_NUMBER
     }
@@ -100,6 +104,10 @@
     },
     /// Requests to be added to the configuration.
     Join,
+    /// Tells the leader that the sender is about to end, and may have to be removed.
+    Leave,
+    /// Tells a host that is about to end that the group no longer waits for it.
+    LeaveAnswer,
 }
 
 /// A part of a snapshot.
--- a/lagoongauge/src/replica/mod.rs
+++ b/lagoongauge/src/replica/mod.rs
@@ -11,6 +11,7 @@
 mod codec;
 mod configuration;
 mod core;
+mod departure;
 mod election;
 mod entry;
 mod follower;
--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log with network and disk faults; see `world`.
 
 mod codec;
+mod departure;
 mod group;
 mod messages;
 mod model;
--- a/lagoongauge/tests/replica/messages.rs
+++ b/lagoongauge/tests/replica/messages.rs
@@ -78,6 +78,8 @@
             Body::ChunkAnswer { round: Instant(round), position, offset }
         }),
         Just(Body::Join),
+        Just(Body::Leave),
+        Just(Body::LeaveAnswer),
     ]
 }
 
--- a/lagoongauge/tests/replica/world.rs
+++ b/lagoongauge/tests/replica/world.rs
@@ -280,6 +280,13 @@
         Some(result)
     }
 
+    /// Has a host leave the group, as its process is about to end.
+    pub fn leave(&mut self, host_index: usize) {
+        let now = self.now(host_index);
+        self.hosts[host_index].core.as_mut().unwrap().leave(now);
+        self.handle_actions(host_index);
+    }
+
     pub fn change(&mut self, host_index: usize, change: Change) -> Result<ProposalId> {
         let now = self.now(host_index);
         let result = self.hosts[host_index].core.as_mut().unwrap().propose_change(now, change);
--- a/lagoongauge_schema/schema/replica.capnp
+++ b/lagoongauge_schema/schema/replica.capnp
@@ -25,6 +25,8 @@
     chunk @9 :Chunk;
     chunkAnswer @10 :ChunkAnswer;
     join @11 :Void;
+    leave @12 :Void;
+    leaveAnswer @13 :Void;
   }
 }
 
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -306,6 +306,12 @@
         }
     }
 
+    /// Has the replica give its vote back, as the process is about to end.
+    pub(super) fn leave(&self) {
+        self.engine.borrow_mut().leave(self.clock.now());
+        self.flush();
+    }
+
     /// Advances the replica and the roster to the current time, and wakes the feeds if something
     /// changed.
     pub(super) fn tick(&self) {
--- a/lagoongauged/src/cluster/run.rs
+++ b/lagoongauged/src/cluster/run.rs
@@ -115,12 +115,13 @@
         change_log.update(&host.engine.borrow());
         sleep(TICK_INTERVAL).await;
     }
-    log::info!("control host ends after a stop request");
+    let has_left = host.engine.borrow().has_left();
+    log::info!(belief = "departure", has_left = has_left; "control host ends after a stop request");
     Ok(())
 }
 
-/// Returns whether the host may end: it was asked to, and the requests that it had accepted before
-/// have been answered or have taken too long.
+/// Returns whether the host may end: it was asked to, its vote is not needed any more, and the requests
+/// that it had accepted before have been answered, or either has taken too long.
 ///
 /// New ones are refused for [`STOP_DELAY`] at least, so that callers whose connection was accepted
 /// learn that nothing ran.
@@ -135,7 +136,9 @@
     host.open_requests.close();
     let now = host.clock.now();
     let waited = now.since(*stopped_at.get_or_insert(now));
-    waited >= host.setup.linger || (waited >= STOP_DELAY && host.open_requests.is_empty())
+    host.leave();
+    let is_done = host.open_requests.is_empty() && host.engine.borrow().has_left();
+    waited >= host.setup.linger || (waited >= STOP_DELAY && is_done)
 }
 
 async fn accept_connections<S: Store + 'static>(host: SharedHost<S>, listener: TcpListener) {
--- a/lagoongauged/src/engine.rs
+++ b/lagoongauged/src/engine.rs
@@ -170,6 +170,20 @@
         Ok(self.register_proposal(now, id))
     }
 
+    /// Begins to leave the group, as the process is about to end; see [`Core::leave`].
+    pub fn leave(&mut self, now: Instant) {
+        if self.retry_at.is_none() {
+            self.core.leave(now);
+            self.process_actions(now);
+        }
+    }
+
+    /// Returns whether the group no longer waits for this host after [`Self::leave`], or can't hear it, as
+    /// the replica is halted.
+    pub fn has_left(&self) -> bool {
+        self.retry_at.is_some() || self.core.has_left()
+    }
+
     /// Handles a message from another replica.
     pub fn handle_message(&mut self, now: Instant, message: Message) {
         if self.retry_at.is_none() {
