Ignore announcements of services that the catalog does not name

Cause: the service was never compared with the catalog, and the roster gives an address to the latest claimant, which ends the former one for good.

Ruled out: lost announcements of the live target (answered 200, stale); entry hosts that mix services up (they apply the roster).

Change: an announcement enters the roster only if the catalog names its service, or the roster has that target in that service at that address; others are answered 200 and counted, a drain gets 503.

Why it works: the claim never reaches the merge rules, on any host, so these stay independent of the order of messages.

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -5,6 +5,7 @@
 mod entries;
 mod evacuation;
 mod gossip;
+mod services;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -35,6 +36,7 @@
 pub(super) use self::documents::CONFIRM_TIMEOUT;
 use self::entries::EntryHost;
 pub(super) use self::gossip::gossip;
+use self::services::NamedServices;
 
 /// Interval at which [`wait_until`] checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(4);
@@ -61,8 +63,13 @@
     pub disk_losses: usize,
     /// Time for which requests that were accepted before a stop request are still served.
     pub linger: Span,
+    /// Lists the services that the content of a catalog document names.
+    pub service_names: ServiceNames,
 }
 
+/// Lists the services that the content of a catalog document names; fails with the errors of decoding it.
+pub type ServiceNames = fn(&[u8]) -> Result<Vec<String>>;
+
 /// A control host.
 pub struct Host<S> {
     /// Its options.
@@ -97,6 +104,8 @@
     was_current: Cell<bool>,
     /// The latest document in the form that is sent to entry hosts.
     compressed: RefCell<Rc<CompressedDocument>>,
+    /// Services of the catalog, against which announcements are checked.
+    services: RefCell<NamedServices>,
     metrics: Metrics,
 }
 
@@ -131,6 +140,7 @@
             returns: RefCell::default(),
             was_current: Cell::new(false),
             compressed: RefCell::default(),
+            services: RefCell::default(),
             metrics,
         }
     }
--- a/lagoongauged/src/cluster/host/announcements.rs
+++ b/lagoongauged/src/cluster/host/announcements.rs
@@ -18,8 +18,12 @@
     ///
     /// An announcement that a target is draining or gone is acknowledged only once a majority of
     /// control hosts has it, as this host may fail right afterwards; otherwise this fails with
-    /// `UnknownOutcome`, as the hosts that have it act on it.
+    /// `UnknownOutcome`, as the hosts that have it act on it. An announcement of a service that the
+    /// catalog doesn't name changes nothing; if it tells of a drain, this fails with `NotCurrent`.
     pub async fn handle_announcement(&self, entry: Entry) -> Result<MergeOutcome> {
+        if !self.check_service(&entry)? {
+            return Ok(MergeOutcome::Stale);
+        }
         let now = self.clock.now();
         let heartbeat = Heartbeat {
             target: entry.target,
--- a/lagoongauged/src/cluster/metrics.rs
+++ b/lagoongauged/src/cluster/metrics.rs
@@ -1,11 +1,11 @@
 //! Metrics of a control host in the Prometheus text format.
 
 use lagoongauge::replica::Store;
-use prometheus::{Histogram, IntGauge, IntGaugeVec};
+use prometheus::{Histogram, IntCounter, IntGauge, IntGaugeVec};
 
 use super::host::Host;
 use super::version::VersionMetrics;
-use crate::daemon::metrics::MetricRegistry;
+use crate::daemon::metrics::{MetricRegistry, advance_to};
 
 /// Upper bounds of the buckets of the change histogram, in seconds.
 const CHANGE_TIME_BOUNDS_SECONDS: [f64; 8] = [0.002, 0.005, 0.01, 0.025, 0.1, 0.25, 1.0, 4.0];
@@ -24,6 +24,7 @@
     entry_hosts: IntGauge,
     targets: IntGaugeVec,
     evacuated_centres: IntGauge,
+    ignored: IntCounter,
     versions: VersionMetrics,
 }
 
@@ -56,6 +57,10 @@
             evacuated_centres: registry
                 .gauge("evacuated_centres", "Data centres that operators have evacuated.")?,
             targets: registry.gauge_vec("targets", "Targets that are known, by state.", "state")?,
+            ignored: registry.counter(
+                "ignored_announcements",
+                "Announcements of targets whose service is not in the catalog.",
+            )?,
             versions: VersionMetrics::new(&registry)?,
             registry,
         })
@@ -80,6 +85,7 @@
         for (state, count) in TARGET_STATES.iter().zip(host.count_targets()) {
             self.targets.with_label_values(&[state]).set(count);
         }
+        advance_to(&self.ignored, host.ignored_announcements());
         self.versions.update(&host.versions.borrow());
         self.registry.render()
     }
