Ask that changes are taken again after disks were full in turn

Operators of other systems reported changes that stay refused long after the last of several disks had room again. Tried in the replicated log: groups of 3, 4 and 7, each disk full for 3 s in turn, twice, with a change every 50 ms. It does not happen there; the test passed at once and stays as a guard.

--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod departure;
+mod full_disks;
 mod group;
 mod messages;
 mod model;
