--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod late_leave;
 mod late_report;
 mod partial_report;
+mod torn_install;
 
 use std::sync::Arc;
 
@@ -19,6 +20,7 @@
         "core-lost" => Some(core_lost::play),
         "late-leave" => Some(late_leave::play),
         "late-report" => Some(late_report::play),
+        "torn-install" => Some(torn_install::play),
         "partial-report" => Some(partial_report::play),
         _ => None,
     }
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -14,6 +14,8 @@
     pub status: u16,
     /// Address named in `Location`, if any.
     pub location: Option<SocketAddrV4>,
+    /// Body.
+    pub body: String,
 }
 
 /// Sends a request without waiting for the response.
@@ -73,5 +75,5 @@
     let location = field("location")
         .and_then(|value| value.strip_prefix("http://"))
         .and_then(|value| value.split('/').next()?.parse().ok());
-    (body.len() >= length).then_some(Response { status, location })
+    (body.len() >= length).then(|| Response { status, location, body: body.into() })
 }
--- a/review/standin-2/src/scene.rs
+++ b/review/standin-2/src/scene.rs
@@ -12,6 +12,8 @@
 
 /// Name of the only service.
 const SERVICE: &str = "huvo11a";
+/// Version of the first configuration.
+pub const FIRST_VERSION: u64 = 7;
 /// Time budget of a request.
 pub const BUDGET: Duration = Duration::from_secs(3);
 
@@ -45,7 +47,7 @@
     pub fn start(site: Site, record: &Arc<Record>) -> Option<Self> {
         let system = System::start(site).ok()?;
         let net = system.net;
-        if !system.put_config(record, &configuration()) {
+        if !system.put_config(record, &configuration(FIRST_VERSION)) {
             return None;
         }
         let entries = system.entries.iter().take(CLIENT_ENTRIES);
@@ -194,9 +196,10 @@
     false
 }
 
-fn configuration() -> String {
+/// Returns a configuration with the only route.
+pub fn configuration(version: u64) -> String {
     format!(
-        "{{\"Version\":7,\"Routes\":[{{\"Name\":\"r-feed\",\"Host\":\"198.18.0.1\",\
+        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-feed\",\"Host\":\"198.18.0.1\",\
          \"PathPrefix\":\"/443/\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"TargetLatencyMs\":200,\
          \"Priority\":2,\"Service\":\"{SERVICE}\",\"MaxAttempts\":2}}],\"Services\":[{{\"Name\":\
          \"{SERVICE}\",\"HealthPath\":\"/health\",\"MaxFlows\":2000,\"Protocol\":\"h1\",\
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -16,6 +16,9 @@
 const ENTRY_ARGS: [&str; 3] = ["--metrics", "9464", "entry"];
 const CONTROL_ARGS: [&str; 3] = ["--metrics", "9465", "control"];
 
+/// Folder for settings, disks and logs; each run has a temporary one in it.
+const FOLDER: &str = "target/review-2/runs";
+
 /// Names of the zones.
 pub const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
@@ -176,7 +179,7 @@
     /// Starts all processes within a moment, with empty disks.
     pub fn start(site: Site) -> std::io::Result<Self> {
         let net = Net::pick()?;
-        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let folder = std::env::current_dir()?.join(FOLDER).join(std::process::id().to_string());
         fs::create_dir_all(&folder)?;
         let (core, entries) = (Vec::new(), Vec::new());
         let mut system = Self { net, core, entries, folder, bootstrap: true };
@@ -209,6 +212,25 @@
         Ok(())
     }
 
+    /// Kills a control host.
+    pub fn kill(&mut self, number: u8) {
+        let host = &mut self.core[usize::from(number - 1)];
+        let _ = host.child.kill();
+        let _ = host.child.wait();
+    }
+
+    /// Starts a control host again, with the disk that it has.
+    pub fn start_again(&mut self, site: Site, number: u8) -> std::io::Result<()> {
+        self.bootstrap = false;
+        self.core[usize::from(number - 1)] = self.spawn(site, number, true)?;
+        Ok(())
+    }
+
+    /// Returns the folder on the disk of a control host.
+    pub fn disk(&self, number: u8) -> PathBuf {
+        self.folder.join(format!("core-{number}.disk"))
+    }
+
     fn spawn(&self, site: Site, number: u8, is_core: bool) -> std::io::Result<Host> {
         let net = self.net;
         let ip = if is_core { net.core(number) } else { net.entry(number) };
@@ -251,7 +273,7 @@
             text += &format!("Zones.{zone}=region\n");
         }
         if is_core {
-            let disk = self.folder.join(format!("{name}.disk"));
+            let disk = self.disk(number);
             let _ = fs::create_dir_all(&disk);
             let ip = net.core(number);
             text += &format!(
