--- a/review/standin-2/src/backend.rs
+++ b/review/standin-2/src/backend.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddrV4, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -16,6 +16,10 @@
 const BEAT: Duration = Duration::from_millis(1200);
 /// Work of a request.
 const WORK: Duration = Duration::from_millis(30);
+/// First interval between two copies of a SYN+ACK, the longest one, and the number of copies.
+const FIRST_RETRY: Duration = Duration::from_millis(200);
+const MAX_RETRY: Duration = Duration::from_millis(1600);
+const RETRIES: usize = 8;
 /// Interval at which threads check whether the backend has ended.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -50,10 +54,11 @@
     identity: Identity,
     born_ms: u64,
     ended: AtomicBool,
-    draining: AtomicBool,
     sequence: AtomicU64,
     flows: Mutex<HashMap<(SocketAddrV4, SocketAddrV4), Flow>>,
     record: Arc<Record>,
+    /// Number of SYN+ACKs that the network loses next.
+    losses: Arc<AtomicUsize>,
     /// Nodes that serve control, in the order in which this backend picks them.
     nodes: Vec<SocketAddrV4>,
     client_port: u16,
@@ -71,6 +76,7 @@
         identity: Identity,
         nodes: Vec<SocketAddrV4>,
         client_port: u16,
+        losses: &Arc<AtomicUsize>,
         record: &Arc<Record>,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(identity.address)?;
@@ -82,9 +88,9 @@
             identity,
             born_ms: born_ms as u64,
             ended: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             flows: Mutex::default(),
+            losses: Arc::clone(losses),
             record: Arc::clone(record),
             nodes,
             client_port,
@@ -124,24 +130,6 @@
         http::send(node, "PUT", &self.shared.path(), &body).ok()
     }
 
-    /// Sends the end to the nodes in the given order until one acknowledges it.
-    pub fn leave(&self, nodes: &[SocketAddrV4]) {
-        for node in nodes {
-            let response = http::call(*node, "DELETE", &self.shared.path(), "");
-            let status = response.map(|response| response.status);
-            self.shared.say(&format!("DELETE to {node}: answered {status:?}"));
-            if status == Some(200) {
-                return;
-            }
-        }
-    }
-
-    /// Drains: reports it at once, and returns whether that was acknowledged.
-    pub fn drain(&self) -> bool {
-        self.shared.draining.store(true, Ordering::Release);
-        (0..5).any(|_| self.shared.report_once())
-    }
-
     /// Ends the process of the backend: nothing is sent any more.
     pub fn end(self) {
         drop(self);
@@ -187,13 +175,12 @@
 
     fn next_report(&self) -> String {
         let sequence = 1 + self.sequence.fetch_add(1, Ordering::AcqRel);
-        let state = if self.draining.load(Ordering::Acquire) { "draining" } else { "ready" };
         let born =
             if self.identity.born { format!(",\"born\":{}", self.born_ms) } else { String::new() };
         let Identity { address, service, zone, .. } = &self.identity;
         format!(
             "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-             \"Version\":\"v1\",\"Slots\":2,\"State\":\"{state}\",\"ColdRemainingMs\":0,\
+             \"Version\":\"v1\",\"Slots\":2,\"State\":\"ready\",\"ColdRemainingMs\":0,\
              \"Sequence\":{sequence}{born}}}"
         )
     }
@@ -290,11 +277,12 @@
             self.say(&format!("resets a flow that it does not hold: {}", packet.src));
             return Some(reply(RST, packet.ack, 0, Vec::new()));
         };
-        if !flow.open && packet.ack == flow.own_seq.wrapping_add(1) {
-            flow.open = true;
-        }
+        flow.open |= packet.ack == flow.own_seq.wrapping_add(1);
         if !flow.open {
-            return None;
+            flows.remove(&key);
+            drop(flows);
+            self.say(&format!("resets a flow that is not open here: {}", packet.src));
+            return Some(reply(RST, packet.ack, 0, Vec::new()));
         }
         let sent = flow.own_seq.wrapping_add(1);
         if packet.flags & FIN != 0 {
@@ -327,11 +315,16 @@
     /// Sends a reply to the client directly; an answer follows after the work.
     fn reply(self: &Arc<Self>, socket: &UdpSocket, packet: &Packet, reply: Packet) {
         let to = SocketAddrV4::new(*packet.src.ip(), self.client_port);
+        let Ok(socket) = socket.try_clone() else { return };
+        if reply.flags & SYN != 0 {
+            let copies = packet.ack;
+            self.answer_syn(socket, reply, copies, to);
+            return;
+        }
         if reply.data.is_empty() {
             let _ = socket.send_to(&reply.to_bytes(), to);
             return;
         }
-        let Ok(socket) = socket.try_clone() else { return };
         let shared = Arc::clone(self);
         spawn(move || {
             sleep(WORK);
@@ -340,4 +333,39 @@
             }
         });
     }
+
+    /// Answers a SYN, and repeats the answer to the first one until it is acknowledged.
+    fn answer_syn(
+        self: &Arc<Self>,
+        socket: UdpSocket,
+        reply: Packet,
+        copies: u32,
+        to: SocketAddrV4,
+    ) {
+        let take = |left: usize| left.checked_sub(1);
+        if self.losses.fetch_update(Ordering::AcqRel, Ordering::Acquire, take).is_ok() {
+            self.say(&format!("answers a SYN of {}; the answer is lost", reply.dst));
+        } else {
+            self.say(&format!("answers a SYN of {}, with {copies} copies before it", reply.dst));
+            let _ = socket.send_to(&reply.to_bytes(), to);
+        }
+        let shared = Arc::clone(self);
+        spawn(move || {
+            let mut pause = FIRST_RETRY;
+            for _ in 0..RETRIES {
+                sleep(pause);
+                pause = (2 * pause).min(MAX_RETRY);
+                if !shared.is_half_open((reply.dst, reply.src)) {
+                    return;
+                }
+                shared.say(&format!("repeats its answer to the SYN of {}", reply.dst));
+                let _ = socket.send_to(&reply.to_bytes(), to);
+            }
+        });
+    }
+
+    fn is_half_open(&self, key: (SocketAddrV4, SocketAddrV4)) -> bool {
+        let flows = self.flows.lock().expect("no holder panics");
+        !self.has_ended() && flows.get(&key).is_some_and(|flow| !flow.open)
+    }
 }
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,10 +1,10 @@
 //! The cases, each with a module of its own.
 
 mod core_lost;
-mod late_leave;
 mod late_report;
+mod lost_answer;
 mod partial_report;
-mod torn_install;
+mod replaced;
 
 use std::sync::Arc;
 
@@ -18,10 +18,10 @@
 pub fn find(name: &str) -> Option<Play> {
     match name {
         "core-lost" => Some(core_lost::play),
-        "late-leave" => Some(late_leave::play),
         "late-report" => Some(late_report::play),
-        "torn-install" => Some(torn_install::play),
+        "lost-answer" => Some(lost_answer::play),
         "partial-report" => Some(partial_report::play),
+        "replaced" => Some(replaced::play),
         _ => None,
     }
 }
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -15,6 +15,8 @@
 
 /// Times after the first SYN at which its copies follow, and at which the client gives up.
 const SYN_TIMES: [u64; 3] = [200, 600, 1400];
+/// Time between the last readiness check and the rotation that follows from it.
+const NOTICE: Duration = Duration::from_millis(100);
 /// Interval of the readiness checks.
 const PROBE: Duration = Duration::from_millis(500);
 /// Longest interval between two copies of data.
@@ -68,13 +70,16 @@
 #[derive(Debug)]
 pub struct Routers {
     rotation: Mutex<Vec<Ipv4Addr>>,
+    /// The next rotation, a moment before it applies.
+    coming: Mutex<Option<Vec<Ipv4Addr>>>,
     ended: AtomicBool,
 }
 
 impl Routers {
     /// Starts to check the readiness of entry hosts.
     pub fn start(net: Net, entries: Vec<Ipv4Addr>, record: &Arc<Record>) -> Arc<Self> {
-        let routers = Arc::new(Self { rotation: Mutex::default(), ended: AtomicBool::new(false) });
+        let (rotation, coming, ended) = Default::default();
+        let routers = Arc::new(Self { rotation, coming, ended });
         let (shared, record) = (Arc::clone(&routers), Arc::clone(record));
         spawn(move || shared.check(net, &entries, &record));
         routers
@@ -91,16 +96,22 @@
             }
             let ready = entries.iter().zip(&misses).filter(|(_, misses)| **misses < 2);
             let rotation: Vec<Ipv4Addr> = ready.map(|(ip, _)| *ip).collect();
-            let mut current = self.rotation.lock().expect("no holder panics");
-            if *current != rotation {
+            if self.rotation() != rotation {
+                *self.coming.lock().expect("no holder panics") = Some(rotation.clone());
+                sleep(NOTICE);
                 record.line(format!("routers: in rotation {rotation:?}"));
-                *current = rotation;
+                *self.rotation.lock().expect("no holder panics") = rotation;
+                *self.coming.lock().expect("no holder panics") = None;
             }
-            drop(current);
             sleep(PROBE);
         }
     }
 
+    /// Returns the rotation that is about to apply.
+    pub fn coming(&self) -> Option<Vec<Ipv4Addr>> {
+        self.coming.lock().expect("no holder panics").clone()
+    }
+
     /// Returns the nodes in rotation.
     pub fn rotation(&self) -> Vec<Ipv4Addr> {
         self.rotation.lock().expect("no holder panics").clone()
@@ -108,14 +119,17 @@
 
     /// Returns the node that takes the packets between two ends.
     pub fn node(&self, from: SocketAddrV4, to: SocketAddrV4) -> Option<Ipv4Addr> {
-        let rotation = self.rotation();
-        let ports = u64::from(from.port()) << 16 | u64::from(to.port());
-        let key =
-            (ports ^ u64::from(u32::from(*from.ip()))).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
-        rotation.get((key % rotation.len().max(1) as u64) as usize).copied()
+        hash(&self.rotation(), from, to)
     }
 }
 
+/// Returns the node of a rotation that takes the packets between two ends.
+fn hash(rotation: &[Ipv4Addr], from: SocketAddrV4, to: SocketAddrV4) -> Option<Ipv4Addr> {
+    let ports = u64::from(from.port()) << 16 | u64::from(to.port());
+    let key = (ports ^ u64::from(u32::from(*from.ip()))).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+    rotation.get((key % rotation.len().max(1) as u64) as usize).copied()
+}
+
 impl Drop for Clients {
     fn drop(&mut self) {
         self.routers.ended.store(true, Ordering::Release);
@@ -156,13 +170,34 @@
         let _ = self.socket.send_to(&packet.to_bytes(), (node, self.net.datagram));
     }
 
+    /// Takes new ports until the routers send one's packets to another node in the coming rotation,
+    /// though its present one stays.
+    pub fn take_moving_port(&self, route: SocketAddrV4) -> Option<u16> {
+        let coming = self.routers.coming()?;
+        for _ in 0..64 {
+            let port = self.take_port();
+            let client = SocketAddrV4::new(self.ip, port);
+            let present = self.routers.node(client, route)?;
+            if coming.contains(&present) && hash(&coming, client, route) != Some(present) {
+                return Some(port);
+            }
+        }
+        None
+    }
+
+    fn take_port(&self) -> u16 {
+        let mut next = self.next_port.lock().expect("no holder panics");
+        *next += 1;
+        *next
+    }
+
     /// Opens a flow from a new port; fails with how the attempt ended.
     pub fn open(&self, route: SocketAddrV4) -> Result<Flow, Outcome> {
-        let port = {
-            let mut next = self.next_port.lock().expect("no holder panics");
-            *next += 1;
-            *next
-        };
+        self.open_from(self.take_port(), route)
+    }
+
+    /// Opens a flow from a port; fails with how the attempt ended.
+    pub fn open_from(&self, port: u16, route: SocketAddrV4) -> Result<Flow, Outcome> {
         let inbox: Arc<Inbox> = Arc::default();
         self.inboxes.lock().expect("no holder panics").insert(port, Arc::clone(&inbox));
         let client = SocketAddrV4::new(self.ip, port);
@@ -191,6 +226,10 @@
     /// Sends a request on a flow and waits for its answer.
     pub fn request(&self, flow: &mut Flow, attempt: &str, budget: Duration) -> Outcome {
         let data = format!("GET / HTTP/1.1\r\nAttempt-Id: {attempt}\r\n\r\n").into_bytes();
+        // What arrived since the last request: the last echo goes into the next packet.
+        while let Some(packet) = flow.inbox.take(Instant::now()) {
+            flow.echo = packet.echo;
+        }
         let deadline = Instant::now() + budget;
         let mut pause = Duration::from_millis(200);
         while Instant::now() < deadline {
--- a/review/standin-2/src/scene.rs
+++ b/review/standin-2/src/scene.rs
@@ -2,11 +2,13 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use crate::backend::{Backend, Identity};
 use crate::client::{Clients, Flow, Outcome, Routers};
+use crate::http;
 use crate::record::Record;
 use crate::system::{CLIENT_ENTRIES, Site, System, ZONES};
 
@@ -34,9 +36,11 @@
     /// The system.
     pub system: System,
     /// The clients.
-    pub clients: Clients,
+    pub clients: Arc<Clients>,
     /// The routers.
     pub routers: Arc<Routers>,
+    /// Number of SYN+ACKs that the network loses next.
+    pub losses: Arc<AtomicUsize>,
     /// The record.
     pub record: Arc<Record>,
     site: Site,
@@ -53,8 +57,9 @@
         let entries = system.entries.iter().take(CLIENT_ENTRIES);
         let entries: Vec<Ipv4Addr> = entries.map(|host| host.ip).collect();
         let routers = Routers::start(net, entries, record);
-        let clients = Clients::start(net, &routers, record).ok()?;
-        let scene = Self { system, clients, routers, record: Arc::clone(record), site };
+        let clients = Arc::new(Clients::start(net, &routers, record).ok()?);
+        let (losses, record) = (Arc::default(), Arc::clone(record));
+        let scene = Self { system, clients, routers, losses, record, site };
         let ready = || scene.routers.rotation().len() == CLIENT_ENTRIES;
         wait_for(Duration::from_secs(10), ready).then_some(())?;
         Some(scene)
@@ -82,7 +87,7 @@
     pub fn start_silent(&self, number: u8, id: u64, nodes: &[u8]) -> Option<Backend> {
         let nodes = nodes.iter().map(|node| self.system.net.api(*node)).collect();
         let port = self.system.net.datagram;
-        Backend::start(self.identity(number, id), nodes, port, &self.record).ok()
+        Backend::start(self.identity(number, id), nodes, port, &self.losses, &self.record).ok()
     }
 
     /// Opens flows until `count` of them are answered by `backend`; others are closed by silence.
@@ -146,6 +151,62 @@
         self.system.start_core_again(self.site).ok()
     }
 
+    /// Asks an entry host to end, and starts it again once it has.
+    pub fn restart_entry(&mut self, number: u8) -> Option<()> {
+        self.record.line(format!("planned work: entry host {number} gets SIGTERM"));
+        let host = &mut self.system.entries[usize::from(number - 1)];
+        host.signal("TERM");
+        wait_for(Duration::from_secs(6), || host.has_ended());
+        sleep(Duration::from_millis(500));
+        self.record.line(format!("entry host {number} starts again"));
+        self.system.start_entry_again(self.site, number).ok()
+    }
+
+    /// Adds a control host with an empty disk; returns its number.
+    pub fn add_core(&mut self) -> Option<u8> {
+        let number = self.system.add_core(self.site).ok()?;
+        self.record.line(format!("control host {number} is added, with an empty disk"));
+        Some(number)
+    }
+
+    /// Kills a control host.
+    pub fn kill(&mut self, number: u8) {
+        self.system.kill(number);
+        self.record.line(format!("control host {number} was killed"));
+    }
+
+    /// Starts a control host again, with an empty disk.
+    pub fn start_wiped(&mut self, number: u8) -> Option<()> {
+        let _ = std::fs::remove_dir_all(self.system.disk(number));
+        self.record.line(format!("control host {number} starts again, with an empty disk"));
+        self.system.start_again(self.site, number).ok()
+    }
+
+    /// Makes a change with this version, and sends it until it is acknowledged.
+    pub fn change(&self, version: u64) -> Option<()> {
+        self.system.put_config(&self.record, &configuration(version)).then_some(())
+    }
+
+    /// Reads the configuration at these nodes for a while; returns the newest version answered.
+    pub fn read_back(&self, nodes: &[u8], limit: Duration) -> Option<u64> {
+        let deadline = Instant::now() + limit;
+        let mut newest = None;
+        while Instant::now() < deadline {
+            for number in nodes {
+                let node = self.system.net.api(*number);
+                let response = http::call_leader(node, "GET", "/lagoongauge/config", "");
+                let status = response.as_ref().map(|response| response.status);
+                let read = response.filter(|response| response.status == 200);
+                let version = read.and_then(|response| version_of(&response.body));
+                let line = format!("GET at {node}: answered {status:?}, version {version:?}");
+                self.record.line(line);
+                newest = newest.max(version);
+            }
+            sleep(Duration::from_millis(500));
+        }
+        newest
+    }
+
     /// Freezes a control host.
     pub fn freeze(&self, number: u8) {
         self.record.line(format!("control host {number} freezes"));
@@ -196,8 +257,14 @@
     false
 }
 
+/// Returns the version of a configuration.
+fn version_of(body: &str) -> Option<u64> {
+    let rest = body.split_once("\"Version\":")?.1;
+    rest.split(',').next()?.parse().ok()
+}
+
 /// Returns a configuration with the only route.
-pub fn configuration(version: u64) -> String {
+fn configuration(version: u64) -> String {
     format!(
         "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-feed\",\"Host\":\"198.18.0.1\",\
          \"PathPrefix\":\"/443/\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"TargetLatencyMs\":200,\
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -226,6 +226,21 @@
         Ok(())
     }
 
+    /// Starts an entry host again.
+    pub fn start_entry_again(&mut self, site: Site, number: u8) -> std::io::Result<()> {
+        self.entries[usize::from(number - 1)] = self.spawn(site, number, false)?;
+        Ok(())
+    }
+
+    /// Adds a control host at a new address, with an empty disk; returns its number.
+    pub fn add_core(&mut self, site: Site) -> std::io::Result<u8> {
+        self.bootstrap = false;
+        let number = self.core.len() as u8 + 1;
+        let host = self.spawn(site, number, true)?;
+        self.core.push(host);
+        Ok(number)
+    }
+
     /// Returns the folder on the disk of a control host.
     pub fn disk(&self, number: u8) -> PathBuf {
         self.folder.join(format!("core-{number}.disk"))
@@ -253,7 +268,7 @@
     fn settings(&self, site: Site, number: u8, is_core: bool, name: &str) -> String {
         let net = self.net;
         let index = usize::from(number - 1);
-        let zone = if is_core { ZONES[index] } else { ENTRY_ZONES[index] };
+        let zone = if is_core { ZONES[index % ZONES.len()] } else { ENTRY_ZONES[index] };
         let seeds: Vec<String> = (1..=3).map(|seed| net.api(seed).to_string()).collect();
         let (class, serves) = if is_core { ("core", "control") } else { ("front", "front") };
         let mut text = format!(
