Let no inference end a target, so that it can refute one

Cause: two targets at one address were ordered by the number of their announcements, which each counts for itself, and the one with more was ended for good. The stored roster held the former lifetime with the figure of its last change; the present one had counted past it. Evidence, with the former code: "restored 10 targets", and 0.45 s later at the present target's own announcement "is Gone, incarnation 0, announcement 2". Ruled out: silence (its announcements are answered 200), entry hosts (the control host said so first), the late write alone (a target that comes back while all control hosts are away is ended in the same way, and no write could hold it).

Change: only what a target says of itself ends it. One whose address another target has announced is silent until it announces itself again, and takes the address back then; open flows go on. Where both say when they started, the earlier one is heard only once the later one is overdue. A restored roster keeps who was silent. Entry hosts forget a silent target without an address of its own after 90 s, as they did the ended ones.

--- a/lagoongauge/src/mark/target/mod.rs
+++ b/lagoongauge/src/mark/target/mod.rs
@@ -47,14 +47,15 @@
     pub(super) slots: u16,
     pub(super) phase: Phase,
     pub(super) silent: bool,
+    /// When it last fell silent.
+    pub(super) silent_since: Instant,
     /// When its warm-up after a start ends.
     pub(super) warm_at: Instant,
     /// When this host learned of it.
     pub(super) learned_at: Instant,
     /// Until when this host may send it no new flow while it is warming up.
     pub(super) paced_until: Instant,
-    /// When this host learned that it is gone; later than its end if this was inferred from a
-    /// successor at its address.
+    /// When this host learned that it is gone.
     pub(super) gone_at: Instant,
     /// Load from this host.
     pub(super) own_load: LoadCount,
@@ -91,6 +92,7 @@
             slots: entry.slots,
             phase: entry.phase,
             silent: false,
+            silent_since: now,
             warm_at: now + entry.warmup,
             learned_at: now,
             paced_until: now,
--- a/lagoongauge/src/mark/target/table.rs
+++ b/lagoongauge/src/mark/target/table.rs
@@ -1,5 +1,6 @@
 //! Table of the targets that an entry host knows, with their load from other entry hosts.
 
+use std::net::SocketAddrV4;
 use std::ops::{Index, IndexMut};
 
 use indexmap::IndexMap;
@@ -19,8 +20,9 @@
 /// Time for which a load report of another entry host is valid.
 const REPORT_LIFETIME: Span = Span::millis(1500);
 
-/// Time for which a gone target is kept, so that its flows can be reset.
-const GONE_TARGET_RETENTION: Span = Span::seconds(90);
+/// Time for which a target is kept that is gone, so that its flows can be reset, or that is silent and
+/// has lost its address to another one.
+const FORMER_TARGET_RETENTION: Span = Span::seconds(90);
 
 /// Known targets by key, id, mark and service.
 #[derive(Debug, Default)]
@@ -29,6 +31,8 @@
     by_id: IndexMap<TargetId, TargetKey>,
     by_mark: IndexMap<Mark, TargetKey>,
     by_service: IndexMap<String, Vec<TargetKey>>,
+    /// The target that was last heard at each address.
+    by_address: IndexMap<SocketAddrV4, TargetKey>,
     reports: IndexMap<HostId, (Instant, LoadReport)>,
 }
 
@@ -135,12 +139,16 @@
         self.targets.values_mut()
     }
 
-    /// Returns the targets that have been gone for longer than they are kept.
+    /// Returns the targets that have been gone, or silent and without an address of their own, for longer
+    /// than they are kept.
     pub(in crate::mark) fn expired(&self, now: Instant) -> Vec<TargetKey> {
-        let is_expired = |target: &Target| {
-            target.phase == Phase::Gone && now.since(target.gone_at) >= GONE_TARGET_RETENTION
+        let is_expired = |key: TargetKey, target: &Target| {
+            let displaced = target.silent && self.by_address.get(&target.address) != Some(&key);
+            let ended = target.phase == Phase::Gone;
+            (ended && now.since(target.gone_at) >= FORMER_TARGET_RETENTION)
+                || (displaced && now.since(target.silent_since) >= FORMER_TARGET_RETENTION)
         };
-        let expired = self.targets.iter().filter(|(_, target)| is_expired(target));
+        let expired = self.targets.iter().filter(|(key, target)| is_expired(*key, target));
         expired.map(|(key, _)| key).collect()
     }
 
@@ -158,7 +166,13 @@
         };
         let target = &mut self.targets[key];
         target.update(entry, location, now);
+        if silent && !target.silent {
+            target.silent_since = now;
+        }
         target.silent = silent;
+        if !silent && entry.phase != Phase::Gone {
+            self.by_address.insert(entry.address, key);
+        }
     }
 
     pub(in crate::mark) fn remove(&mut self, key: TargetKey) {
@@ -167,6 +181,9 @@
         if self.by_mark.get(&target.mark) == Some(&key) {
             self.by_mark.swap_remove(&target.mark);
         }
+        if self.by_address.get(&target.address) == Some(&key) {
+            self.by_address.swap_remove(&target.address);
+        }
         for keys in self.by_service.values_mut() {
             keys.retain(|other| *other != key);
         }
--- a/lagoongauge/src/roster/mod.rs
+++ b/lagoongauge/src/roster/mod.rs
@@ -1,21 +1,24 @@
 //! The roster: soft state of targets, built from their announcements and merged in any order.
 //!
-//! Control hosts receive announcements and forward them to each other and to entry hosts. Every
-//! merge rule gives the same result in whatever order announcements arrive, so hosts need no
-//! consensus on them: a later incarnation supersedes an earlier one, draining and gone are final
-//! for an incarnation, and an address belongs to the latest incarnation that claimed it. See
-//! "Roster" in docs/PLATFORM.md.
+//! Control hosts receive announcements and forward them to each other and to entry hosts. What a target
+//! says of itself is merged to the same result in whatever order it arrives, so hosts need no consensus
+//! on it: a later incarnation supersedes an earlier one, and draining and gone are final for an
+//! incarnation.
+//!
+//! Whether a target still runs is inferred, and the inference may be wrong: an announcement may arrive
+//! late, and a host may have started from an old copy of the roster. It therefore ends no incarnation. A
+//! target that missed announcements, or whose address another target has announced since, is silent
+//! until it announces itself again. See "Roster" in docs/PLATFORM.md.
 
 mod entry;
 mod feed_status;
 mod stored;
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::ops::Bound;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::id::TargetId;
@@ -60,7 +63,7 @@
     pub entry: Entry,
     /// When its latest announcement arrived.
     pub last_heard: Instant,
-    /// Whether it has missed several announcements.
+    /// Whether it has missed several announcements, or another target has announced its address since.
     pub silent: bool,
     /// Revision of its last change, see [`Roster::changed_since`].
     pub revision: u64,
@@ -70,9 +73,13 @@
 #[derive(Debug, Clone)]
 pub struct Roster {
     targets: IndexMap<TargetId, TargetRecord>,
+    /// The target that announced each address last.
     address_owners: IndexMap<SocketAddrV4, TargetId>,
     /// Targets by the revision of their last change, so that changes are found without a full scan.
     changes: BTreeMap<u64, TargetId>,
+    /// Time without an announcement after which one is overdue.
+    overdue_timeout: Span,
+    /// Time without an announcement after which a target is silent.
     silence_timeout: Span,
     revision: u64,
 }
@@ -80,9 +87,10 @@
 impl Roster {
     /// Creates an empty roster for targets that announce themselves at this interval.
     pub fn new(interval: Span) -> Self {
+        let overdue_timeout = Span(interval.0 * 3 / 2);
         let silence_timeout = Span(interval.0 * MAX_MISSED);
         let (targets, address_owners, changes) = Default::default();
-        Self { targets, address_owners, changes, silence_timeout, revision: 0 }
+        Self { targets, address_owners, changes, overdue_timeout, silence_timeout, revision: 0 }
     }
 
     /// Returns a target.
@@ -90,6 +98,12 @@
         self.targets.get(&target)
     }
 
+    /// Returns the target that announced an address last.
+    pub fn owner(&self, address: SocketAddrV4) -> Option<&TargetRecord> {
+        let owner = self.targets.get(self.address_owners.get(&address)?);
+        owner.filter(|owner| owner.entry.address == address)
+    }
+
     /// Iterates over all targets, including gone ones.
     pub fn iter(&self) -> impl Iterator<Item = &TargetRecord> + '_ {
         self.targets.values()
@@ -109,8 +123,9 @@
     /// Merges an announcement from the target itself or from another host.
     pub fn merge(&mut self, now: Instant, entry: Entry) -> MergeOutcome {
         let target = entry.target;
+        let withheld = self.is_withheld(now, &entry);
         let Some(record) = self.targets.get(&target) else {
-            self.insert(now, entry);
+            self.insert(now, entry, withheld);
             return MergeOutcome::Changed;
         };
         if entry.order_key() <= record.entry.order_key() {
@@ -121,9 +136,9 @@
             return MergeOutcome::Stale;
         }
         let entry = if later { entry } else { entry.merged_after(&record.entry) };
-        let changed = record.silent || !entry.is_equivalent(&record.entry);
+        let changed = record.silent != withheld || !entry.is_equivalent(&record.entry);
         if changed {
-            self.insert(now, entry);
+            self.insert(now, entry, withheld);
             return MergeOutcome::Changed;
         }
         let record = self.targets.get_mut(&target).expect("the target was found above");
@@ -137,11 +152,10 @@
     /// Their last announcement counts as received now, so targets have the usual time to announce
     /// themselves again. Those that were silent remain so until they do.
     pub fn restore(&mut self, now: Instant, stored: StoredRoster) {
+        let silent: IndexSet<TargetId> = stored.silent.into_iter().collect();
         for entry in stored.entries {
-            self.merge(now, entry);
-        }
-        for target in stored.silent {
-            self.update_record(target, |record| record.silent = true);
+            let silent = silent.contains(&entry.target);
+            self.insert(now, entry, silent);
         }
     }
 
@@ -149,12 +163,15 @@
     pub fn to_stored(&self) -> StoredRoster {
         let silent = self.targets.values().filter(|record| record.silent);
         let silent = silent.map(|record| record.entry.target).collect();
-        StoredRoster { entries: self.entries(), silent, entry_hosts: Vec::new() }
+        let entries = self.targets.values().map(|record| record.entry.clone()).collect();
+        StoredRoster { entries, silent, entry_hosts: Vec::new() }
     }
 
-    /// Returns all entries, for other hosts.
+    /// Returns the entries for a host that may not know them. A silent target whose address another one
+    /// has announced since is left out: the other host would take its old announcement for a new one.
     pub fn entries(&self) -> Vec<Entry> {
-        self.targets.values().map(|record| record.entry.clone()).collect()
+        let records = self.targets.values().filter(|record| !self.is_displaced(record));
+        records.map(|record| record.entry.clone()).collect()
     }
 
     /// Merges a heartbeat; returns `None` if the target or its incarnation is unknown.
@@ -176,7 +193,7 @@
             return None;
         }
         let entry = Entry { phase: Phase::Gone, ..record.entry.clone() };
-        self.insert(now, entry.clone());
+        self.insert(now, entry.clone(), false);
         Some(entry)
     }
 
@@ -221,51 +238,46 @@
         self.changes.insert(self.revision, target);
     }
 
-    fn insert(&mut self, now: Instant, mut entry: Entry) {
-        self.claim_address(&mut entry);
+    fn insert(&mut self, now: Instant, entry: Entry, silent: bool) {
+        if !silent && entry.phase != Phase::Gone {
+            self.claim_address(&entry);
+        }
         let target = entry.target;
         let revision = self.targets.get(&target).map_or(0, |record| record.revision);
-        self.targets
-            .insert(target, TargetRecord { last_heard: now, silent: false, revision, entry });
+        self.targets.insert(target, TargetRecord { last_heard: now, silent, revision, entry });
         self.update_record(target, |_| {});
     }
 
-    /// Assigns the address to the latest incarnation that claimed it; the other one is marked gone.
-    ///
-    /// A target that lost its address never gets it back.
-    fn claim_address(&mut self, entry: &mut Entry) {
-        let owner = self.address_owners.get(&entry.address).copied();
-        let previous = owner.filter(|owner| *owner != entry.target);
-        let previous = previous.and_then(|owner| self.targets.get(&owner));
-        let Some(previous) = previous.filter(|previous| previous.entry.address == entry.address)
-        else {
-            self.address_owners.insert(entry.address, entry.target);
-            return;
-        };
-        if !is_later_start(entry, previous) {
-            entry.phase = Phase::Gone;
-            return;
-        }
-        let (was_running, previous) = (previous.entry.phase != Phase::Gone, previous.entry.target);
+    /// Assigns the address to a target that has just announced it. The former owner has probably
+    /// crashed and is silent from now on, but takes the address back if it announces itself again.
+    fn claim_address(&mut self, entry: &Entry) {
+        let former = self.owner(entry.address).filter(|former| {
+            former.entry.target != entry.target
+                && former.entry.phase != Phase::Gone
+                && !former.silent
+        });
+        let former = former.map(|former| former.entry.target);
         self.address_owners.insert(entry.address, entry.target);
-        if was_running {
-            self.update_record(previous, |previous| previous.entry.phase = Phase::Gone);
+        if let Some(former) = former {
+            self.update_record(former, |former| former.silent = true);
         }
     }
-}
 
-/// Returns whether the target of `entry` started later than `previous`, which has the same address.
-///
-/// If neither announces when it started, a target that is gone or silent counts as the earlier one,
-/// and otherwise the target with the higher sequence number, as it has made more announcements.
-fn is_later_start(entry: &Entry, previous: &TargetRecord) -> bool {
-    let other = &previous.entry;
-    if entry.incarnation > 0 || other.incarnation > 0 {
-        return (entry.incarnation, entry.target) > (other.incarnation, other.target);
+    /// Returns whether an announcement does not show that its target runs, as the address belongs to a
+    /// target that started later and none of whose announcements is overdue: it was probably delayed.
+    fn is_withheld(&self, now: Instant, entry: &Entry) -> bool {
+        self.owner(entry.address).is_some_and(|owner| {
+            owner.entry.target != entry.target
+                && owner.entry.phase != Phase::Gone
+                && owner.entry.incarnation > entry.incarnation
+                && !owner.silent
+                && now.since(owner.last_heard) < self.overdue_timeout
+        })
     }
-    if entry.phase == Phase::Gone {
-        return false;
+
+    /// Returns whether a target is silent and another one has announced its address since.
+    fn is_displaced(&self, record: &TargetRecord) -> bool {
+        let owner = self.owner(record.entry.address);
+        record.silent && owner.is_some_and(|owner| owner.entry.target != record.entry.target)
     }
-    let ended = previous.silent || other.phase == Phase::Gone;
-    ended || (Reverse(entry.sequence), entry.target) > (Reverse(other.sequence), other.target)
 }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -18,7 +18,7 @@
 mod world;
 
 use lagoongauge::mark::{Cause, Mark, SegmentKind, Verdict};
-use lagoongauge::roster::Phase;
+use lagoongauge::roster::{Entry, Phase};
 
 use world::{FRONTEND, Fixture, OTHER_FRONTEND, target_of};
 
@@ -450,6 +450,25 @@
     assert!(fixture.router.report().counts.is_empty());
 }
 
+/// A target that crashed and came back has another id each time; a host must not keep them all.
+#[test]
+fn a_silent_target_is_forgotten_once_another_one_has_its_address() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    let [former, alone] = [1, 2].map(lagoongauge::id::TargetId);
+    let address = world::entry(former.0, "desk").address;
+    fixture.set_entry(&Entry { address, ..world::entry(3, "desk") });
+    fixture.set_silent(former, true);
+    fixture.set_silent(alone, true);
+    let known = |fixture: &Fixture, target| {
+        fixture.router.time_since_activity(fixture.now, target).is_some()
+    };
+    fixture.advance(60_000);
+    assert!(known(&fixture, former));
+    fixture.advance(60_000);
+    assert!(!known(&fixture, former));
+    assert!(known(&fixture, alone), "it may be all that is left of its service");
+}
+
 /// Another host may have opened the flow, and a reset would end it.
 #[test]
 fn an_unknown_copy_of_a_syn_is_dropped_where_no_target_takes_it() {
--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -106,6 +106,8 @@
     compressed: RefCell<Rc<CompressedDocument>>,
     /// Services of the catalog, against which announcements are checked.
     services: RefCell<NamedServices>,
+    /// Number of addresses that a target took over from another one.
+    takeovers: Cell<u64>,
     metrics: Metrics,
 }
 
@@ -141,6 +143,7 @@
             was_current: Cell::new(false),
             compressed: RefCell::default(),
             services: RefCell::default(),
+            takeovers: Cell::default(),
             metrics,
         }
     }
--- a/lagoongauged/src/cluster/host/announcements.rs
+++ b/lagoongauged/src/cluster/host/announcements.rs
@@ -6,6 +6,7 @@
 use lagoongauge::id::{HostId, TargetId};
 use lagoongauge::replica::Store;
 use lagoongauge::roster::{Entry, Heartbeat, MergeOutcome, Phase};
+use lagoongauge::time::Instant;
 
 use super::{Host, wait_until};
 use crate::cluster::message::PeerMessage;
@@ -31,7 +32,7 @@
             sequence: entry.sequence,
         };
         let (target, announced_phase) = (entry.target, entry.phase);
-        let merged = self.roster.borrow_mut().merge(now, entry);
+        let merged = self.merge_announcement(now, entry);
         let entry = self.roster.borrow().get(target).map(|record| record.entry.clone());
         let Some(entry) = entry else { return Ok(merged) };
         // A repeated drain or end is replicated again, as the first replication may have failed.
@@ -66,6 +67,33 @@
         Ok(merged)
     }
 
+    /// Merges an announcement; logs and counts a target that takes over the address of another one.
+    fn merge_announcement(&self, now: Instant, entry: Entry) -> MergeOutcome {
+        let mut roster = self.roster.borrow_mut();
+        let (target, address, sequence) = (entry.target, entry.address, entry.sequence);
+        let former = roster.owner(address).filter(|former| former.entry.phase != Phase::Gone);
+        let former = former.map(|former| (former.entry.target, former.entry.sequence));
+        let merged = roster.merge(now, entry);
+        let owner = roster.owner(address).map(|owner| owner.entry.target);
+        drop(roster);
+        if let Some((former, former_sequence)) = former
+            && owner != Some(former)
+        {
+            self.takeovers.set(self.takeovers.get() + 1);
+            log::info!(
+                belief = "address", target = target.to_string().as_str(), sequence = sequence,
+                former = former.to_string().as_str(), former_sequence = former_sequence;
+                "another target announces {address}"
+            );
+        }
+        merged
+    }
+
+    /// Returns how often a target took over the address of another one that had not said that it ends.
+    pub(in crate::cluster) fn address_takeovers(&self) -> u64 {
+        self.takeovers.get()
+    }
+
     /// Records that a target has ended; fails with `UnknownOutcome` like
     /// [`Self::handle_announcement`].
     ///
--- a/lagoongauged/src/cluster/metrics.rs
+++ b/lagoongauged/src/cluster/metrics.rs
@@ -25,6 +25,7 @@
     targets: IntGaugeVec,
     evacuated_centres: IntGauge,
     ignored: IntCounter,
+    takeovers: IntCounter,
     versions: VersionMetrics,
 }
 
@@ -61,6 +62,10 @@
                 "ignored_announcements",
                 "Announcements of targets whose service is not in the catalog.",
             )?,
+            takeovers: registry.counter(
+                "address_takeovers",
+                "Targets that announced the address of another one that had not said that it ends.",
+            )?,
             versions: VersionMetrics::new(&registry)?,
             registry,
         })
@@ -86,6 +91,7 @@
             self.targets.with_label_values(&[state]).set(count);
         }
         advance_to(&self.ignored, host.ignored_announcements());
+        advance_to(&self.takeovers, host.address_takeovers());
         self.versions.update(&host.versions.borrow());
         self.registry.render()
     }
