Drop the first copy of a SYN that another host may have placed

The flow opened and its first request was answered; the next one was reset, although its target lived and held the flow.

Cause: the copy of the SYN came by way of another entry host, which placed it anew, at a second target. The first target repeats its answer for seconds, so the caller ends up with that one's mark on a flow that is open at the other. Evidence: entry host 1 writes "flow placed at a target", 0.20 s later entry host 2 for the same flow; the record of the targets shows who serves and who resets. Ruled out: two targets chosen by one host (each wrote one line), lost state of the host that restarted (it had none of this flow).

Change: the first copy of a SYN that a host did not see is dropped, with the cause early_copy. If only the answer was lost, the target answers again at that very moment, and the flow opens at one target. A host that held the SYN itself places it as before. Related: a late copy at a host that knows the flow by a later packet was taken for a new flow and moved it; it follows the flow now.

--- a/lagoongauge/src/mark/flow/held.rs
+++ b/lagoongauge/src/mark/flow/held.rs
@@ -25,11 +25,11 @@
 /// Packet that could not be routed when it arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldPacket {
-    /// The packet as decoded.
+    /// The packet as decoded; for a SYN, the first copy of it that arrived.
     pub segment: Segment,
     /// The packet as received.
     pub bytes: Vec<u8>,
-    /// When it arrived; for data, when its first copy did.
+    /// When its first copy arrived.
     pub arrived: Instant,
     /// Until when it may be forwarded.
     valid_until: Instant,
@@ -82,9 +82,12 @@
             return false;
         }
         let valid_until = now + lifetime(segment);
-        let first = self.packets.get(&key).filter(|_| segment.kind != SegmentKind::Syn);
+        let first = self.packets.get(&key);
         let arrived = first.map_or(now, |first| first.arrived);
-        let packet = HeldPacket { segment: *segment, bytes: bytes.to_vec(), arrived, valid_until };
+        // A host that saw the SYN itself may place the flow, see `crate::mark::router`.
+        let first_syn = first.filter(|_| segment.kind == SegmentKind::Syn);
+        let segment = first_syn.map_or(*segment, |first| first.segment);
+        let packet = HeldPacket { segment, bytes: bytes.to_vec(), arrived, valid_until };
         self.packets.insert(key, packet);
         true
     }
--- a/lagoongauge/src/mark/flow/mod.rs
+++ b/lagoongauge/src/mark/flow/mod.rs
@@ -72,6 +72,12 @@
         self.established || self.resumed || offset < MAX_FIRST_OFFSET
     }
 
+    /// Returns whether this host learned of the flow by a later packet than this SYN, which is late.
+    pub(in crate::mark) fn began_with(&self, syn: &Segment) -> bool {
+        let offset = self.initial_sequence.wrapping_sub(syn.sequence);
+        self.resumed && (1..MAX_FIRST_OFFSET).contains(&offset)
+    }
+
     /// Creates a flow whose beginning this host did not see.
     pub(super) fn resumed(target: TargetKey, sequence: u32, now: Instant) -> Self {
         Self {
--- a/lagoongauge/src/mark/router/opening.rs
+++ b/lagoongauge/src/mark/router/opening.rs
@@ -4,6 +4,11 @@
 //! holds half of the flow and repeats its answer for seconds, so the copy has to reach the same target unless
 //! others found that target silent, too. A flow whose SYN may have reached two targets is contested: its
 //! mark may name the wrong one. See docs/incidents/lost-syn-answer.md.
+//!
+//! The copy may reach another host than the SYN, if entry hosts join or leave in between, and that host does
+//! not know the target. The target repeats its answer as soon as the caller repeats its SYN, so the first
+//! copy is not needed: it is dropped, and the second one is placed, as the SYN itself was probably lost. See
+//! docs/incidents/copy-at-another-host.md.
 
 use super::Router;
 use crate::mark::flow::Flow;
@@ -20,6 +25,9 @@
 /// One alone may follow from the loss of a single answer.
 const MIN_UNANSWERED_REPEATS: u16 = 2;
 
+/// Number of copies of a SYN from which on a host that saw none of them places the flow.
+const MIN_UNSEEN_COPIES: u32 = 2;
+
 impl<P: Policy> Router<P> {
     /// Decides on a SYN or a retransmission of one.
     ///
@@ -35,6 +43,9 @@
         let link_busy = self.is_link_busy(now);
         let known = self.flows.get(segment.flow_key);
         if let Some(flow) = known {
+            if flow.began_with(segment) {
+                return self.forward(flow.target, false);
+            }
             let ejected = self.is_ejected(now, flow.target);
             let retransmitted = flow.initial_sequence == segment.sequence;
             let target = &mut self.targets[flow.target];
@@ -58,6 +69,8 @@
                 avoided = Some(flow.target);
                 unseen_syns = unseen_syns.max(1);
             }
+        } else if (1..MIN_UNSEEN_COPIES).contains(&segment.acknowledged) {
+            return Verdict::Drop(Cause::EarlyCopy);
         } else if self.must_yield_syn(now, arrived, segment) {
             return Verdict::Hold;
         } else if let Some(verdict) = self.yield_link(times, segment) {
--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -26,6 +26,9 @@
     NoMark,
     /// The SYN was queued during a stall of this host, and its caller has retried elsewhere since.
     Stale,
+    /// The packet is the first copy of a SYN that this host did not see, and the answer to the SYN may be
+    /// on its way; the second copy is placed.
+    EarlyCopy,
     /// The packet arrived before this host had a catalog, and could not be held until then.
     Starting,
     /// The request could not be served in time, as requests of its priority have no room left.
@@ -36,7 +39,7 @@
 
 impl Cause {
     /// All causes, in the order of declaration.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::NoRoute,
         Self::RouteRemoved,
         Self::NoTarget,
@@ -46,6 +49,7 @@
         Self::ForeignMark,
         Self::NoMark,
         Self::Stale,
+        Self::EarlyCopy,
         Self::Starting,
         Self::Overloaded,
         Self::LinkFull,
@@ -63,6 +67,7 @@
             Self::ForeignMark => "foreign_mark",
             Self::NoMark => "no_mark",
             Self::Stale => "stale",
+            Self::EarlyCopy => "early_copy",
             Self::Starting => "starting",
             Self::Overloaded => "overloaded",
             Self::LinkFull => "link_full",
--- a/lagoongauge/tests/marks/held.rs
+++ b/lagoongauge/tests/marks/held.rs
@@ -67,6 +67,15 @@
     assert_eq!(bytes, [[1], [1], [2]]);
 }
 
+/// A host that saw the SYN knows that no other one placed it, so it need not wait for the second copy.
+#[test]
+fn a_held_syn_is_released_as_its_first_copy() {
+    let mut held = HeldPackets::default();
+    held.hold(START, &syn(1, 0), &[0]);
+    held.hold(START + Span(200), &syn(1, 1), &[1]);
+    assert_eq!(released(&mut held, 250), [syn(1, 0)]);
+}
+
 /// The next copy may reach another host, which would place the flow at another target.
 #[test]
 fn a_syn_is_not_released_after_its_caller_sent_the_next_copy() {
--- a/lagoongauged/src/ctl/explain.rs
+++ b/lagoongauged/src/ctl/explain.rs
@@ -206,6 +206,9 @@
         Some(Cause::Stale) => {
             "the SYN was queued during a stall of the host and was too old to forward"
         }
+        Some(Cause::EarlyCopy) => {
+            "the host saw the first copy of a SYN and not the SYN, which another host may have placed"
+        }
         Some(Cause::Starting) => {
             "the host had just started, and the packet was too old once it had a catalog"
         }
