Guard running targets against late reports of others

Cause: that host read the only report of a lifetime that had crashed meanwhile at the same address. It had announced itself less often, so it was taken for the later start, and the running target was ended on all hosts. Evidence, with the former code: the woken host writes "target t792367554 [...] is Serving, incarnation 0, announcement 1"; 15 ms later entry host 1 writes phase=Gone for the running target, at sequence 2.

Fix: the rule of "Let no inference end a target, so that it can refute one" serves this way in as well; the running target's next announcement corrects every host.

Test: a_late_report_of_a_crashed_target_ends_no_other; with the code before that rule it fails ("left: Gone"). No code changes, so nothing was measured.

--- a/lagoongauge/tests/roster.rs
+++ b/lagoongauge/tests/roster.rs
@@ -221,6 +221,32 @@
     }
 }
 
+/// Guards against the end of a running target by the late report of another one that crashed at its address
+/// (review/9): a control host was suspended, and read the report when it ran again. It is news on every
+/// host, by way of that one, and the running target's next announcement corrects them all.
+#[test]
+fn a_late_report_of_a_crashed_target_ends_no_other() {
+    let running = |sequence| entry(2, 0, sequence);
+    let [mut woken, mut other] = [roster(), roster()];
+    for roster in [&mut woken, &mut other] {
+        roster.merge(NOW, running(3));
+    }
+    let late = entry(1, 0, 1);
+    assert_eq!(woken.merge(NOW, late.clone()), MergeOutcome::Changed);
+    assert_eq!(other.merge(NOW, late), MergeOutcome::Changed);
+    for roster in [&woken, &other] {
+        assert_eq!(phase(roster, 2), Phase::Serving);
+    }
+    let next = NOW + Span(1_200);
+    assert_eq!(other.merge(next, running(4)), MergeOutcome::Changed);
+    let heartbeat = Heartbeat { target: TargetId(2), incarnation: 0, sequence: 4 };
+    assert_eq!(woken.handle_heartbeat(next, heartbeat), Some(MergeOutcome::Changed));
+    for mut roster in [woken, other] {
+        assert_eq!((runs(&roster, 1), runs(&roster, 2)), (false, true));
+        assert!(roster.tick(next + Span(2_400)).is_empty(), "nobody falls silent again");
+    }
+}
+
 /// Which of two targets has an address must not depend on the order in which a host restores them.
 #[test]
 fn a_restart_keeps_the_owner_of_an_address() {
