--- a/lagoongauge/src/replica/store.rs
+++ b/lagoongauge/src/replica/store.rs
@@ -77,6 +77,12 @@
         self.entries.last().map_or(base, |entry| entry.position)
     }
 
+    /// Returns the position of the snapshot if the log that was read does not lead up to it. Entries that
+    /// follow the snapshot can be told from those of the former log only after a [`Record::Reset`].
+    pub fn due_reset(&self) -> Option<Position> {
+        self.snapshot.as_ref().map(Snapshot::position).filter(|_| self.diverged)
+    }
+
     /// Returns the latest configuration, which may not be committed.
     pub fn configuration(&self) -> Configuration {
         let found = self.entries.iter().rev().find_map(|entry| match &entry.payload {
--- a/lagoongauged/src/store/file_store.rs
+++ b/lagoongauged/src/store/file_store.rs
@@ -1,8 +1,12 @@
 //! The store that persists a replica's records in a data folder.
+//!
+//! Failure pattern: a batch holds a snapshot and records of the log, and the process is killed between the
+//! two files. The log then ends before the snapshot does, and what is appended later would be read as part of the
+//! former log. So the next append begins with a reset. See docs/incidents/interrupted-snapshot.md.
 
 use lagoongauge::error::{Error, Kind, Result};
 use lagoongauge::replica::store::Ballot;
-use lagoongauge::replica::{Identity, Record, Recovered, Snapshot, Store};
+use lagoongauge::replica::{Identity, Position, Record, Recovered, Snapshot, Store};
 
 use super::scan::{FolderReport, SNAPSHOT_NAME, Scan};
 use super::segment::{self, LogRecord};
@@ -32,6 +36,8 @@
     tail_length: u64,
     segment_bytes: u64,
     snapshot_index: u64,
+    /// Reset with which the next append has to begin, as the log does not lead up to the snapshot.
+    due_reset: Option<Position>,
     poisoned: bool,
 }
 
@@ -62,6 +68,7 @@
             tail_length: 0,
             segment_bytes,
             snapshot_index: 0,
+            due_reset: None,
             poisoned: false,
         };
         store.load(&scan);
@@ -78,6 +85,7 @@
         self.tail_length = scan.segments.last().map_or(0, |segment| segment.length);
         self.snapshot_index =
             scan.recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.position().index);
+        self.due_reset = scan.recovered.due_reset();
         self.poisoned = false;
     }
 
@@ -104,7 +112,11 @@
             self.write_snapshot(snapshot)?;
         }
         if !batch.records.is_empty() {
-            self.append_records(&batch.records)?;
+            let appended = self.append_records(&batch.records);
+            if appended.is_err() && batch.snapshot.is_some() {
+                self.find_due_reset();
+            }
+            appended?;
         }
         if batch.snapshot.is_some() {
             self.remove_covered_segments()?;
@@ -135,12 +147,25 @@
         self.volume.sync(SNAPSHOT_TEMP_NAME)
     }
 
+    /// Reads whether the log leads up to the snapshot, as a batch was written in part.
+    fn find_due_reset(&mut self) {
+        match Scan::read(&self.volume) {
+            Ok(scan) => self.due_reset = scan.recovered.due_reset(),
+            Err(_) => self.poisoned = true,
+        }
+    }
+
     fn append_records(&mut self, records: &[LogRecord]) -> Result<()> {
         if self.tail_length >= self.segment_bytes {
             self.start_segment()?;
         }
-        let bytes = segment::encode(records)?;
+        let mut bytes = Vec::new();
+        if let Some(position) = self.due_reset {
+            bytes = segment::encode(&[LogRecord::Reset(position)])?;
+        }
+        bytes.extend_from_slice(&segment::encode(records)?);
         self.append(&bytes)?;
+        self.due_reset = None;
         let highest_index = records.iter().map(LogRecord::highest_index).max().unwrap_or(0);
         let last = self.segments.last_mut().expect("a store always has a segment");
         last.highest_index = last.highest_index.max(highest_index);
--- a/lagoongauged/tests/store/crash.rs
+++ b/lagoongauged/tests/store/crash.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use lagoongauge::error::Kind;
-use lagoongauge::replica::{Recovered, Store};
+use lagoongauge::replica::{Record, Recovered, Store};
 use lagoongauged::store::{FileStore, format};
 use proptest::prelude::*;
 
-use crate::fake::{FakeVolume, change_records, identity, initial};
+use crate::fake::{FakeVolume, change_records, command, identity, initial, snapshot};
 
 /// Size at which a segment is sealed, small enough for a log of several segments.
 const SEGMENT_BYTES: u64 = 512;
@@ -104,6 +104,75 @@
     }
 }
 
+/// Returns batches that hold a snapshot and records of the log, for a log that ends at entry 40: a snapshot
+/// that was received, and a host that catches up over the end of a snapshot interval.
+fn batches_with_a_snapshot() -> [Vec<Record>; 2] {
+    let taken = snapshot(1, 64);
+    let entries = (41..67).map(|index| command(1, index)).collect();
+    [
+        vec![Record::Snapshot(taken.clone()), Record::Reset(taken.position())],
+        vec![Record::Entries(entries), Record::Snapshot(taken)],
+    ]
+}
+
+/// Appends the next entry, and returns its index.
+fn append_next(store: &mut FileStore<FakeVolume>) -> u64 {
+    let index = store.recover().unwrap().last().index + 1;
+    store.write(&[Record::Entries(vec![command(1, index)]), Record::Commit(index)]).unwrap();
+    index
+}
+
+/// Guards against the loss of all that a host stores after a kill within a batch (review/1): the snapshot was
+/// written, and the log ended before it. The next start read none of the entries that followed.
+#[test]
+fn what_is_written_after_a_kill_within_a_snapshot_s_batch_is_kept() {
+    for batch in batches_with_a_snapshot() {
+        for steps in 0..20 {
+            for (share, keep_names) in [(0, false), (0, true), (255, true)] {
+                let mut store = new_store();
+                store
+                    .write(&[Record::Entries((2..41).map(|index| command(1, index)).collect())])
+                    .unwrap();
+                let mut fake = store.into_volume();
+                fake.steps_left = steps;
+                let mut store = FileStore::with_segment_bytes(fake, SEGMENT_BYTES).unwrap();
+                let _ = store.write(&batch);
+                let mut fake = store.into_volume().after_crash(share, keep_names);
+                for _ in 0..3 {
+                    let mut store = FileStore::with_segment_bytes(fake, SEGMENT_BYTES).unwrap();
+                    let index = append_next(&mut store);
+                    fake = store.into_volume().after_crash(0, false);
+                    let store = FileStore::with_segment_bytes(fake, SEGMENT_BYTES).unwrap();
+                    assert_eq!(store.recover().unwrap().last().index, index, "after {steps} steps");
+                    fake = store.into_volume();
+                }
+            }
+        }
+    }
+}
+
+/// Guards against the same loss without a kill: the disk is full between the two files.
+#[test]
+fn what_is_written_after_a_full_disk_within_a_snapshot_s_batch_is_kept() {
+    for batch in batches_with_a_snapshot() {
+        for free in 0..1200 {
+            let mut store = new_store();
+            store
+                .write(&[Record::Entries((2..41).map(|index| command(1, index)).collect())])
+                .unwrap();
+            let volume = store.into_volume();
+            let room = Rc::clone(&volume.room);
+            let mut store = FileStore::with_segment_bytes(volume, SEGMENT_BYTES).unwrap();
+            room.set(free);
+            let _ = store.write(&batch);
+            room.set(usize::MAX);
+            store.reopen().unwrap();
+            let index = append_next(&mut store);
+            assert_eq!(store.recover().unwrap().last().index, index, "with {free} bytes free");
+        }
+    }
+}
+
 /// While the disk rejects all writes, the store can't tell what is on it and stays poisoned. Once
 /// the disk accepts writes again, the store reopens without a restart of the process.
 #[test]
--- a/lagoongauged/tests/store/fake.rs
+++ b/lagoongauged/tests/store/fake.rs
@@ -186,7 +186,7 @@
     records
 }
 
-fn snapshot(term: u64, index: u64) -> Snapshot {
+pub fn snapshot(term: u64, index: u64) -> Snapshot {
     let position = Position { term, index };
     let configuration = Configuration::new(vec![identity()]);
     let state = format!("state at {index}").into_bytes();
