Take the end of a target only from a caller that waits

Evidence: a DELETE whose caller has closed the connection ends a running target in the test. Ruled out: late announcements, which say when the target started.

The word of it between control hosts is ignored by a host that has just been stalled.

Test: the_end_of_a_target_is_not_taken_from_a_caller_that_is_gone fails without the change ("the open flow was reset").

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -276,7 +276,10 @@
                 }
             }),
             PeerMessage::TargetLeft(target) => self.update_roster(|roster| {
-                roster.leave(now, target);
+                // It may have waited, too, and the target may have started again since.
+                if !self.stall.get().is_recent(now) {
+                    roster.leave(now, target);
+                }
             }),
             PeerMessage::Heartbeats(heartbeats) => self.update_roster(|roster| {
                 for heartbeat in heartbeats {
--- a/lagoongauged/src/cluster/host/announcements.rs
+++ b/lagoongauged/src/cluster/host/announcements.rs
@@ -97,9 +97,13 @@
     /// Records that a target has ended; fails with `UnknownOutcome` like
     /// [`Self::handle_announcement`].
     ///
+    /// The word names no incarnation. One that may have waited while this host was stalled is refused with
+    /// `NotCurrent`: the target has told another host since, and may have started again under its id.
+    ///
     /// A host that started after the target's last announcement does not know it, but notifies the
     /// other control hosts, which may know it.
     pub async fn handle_leave(&self, target: TargetId) -> Result<()> {
+        self.check_not_stalled()?;
         let left = self.roster.borrow_mut().leave(self.clock.now(), target);
         if let Some(Entry { service, address, .. }) = left {
             log::info!("target {target} of service {service} at {address} has ended");
--- a/lagoongauged/src/cluster/host/evacuation.rs
+++ b/lagoongauged/src/cluster/host/evacuation.rs
@@ -66,9 +66,9 @@
         Err(Error::new(Kind::NotLeader, "another control host accepts orders"))
     }
 
-    /// Rejects an order that may have been read or may have waited since before a stall of this host:
-    /// the operator has sent it to another host, and perhaps a newer one after it.
-    fn check_not_stalled(&self) -> Result<()> {
+    /// Rejects a request that may have been read or may have waited since before a stall of this host: its
+    /// caller has sent it to another host, and perhaps a newer one after it.
+    pub(super) fn check_not_stalled(&self) -> Result<()> {
         if self.stall.get().is_recent(self.clock.now()) {
             return Err(Error::new(Kind::NotCurrent, "this host has just been stalled"));
         }
