Name quorums as such, and keep silent targets that were never heard

A silent target that this host never heard is kept: only one whose address another target has is forgotten after 90 s, as the doc said. The test covers both; without this change it fails for the one that was never heard.

--- a/lagoongauge/src/mark/target/table.rs
+++ b/lagoongauge/src/mark/target/table.rs
@@ -139,11 +139,12 @@
         self.targets.values_mut()
     }
 
-    /// Returns the targets that have been gone, or silent and without an address of their own, for longer
+    /// Returns the targets that have been gone, or silent while another one has their address, for longer
     /// than they are kept.
     pub(in crate::mark) fn expired(&self, now: Instant) -> Vec<TargetKey> {
         let is_expired = |key: TargetKey, target: &Target| {
-            let displaced = target.silent && self.by_address.get(&target.address) != Some(&key);
+            let owner = self.by_address.get(&target.address);
+            let displaced = target.silent && owner.is_some_and(|owner| *owner != key);
             let ended = target.phase == Phase::Gone;
             (ended && now.since(target.gone_at) >= FORMER_TARGET_RETENTION)
                 || (displaced && now.since(target.silent_since) >= FORMER_TARGET_RETENTION)
--- a/lagoongauge/src/replica/configuration.rs
+++ b/lagoongauge/src/replica/configuration.rs
@@ -61,25 +61,25 @@
     pub learners: Vec<Identity>,
 }
 
-/// The voters that count, and how many of them a quorum needs.
+/// The voters that count, and how many of them are enough.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Electorate {
+pub(super) struct Quorum {
     pub(super) voters: Vec<Identity>,
-    pub(super) quorum: usize,
+    pub(super) size: usize,
 }
 
-impl Electorate {
+impl Quorum {
     /// Returns the highest value that a quorum has reached, given the value of each voter.
     pub(super) fn reached<T: Copy + Ord>(&self, value: impl Fn(&Identity) -> T) -> Option<T> {
         let mut values: Vec<T> = self.voters.iter().map(value).collect();
         values.sort_unstable_by(|a, b| b.cmp(a));
-        values.get(self.quorum - 1).copied()
+        values.get(self.size - 1).copied()
     }
 
-    /// Returns whether these identities include a quorum.
-    pub(super) fn is_quorum(&self, identities: &[Identity]) -> bool {
+    /// Returns whether these identities are enough.
+    pub(super) fn is_met_by(&self, identities: &[Identity]) -> bool {
         let count = identities.iter().filter(|identity| self.voters.contains(identity)).count();
-        count >= self.quorum
+        count >= self.size
     }
 }
 
@@ -94,36 +94,36 @@
         self.voters.len() / 2 + 1
     }
 
-    /// Returns whether a lost disk lowers the quorum, see [`Self::electorate`]. Of two voters, the other
+    /// Returns whether a lost disk lowers the quorum, see [`Self::quorum_without`]. Of two voters, the other
     /// one would go on alone.
     pub(super) fn has_spare_half(&self) -> bool {
         self.voters.len() > 2 && self.voters.len().is_multiple_of(2)
     }
 
-    /// Returns the voters that count, and how many of them a quorum needs.
+    /// Returns the quorum if some voters may have lost their disks.
     ///
     /// A voter that is known to have lost its disk answers no more and is left out: of an even number
     /// of voters, half are a majority of the others. Such a half overlaps every majority of all voters
     /// and every other such half, so hosts need not agree on whether the disk is lost. They have to
     /// agree on which one, so if several are, all voters count.
-    pub(super) fn electorate(&self, lost: &[Identity]) -> Electorate {
+    pub(super) fn quorum_without(&self, lost: &[Identity]) -> Quorum {
         let lost: Vec<_> = lost.iter().copied().filter(|lost| self.is_voter(*lost)).collect();
         let (true, [lost]) = (self.has_spare_half(), &lost[..]) else {
-            return Electorate { voters: self.voters.clone(), quorum: self.quorum() };
+            return Quorum { voters: self.voters.clone(), size: self.quorum() };
         };
         let voters: Vec<_> = self.voters.iter().copied().filter(|voter| voter != lost).collect();
-        let quorum = voters.len() / 2 + 1;
-        Electorate { voters, quorum }
+        let size = voters.len() / 2 + 1;
+        Quorum { voters, size }
     }
 
-    /// Returns the voters that have to know of their successors, and how many of them: no quorum of
-    /// [`Self::electorate`] without one that knows can be found among voters that still answer.
-    pub(super) fn witnesses(&self, lost: &[Identity]) -> Electorate {
+    /// Returns the quorum that has to know of the next voters: among the voters that still answer, each
+    /// [`Self::quorum_without`] a lost disk then has a member that knows.
+    pub(super) fn handover_quorum(&self, lost: &[Identity]) -> Quorum {
         let voters = self.voters.iter().copied().filter(|voter| !lost.contains(voter));
         let voters: Vec<_> = voters.collect();
         let lost_count = self.voters.len() - voters.len();
-        let quorum = self.quorum().saturating_sub(lost_count).max(1);
-        Electorate { voters, quorum }
+        let size = self.quorum().saturating_sub(lost_count).max(1);
+        Quorum { voters, size }
     }
 
     /// Returns whether the identity is a voter.
--- a/lagoongauge/src/replica/core.rs
+++ b/lagoongauge/src/replica/core.rs
@@ -22,9 +22,6 @@
 use crate::id::HostId;
 use crate::time::{Instant, Span};
 
-/// Interval between requests to join, in heartbeats.
-const JOIN_INTERVAL_HEARTBEATS: u64 = 4;
-
 /// Raft role of a replica.
 #[derive(Debug)]
 pub(super) enum Role {
@@ -364,21 +361,6 @@
         self.log.push(entry);
     }
 
-    /// Requests to join while this replica is neither voter nor learner, or has no contact with a
-    /// leader: a removed host may not have received its removal.
-    pub(super) fn request_join_if_due(&mut self) {
-        let has_leader = self.now < self.leader_contact + self.setup.timing.election_max;
-        let configured = self.configuration().contains(self.setup.identity);
-        let leaving = self.departure != Departure::Staying;
-        if leaving || self.now < self.next_join || (configured && has_leader) {
-            return;
-        }
-        self.next_join = self.now + Span(self.setup.timing.heartbeat.0 * JOIN_INTERVAL_HEARTBEATS);
-        for host in self.setup.seeds.clone() {
-            self.send(Identity::any_incarnation(host), Body::Join);
-        }
-    }
-
     fn check_follows(&self, entry: &Entry) -> Result<()> {
         let last = self.log.last();
         let next = entry.position;
--- a/lagoongauge/src/replica/election.rs
+++ b/lagoongauge/src/replica/election.rs
@@ -271,6 +271,6 @@
     }
 
     fn is_quorum(&self, votes: &[Identity]) -> bool {
-        self.electorate().is_quorum(votes)
+        self.quorum().is_met_by(votes)
     }
 }
--- a/lagoongauge/src/replica/leader.rs
+++ b/lagoongauge/src/replica/leader.rs
@@ -252,7 +252,7 @@
             None if *voter == own => durable,
             None => 0,
         };
-        let Some(index) = self.electorate().reached(stored) else { return };
+        let Some(index) = self.quorum().reached(stored) else { return };
         let index = index.min(self.committed_bound(stored));
         if index <= self.commit || self.log.term(index) != Some(self.ballot.term) {
             return;
@@ -322,7 +322,7 @@
             None if *voter == own => Some(self.now),
             None => floor,
         };
-        self.electorate().reached(round).flatten()
+        self.quorum().reached(round).flatten()
     }
 }
 
--- a/lagoongauge/src/replica/lost_disk.rs
+++ b/lagoongauge/src/replica/lost_disk.rs
@@ -6,12 +6,12 @@
 //! itself: it asks to join with a new incarnation. See docs/incidents/silent-replacement.md.
 //!
 //! Half of an even number of voters need not overlap a majority of the voters before or after a change of
-//! them. So a smaller quorum serves only while the voters are known to be committed ([`Core::electorate`]), and
+//! them. So a smaller quorum serves only while the voters are known to be committed ([`Core::quorum`]), and
 //! voters that follow an even number of others are committed only once a majority of those knows, too
 //! ([`Core::committed_bound`]).
 
 use super::StateMachine;
-use super::configuration::{Electorate, Identity};
+use super::configuration::{Identity, Quorum};
 use super::core::Core;
 
 impl<M: StateMachine> Core<M> {
@@ -34,12 +34,12 @@
         self.lost_disks.retain(|lost| *lost != from);
     }
 
-    /// Returns the voters that count in the latest configuration, and how many of them a quorum needs.
-    pub(super) fn electorate(&self) -> Electorate {
+    /// Returns the quorum of the latest configuration.
+    pub(super) fn quorum(&self) -> Quorum {
         let latest = self.configuration();
         // The first configuration is the latest that is known to be committed.
         let certain = self.configurations.iter().all(|(_, other)| other.voters == latest.voters);
-        latest.electorate(if certain { &self.lost_disks } else { &[] })
+        latest.quorum_without(if certain { &self.lost_disks } else { &[] })
     }
 
     /// Returns the voters of the latest configuration that are known to have lost their disks.
@@ -49,14 +49,14 @@
     }
 
     /// Returns the highest index up to which entries may be committed, given the index that each voter
-    /// has stored: voters that follow an even number of others need a quorum of those as well.
+    /// has stored: voters that follow an even number of others need enough of those as well.
     pub(super) fn committed_bound(&self, stored: impl Fn(&Identity) -> u64) -> u64 {
         let waits = self.configurations.windows(2).find_map(|pair| {
             let [(_, former), (start, next)] = pair else { return None };
             if former.voters == next.voters || !former.has_spare_half() {
                 return None;
             }
-            let reached = former.witnesses(&self.lost_disks).reached(&stored)?;
+            let reached = former.handover_quorum(&self.lost_disks).reached(&stored)?;
             (reached < *start).then(|| start - 1)
         });
         waits.unwrap_or(u64::MAX)
--- a/lagoongauge/src/replica/membership.rs
+++ b/lagoongauge/src/replica/membership.rs
@@ -3,14 +3,34 @@
 use super::StateMachine;
 use super::configuration::{Change, Identity, MAX_VOTERS};
 use super::core::{Core, Role};
+use super::departure::Departure;
 use super::entry::Payload;
+use super::message::Body;
 use super::outbox::Action;
 use crate::time::Span;
 
+/// Interval between requests to join, in heartbeats.
+const JOIN_INTERVAL_HEARTBEATS: u64 = 4;
+
 /// Largest number of entries that a learner may lag behind when it is promoted.
 const MAX_PROMOTION_LAG: u64 = 64;
 
 impl<M: StateMachine> Core<M> {
+    /// Requests to join while this replica is neither voter nor learner, or has no contact with a
+    /// leader: a removed host may not have received its removal.
+    pub(super) fn request_join_if_due(&mut self) {
+        let has_leader = self.now < self.leader_contact + self.setup.timing.election_max;
+        let configured = self.configuration().contains(self.setup.identity);
+        let leaving = self.departure != Departure::Staying;
+        if leaving || self.now < self.next_join || (configured && has_leader) {
+            return;
+        }
+        self.next_join = self.now + Span(self.setup.timing.heartbeat.0 * JOIN_INTERVAL_HEARTBEATS);
+        for host in self.setup.seeds.clone() {
+            self.send(Identity::any_incarnation(host), Body::Join);
+        }
+    }
+
     /// Passes a request to join to the driver, which knows the hosts that operators allow.
     pub(super) fn handle_join(&mut self, from: Identity) {
         self.record_lost_disk(from);
--- a/lagoongauge/src/replica/status.rs
+++ b/lagoongauge/src/replica/status.rs
@@ -59,7 +59,7 @@
         let voters = configuration.voters.iter().copied();
         Some(VoterHealth {
             voters: configuration.voters.len(),
-            quorum: self.electorate().quorum,
+            quorum: self.quorum().size,
             silent: voters.filter(|voter| self.silence(*voter) >= limit).collect(),
         })
     }
--- a/lagoongauge/tests/marks/main.rs
+++ b/lagoongauge/tests/marks/main.rs
@@ -454,11 +454,12 @@
 #[test]
 fn a_silent_target_is_forgotten_once_another_one_has_its_address() {
     let mut fixture = Fixture::new(&[1, 2]);
-    let [former, alone] = [1, 2].map(lagoongauge::id::TargetId);
+    let [former, alone, unheard] = [1, 2, 4].map(lagoongauge::id::TargetId);
     let address = world::entry(former.0, "desk").address;
     fixture.set_entry(&Entry { address, ..world::entry(3, "desk") });
     fixture.set_silent(former, true);
     fixture.set_silent(alone, true);
+    fixture.set_silent(unheard, true);
     let known = |fixture: &Fixture, target| {
         fixture.router.time_since_activity(fixture.now, target).is_some()
     };
@@ -466,7 +467,7 @@
     assert!(known(&fixture, former));
     fixture.advance(60_000);
     assert!(!known(&fixture, former));
-    assert!(known(&fixture, alone), "it may be all that is left of its service");
+    assert!(known(&fixture, alone) && known(&fixture, unheard), "they may be all that is left");
 }
 
 /// Another host may have opened the flow, and a reset would end it.
