Change voters only while enough of those that stay answer

Cause: a host was lost for good and replaced, and all control hosts were killed. The new leader, 0.1 s in office, let a host go that asked to end, as such a host counts as silent for longest. Ruled out: a lost quorum (the leader leads to the end), a lost disk that is not known (its host never came back).

Change: before voters are changed, as many of the present ones that stay must have answered lately as have to know. The host that asks to end keeps its vote then, as it does where the group needs it.

Tests: no_voter_is_let_go_whose_removal_too_few_would_know fails without the change, and no other of lost_disk.rs.

--- a/lagoongauge/src/replica/lost_disk.rs
+++ b/lagoongauge/src/replica/lost_disk.rs
@@ -11,8 +11,8 @@
 //! ([`Core::committed_bound`]).
 
 use super::StateMachine;
-use super::configuration::{Identity, Quorum};
-use super::core::Core;
+use super::configuration::{Change, Identity, Quorum};
+use super::core::{Core, Role};
 
 impl<M: StateMachine> Core<M> {
     /// Records that a host has asked to join: if it votes with another disk, that disk is lost.
@@ -48,6 +48,27 @@
         self.lost_disks.iter().copied().filter(|lost| configuration.is_voter(*lost))
     }
 
+    /// Returns whether enough of the present voters answer to commit a change of them, see
+    /// [`Self::committed_bound`]. A removed voter is sent no more entries, so it can't help.
+    pub(super) fn can_hand_over(&self, change: Change) -> bool {
+        let configuration = self.configuration();
+        if !configuration.has_spare_half() {
+            return true;
+        }
+        let stays = |voter: &&Identity| change != Change::Remove(**voter);
+        let quorum = configuration.handover_quorum(&self.lost_disks);
+        let answering = quorum.voters.iter().filter(stays).filter(|voter| self.answers(**voter));
+        answering.count() >= quorum.size
+    }
+
+    /// Returns whether a voter has answered this leader within the shortest election timeout.
+    fn answers(&self, voter: Identity) -> bool {
+        let Role::Leader(leader) = &self.role else { return false };
+        let answered = leader.peers.get(&voter).and_then(|peer| peer.last_answered);
+        let limit = self.setup.timing.election_min;
+        voter == self.setup.identity || answered.is_some_and(|at| self.now.since(at) < limit)
+    }
+
     /// Returns the highest index up to which entries may be committed, given the index that each voter
     /// has stored: voters that follow an even number of others need enough of those as well.
     pub(super) fn committed_bound(&self, stored: impl Fn(&Identity) -> u64) -> u64 {
--- a/lagoongauge/tests/replica/lost_disk.rs
+++ b/lagoongauge/tests/replica/lost_disk.rs
@@ -152,3 +152,27 @@
     propose(&mut world, b"last");
     world.check();
 }
+
+/// Guards against a removal that can't be committed (soak, seed 8119): a new leader let a host go that asked
+/// to end, while another of the four voters was lost for good.
+#[test]
+fn no_voter_is_let_go_whose_removal_too_few_would_know() {
+    let mut world = group_during_a_replacement();
+    let lost = followers(find_leader(&world).unwrap())[0];
+    world.crash(lost, usize::MAX);
+    (0..4).filter(|host| *host != lost).for_each(|host| world.crash(host, usize::MAX));
+    (0..4).filter(|host| *host != lost).for_each(|host| world.start(host));
+    let leader = run_until(&mut world, find_leader);
+    let leaving = followers(leader).into_iter().find(|host| *host != lost).unwrap();
+    world.run(2);
+    world.leave(leaving);
+    world.run(PAUSE_ROUNDS / 2);
+    world.crash(leaving, usize::MAX);
+    world.run(PAUSE_ROUNDS);
+    world.start(leaving);
+    world.run(SETTLING_ROUNDS);
+    propose(&mut world, b"later");
+    assert_eq!(world.accepted.len(), 1);
+    assert_eq!(voters(&world), 3);
+    world.check();
+}
