Send entries to a voter until its removal is committed, and let it lead

Cause: a leader that is lost between the commit of a removal and its next heartbeat leaves hosts that have the removal and don't know that it is committed. To commit it again takes three of the former four, and the removed one was sent nothing. Ruled out: no leader (one leads on), a host that does not reach the others (it is asked for no entries, the test passes once it is), a removal for silence that comes too late (it can't begin).

Change: a voter that is being removed is sent entries and may be elected until its removal is committed, and a leader that commits a change of the voters tells all at once. Why it works: whoever leads next can count the removed host for the former quorum, and if only that one has the removal, it leads.

voter_is_removed_added_and_promoted bars the removed host while it looks at three voters: a host now hears of its removal at once and is back within its half second. It checks the same.

--- a/lagoongauge/src/replica/election.rs
+++ b/lagoongauge/src/replica/election.rs
@@ -57,7 +57,7 @@
         if self.now < self.election_deadline {
             return;
         }
-        if self.configuration().is_voter(self.setup.identity) {
+        if self.is_active_voter(self.setup.identity) {
             if self.has_pre_votes() {
                 self.start_election();
                 return;
@@ -153,7 +153,7 @@
 
     fn send_to_voters(&mut self, term: u64, body: &Body) {
         let own = self.setup.identity;
-        for voter in self.configuration().voters.clone() {
+        for voter in self.active_voters() {
             if voter != own {
                 self.send_in_term(term, voter, body.clone());
             }
@@ -183,8 +183,8 @@
         let (now, pause) = (self.now, Span(2 * self.setup.timing.heartbeat.0));
         self.replaced.retain(|_, at| now.since(*at) < pause);
         let may_stand = !self.setup.lease_reads
-            && self.configuration().is_voter(self.setup.identity)
-            && self.configuration().is_voter(from)
+            && self.is_active_voter(self.setup.identity)
+            && self.is_active_voter(from)
             && !matches!(self.role, Role::Candidate(..) | Role::Leader(_));
         if !may_stand || self.replaced.contains_key(&from) {
             return false;
--- a/lagoongauge/src/replica/leader.rs
+++ b/lagoongauge/src/replica/leader.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::StateMachine;
-use super::configuration::Identity;
+use super::configuration::{Configuration, Identity};
 use super::core::{Core, LeaderState, Role};
 use super::entry::{Entry, Payload, Position};
 use super::message::Body;
@@ -186,12 +186,12 @@
         id
     }
 
-    /// Updates the list of peers to the latest configuration.
+    /// Updates the list of peers to the active configurations.
     pub(super) fn sync_peers(&mut self) {
         let own = self.setup.identity;
         let next = self.log.last().index + 1;
-        let replicas: Vec<_> =
-            self.configuration().replicas().filter(|replica| *replica != own).collect();
+        let replicas = self.active_configurations().flat_map(Configuration::replicas);
+        let replicas: Vec<_> = replicas.filter(|replica| *replica != own).collect();
         let Role::Leader(leader) = &mut self.role else { return };
         leader.peers.retain(|identity, _| replicas.contains(identity));
         for replica in replicas {
@@ -258,11 +258,15 @@
             return;
         }
         let first = self.commit < leader.first_index;
+        let changes_voters = (self.commit + 1..=index).contains(&self.latest_configuration().0);
         self.commit_to(index);
-        if first {
-            // The followers can't tell before whether their state is current.
+        if first || changes_voters {
+            // The followers can't tell before whether their state is current, and who votes.
             self.send_heartbeats();
         }
+        if changes_voters {
+            self.sync_peers();
+        }
         if !self.configuration().is_voter(own) && self.check_configuration_committed().is_ok() {
             self.step_down();
         }
--- a/lagoongauge/src/replica/mod.rs
+++ b/lagoongauge/src/replica/mod.rs
@@ -21,6 +21,7 @@
 mod membership;
 mod message;
 mod outbox;
+mod quorum;
 mod setup;
 mod snapshot;
 mod status;
--- a/lagoongauge/tests/replica/main.rs
+++ b/lagoongauge/tests/replica/main.rs
@@ -8,6 +8,7 @@
 mod messages;
 mod model;
 mod paths;
+mod quorum;
 mod random_faults;
 mod replacement;
 mod rules;
--- a/lagoongauge/tests/replica/paths.rs
+++ b/lagoongauge/tests/replica/paths.rs
@@ -142,6 +142,7 @@
     let leader = await_leader(&mut world);
     let removed = others(&world, leader)[0];
     let removed_identity = world.hosts[removed].identity;
+    world.barred_hosts.push(removed_identity.host);
     world.change(leader, Change::Remove(removed_identity)).unwrap();
     let busy = world.change(leader, Change::Remove(removed_identity)).unwrap_err();
     assert_eq!(busy.kind, Kind::NoQuorum);
@@ -150,6 +151,7 @@
     assert_eq!(status.configuration.voters.len(), 3);
     let refused = world.change(leader, Change::Promote(identity(9, 1))).unwrap_err();
     assert_eq!(refused.kind, Kind::InvalidValue);
+    world.barred_hosts.clear();
     world.change(leader, Change::Add(removed_identity)).unwrap();
     world.settle();
 }
