Keep the vote of a host that ends, unless enough voters remain without it

Found by the simulation: a group halts for good if, during a replacement, a host restarts as planned, the replaced one is removed and a third one loses its disk. The restarted host is back with its disk and has no vote.

Cause: the leader removes a voter that is about to end from four, as it can't tell a restart from an end for good; three are left, which bear one loss.

Change: such a voter is removed at once only if enough remain to lose one host for good and the disks that the group has to bear, so from six voters on. Why it works: four voters bear a lost host and a lost disk, as the vote of a lost disk does not count.

Test: a_restart_during_a_replacement_leaves_room_for_a_lost_disk, failed before.

--- a/lagoongauge/src/replica/membership.rs
+++ b/lagoongauge/src/replica/membership.rs
@@ -116,9 +116,10 @@
     }
 
     /// Returns the time since a peer last answered; 0 while this leader is so new that an answer may
-    /// still be on its way. A host that is about to end counts as silent for longest.
+    /// still be on its way. A host that is about to end counts as silent for longest if the group can
+    /// spare it.
     pub(super) fn silence(&self, identity: Identity) -> Span {
-        if self.is_departing(identity) {
+        if self.is_departing(identity) && self.can_spare(identity) {
             return Span(u64::MAX);
         }
         let Role::Leader(leader) = &self.role else { return Span(0) };
@@ -128,4 +129,12 @@
         }
         self.now.since(peer.last_answered.unwrap_or(peer.silent_since))
     }
+
+    /// Returns whether a host that is about to end may be removed before it is away: it may return, and until
+    /// then enough voters have to remain if one is lost for good and others lose their disks.
+    fn can_spare(&self, identity: Identity) -> bool {
+        let configuration = self.configuration();
+        let left = configuration.voters.len().saturating_sub(1);
+        !configuration.is_voter(identity) || left >= self.setup.min_voters() + 2
+    }
 }
--- a/lagoongauge/tests/replica/departure.rs
+++ b/lagoongauge/tests/replica/departure.rs
@@ -85,3 +85,29 @@
     }
     world.check();
 }
+
+/// Guards against a group that accepts nothing any more (found by `simulation`): a host that restarts gives its
+/// vote back during a replacement; the replaced host is lost at once, and another one loses its disk before the
+/// first is back.
+#[test]
+fn a_restart_during_a_replacement_leaves_room_for_a_lost_disk() {
+    let mut world = group_with_spares(3, 1, 1);
+    world.start(3);
+    world.run(SETTLING_ROUNDS);
+    let leader = find_leader(&world).expect("one host leads");
+    let others: Vec<_> = (0..4).filter(|host| *host != leader).collect();
+    let [replaced, wiped, restarted] = others[..] else { panic!("expected four hosts") };
+    end(&mut world, restarted);
+    world.crash(replaced, usize::MAX);
+    world.run(2);
+    world.lose_disk(wiped);
+    world.run(PAUSE_ROUNDS / 2);
+    world.start(restarted);
+    world.start(wiped);
+    world.run(SETTLING_ROUNDS);
+    let leader = find_leader(&world).expect("two of three hosts with their disks elect a leader");
+    world.propose(leader, b"later").unwrap().unwrap();
+    world.run(10);
+    assert_eq!(world.accepted.len(), 1);
+    world.check();
+}
