--- a/lagoongauge/tests/roster.rs
+++ b/lagoongauge/tests/roster.rs
@@ -351,6 +351,42 @@
     assert!(statuses.is_silent(target));
 }
 
+/// Guards against SYNs that go to crashed targets (soak, seed 4577, "served"): the control hosts that knew of
+/// the crash were replaced, and no other reports the target.
+#[test]
+fn a_silent_target_remains_silent_until_a_feed_reports_it_again() {
+    let target = TargetId(1);
+    let mut statuses = FeedStatuses::<2>::default();
+    statuses.set_connected(0, true);
+    statuses.set_silent(0, target, true);
+    statuses.set_current(0, true);
+    statuses.set_connected(0, false);
+    assert!(statuses.is_silent(target), "no feed is left");
+    statuses.set_connected(1, true);
+    statuses.set_current(1, true);
+    assert!(statuses.is_silent(target), "the next control host does not know the target");
+    statuses.set_silent(1, target, false);
+    assert!(!statuses.is_silent(target), "it has announced itself again");
+    statuses.set_connected(1, false);
+    assert!(!statuses.is_silent(target), "and that is not forgotten either");
+}
+
+/// Guards against targets that get no flows because a control host that was cut off, and is gone, heard
+/// nothing of them.
+#[test]
+fn what_a_host_without_quorum_reported_is_forgotten_with_it() {
+    let target = TargetId(1);
+    let mut statuses = FeedStatuses::<2>::default();
+    statuses.set_connected(0, true);
+    statuses.set_current(0, true);
+    statuses.set_silent(0, target, false);
+    statuses.set_current(0, false);
+    statuses.set_silent(0, target, true);
+    assert!(statuses.is_silent(target), "the only report there is");
+    statuses.set_connected(0, false);
+    assert!(!statuses.is_silent(target));
+}
+
 fn announcements() -> impl Strategy<Value = Vec<Entry>> {
     let phases = prop_oneof![Just(Phase::Serving), Just(Phase::Draining), Just(Phase::Gone)];
     let one = (1..4_u64, 1..4_u64, 1..5_u64, phases);
