Send conflicting content only under a version that was seen accepted

Cause: the soak's operator sends other content under the version that it sent last, which may still be on its way; the system accepts what comes first, as it may.

Change: conflicts go under the newest version whose acceptance was seen, so the findings can only mean the other way.

Test: only_an_accepted_version_is_used_for_a_conflict (the rule that conflicts go by; sending itself is not tested).

--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -63,7 +63,7 @@
         match context.random_range(0..10) {
             0 => put_invalid(&context, version + 1).await,
             1 => put_repeated(&context, version).await,
-            2 => put_conflicting(&context, version).await,
+            2 => put_conflicting(&context).await,
             3 | 4 => {
                 spawn_local(put_version(SharedContext::clone(&context), version + 2));
                 version += 2;
@@ -186,8 +186,12 @@
     }
 }
 
-/// Sends other content under an accepted version; the additional route must never become active.
-async fn put_conflicting(context: &Context, version: u64) {
+/// Sends other content under the newest accepted version; the additional route must never become active.
+///
+/// Under a version that is still being sent it might arrive first, and would then be the accepted content.
+async fn put_conflicting(context: &Context) {
+    let accepted = context.judge.borrow().accepted_version(context.now(), 0);
+    let Some(version) = accepted else { return };
     let other = configuration(version, &routes(version, Some(UNROUTED_PORT)));
     put_once(context, &other).await;
 }
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -187,3 +187,14 @@
     judge.check_order_read(HOST, judge.order(), 1300, false);
     assert_eq!(found_promises(&judge), [Promise::Read]);
 }
+
+/// Guards against conflicts under a version that is still being sent (seed 4577, promises "read" and "route"):
+/// the other content may arrive first, and is then accepted.
+#[test]
+fn only_an_accepted_version_is_used_for_a_conflict() {
+    let mut judge = Judge::default();
+    judge.record_sent(7);
+    assert_eq!(judge.accepted_version(STABLE_AT, 0), None);
+    judge.record_accepted(6, STABLE_AT);
+    assert_eq!(judge.accepted_version(STABLE_AT, 0), Some(6));
+}
