--- a/lagoongauge/tests/replica/departure.rs
+++ b/lagoongauge/tests/replica/departure.rs
@@ -1,6 +1,6 @@
 //! Hosts that are about to end give their vote back if the group can spare it.
 
-use crate::group::{SETTLING_ROUNDS, find_leader, group_with_spares};
+use crate::group::{SETTLING_ROUNDS, find_leader, group_with_spares, voters};
 use crate::world::World;
 
 /// Rounds of 50 ms within which a host that is asked to end has left: the time for which a process that
@@ -21,11 +21,6 @@
     world.crash(host, usize::MAX);
 }
 
-fn voters(world: &World) -> usize {
-    let leader = find_leader(world).expect("one host leads");
-    world.hosts[leader].core.as_ref().unwrap().configuration().voters.len()
-}
-
 /// Guards against a group that loses its quorum for good, as a host that was replaced as planned still
 /// counted when another one lost its disk; the former host is a follower or the leader.
 #[test]
--- a/lagoongauge/tests/replica/group.rs
+++ b/lagoongauge/tests/replica/group.rs
@@ -53,3 +53,44 @@
     let leads = |host: &Host| host.core.as_ref().is_some_and(|core| core.is_leader());
     world.hosts.iter().position(leads)
 }
+
+/// Returns the number of voters, as the leader sees it.
+pub fn voters(world: &World) -> usize {
+    let leader = find_leader(world).expect("one host leads");
+    world.hosts[leader].core.as_ref().unwrap().configuration().voters.len()
+}
+
+/// Proposes a command, and runs until it is accepted if it can be.
+pub fn propose(world: &mut World, command: &[u8]) {
+    let leader = find_leader(world).expect("one host leads");
+    world.propose(leader, command).unwrap().unwrap();
+    world.run(10);
+}
+
+/// Builds a group of three and the replacement of one of them, all of which vote.
+pub fn group_during_a_replacement() -> World {
+    let mut world = group_with_spares(3, 1, 1);
+    world.start(3);
+    world.run(CATCH_UP_ROUNDS);
+    assert_eq!(voters(&world), 4);
+    world
+}
+
+/// Returns the hosts of a group of four beside the leader.
+pub fn followers(leader: usize) -> Vec<usize> {
+    (0..4).filter(|host| *host != leader).collect()
+}
+
+/// Runs until a condition holds, which is checked after each delivery of messages.
+pub fn run_until<T>(world: &mut World, condition: impl Fn(&World) -> Option<T>) -> T {
+    loop {
+        world.advance(50);
+        for _ in 0..4 {
+            if let Some(found) = condition(world) {
+                return found;
+            }
+            (0..4).for_each(|host| world.sync(host));
+            world.deliver_all();
+        }
+    }
+}
--- a/lagoongauge/tests/replica/lost_disk.rs
+++ b/lagoongauge/tests/replica/lost_disk.rs
@@ -1,36 +1,14 @@
 //! A voter whose host returns with another disk does not count, so that two others may go on.
 
-use crate::group::{CATCH_UP_ROUNDS, SETTLING_ROUNDS, find_leader, group_with_spares};
+use crate::group::{
+    SETTLING_ROUNDS, find_leader, followers, group_during_a_replacement, group_with_spares,
+    propose, run_until, voters,
+};
 use crate::world::World;
 
 /// Rounds of 50 ms between the removal of a host and the next failure: less than a lost voter counts.
 const PAUSE_ROUNDS: usize = 20;
 
-fn voters(world: &World) -> usize {
-    let leader = find_leader(world).expect("one host leads");
-    world.hosts[leader].core.as_ref().unwrap().configuration().voters.len()
-}
-
-fn propose(world: &mut World, command: &[u8]) {
-    let leader = find_leader(world).expect("one host leads");
-    world.propose(leader, command).unwrap().unwrap();
-    world.run(10);
-}
-
-/// Builds a group of three and the replacement of one of them, all of which vote.
-fn group_during_a_replacement() -> World {
-    let mut world = group_with_spares(3, 1, 1);
-    world.start(3);
-    world.run(CATCH_UP_ROUNDS);
-    assert_eq!(voters(&world), 4);
-    world
-}
-
-/// Returns the hosts beside the leader.
-fn followers(leader: usize) -> Vec<usize> {
-    (0..4).filter(|host| *host != leader).collect()
-}
-
 /// Guards against a group that loses its quorum for good (review/6): a replaced host is removed without
 /// notice, and another one loses its disk before the first was found to be lost.
 #[test]
@@ -81,20 +59,6 @@
     }
 }
 
-/// Runs until a condition holds, which is checked after each delivery of messages.
-fn run_until<T>(world: &mut World, condition: impl Fn(&World) -> Option<T>) -> T {
-    loop {
-        world.advance(50);
-        for _ in 0..4 {
-            if let Some(found) = condition(world) {
-                return found;
-            }
-            (0..4).for_each(|host| world.sync(host));
-            world.deliver_all();
-        }
-    }
-}
-
 /// Guards against two of four voters that go on without a removal, and without what was accepted after it,
 /// as only the other two knew of it.
 #[test]
