--- a/lagoongauge/src/mark/mod.rs
+++ b/lagoongauge/src/mark/mod.rs
@@ -33,7 +33,7 @@
 pub use self::link::meter::LinkUse;
 pub use self::load::{LoadCount, LoadReport, ServicePressure};
 pub use self::router::{EjectionChange, EvidenceCounts, Router, RouterConfig};
-pub use self::verdict::{Cause, Verdict};
+pub use self::verdict::{Cause, LostTarget, Verdict};
 
 /// Identifies a target in four bytes of a packet; 0 stands for no target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -40,7 +40,7 @@
 use crate::mark::switches::{Mechanism, Switches};
 use crate::mark::target::Target;
 use crate::mark::target::table::TargetTable;
-use crate::mark::verdict::{Cause, Verdict};
+use crate::mark::verdict::{Cause, LostTarget, Verdict};
 use crate::mark::{FlowKey, PacketTimes, Segment, SegmentKind};
 use crate::roster::{Entry, Phase};
 use crate::time::{Instant, Span};
@@ -76,6 +76,8 @@
     candidates: Vec<(TargetKey, Candidate)>,
     response_times: Vec<Span>,
     losses: LossLedger,
+    /// The latest flow that was reset as its target seemed unreachable.
+    lost_target: Option<LostTarget>,
     warmup: WarmupBudget,
     evidence: EvidencePool,
     version: u64,
@@ -119,6 +121,7 @@
             candidates: Vec::new(),
             response_times: Vec::new(),
             losses: LossLedger::default(),
+            lost_target: None,
             warmup: WarmupBudget::default(),
             evidence: EvidencePool::default(),
             version: 0,
@@ -179,6 +182,11 @@
         self.losses.take()
     }
 
+    /// Returns what the latest reset with [`Cause::TargetLost`] was decided on, once.
+    pub fn take_lost_target(&mut self) -> Option<LostTarget> {
+        self.lost_target.take()
+    }
+
     /// Activates a catalog; one that is not newer than the active one is ignored.
     pub fn set_catalog(&mut self, catalog: &Catalog) {
         if catalog.version() <= self.version {
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -7,7 +7,7 @@
 use crate::mark::key::TargetKey;
 use crate::mark::placement::Policy;
 use crate::mark::switches::Mechanism;
-use crate::mark::{Cause, FlowKey, PacketTimes, Segment, SegmentKind, Verdict};
+use crate::mark::{Cause, FlowKey, LostTarget, PacketTimes, Segment, SegmentKind, Verdict};
 use crate::time::{Instant, Span};
 
 /// Time that a request may wait before the reachability of its target's data centre is checked.
@@ -45,6 +45,7 @@
         let request = segment.kind == SegmentKind::Data && segment.length > 0;
         let may_reset = request && idempotency == Idempotency::Idempotent;
         if may_reset && self.is_on(Mechanism::EarlyReset) && self.is_unreachable(now, key, known) {
+            self.lost_target = Some(self.lost_view(now, key, known));
             self.targets[key].record_retransmit(now);
             self.record_refusal(segment, Cause::TargetLost);
             self.flows.remove(&mut self.targets, segment.flow_key);
@@ -104,6 +105,20 @@
             || self.waits_for_unreachable_centre(now, key, flow)
     }
 
+    /// Returns what this host believes of the target of a flow that is about to be reset.
+    fn lost_view(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> LostTarget {
+        let target = &self.targets[key];
+        let request = flow.and_then(|flow| flow.request);
+        LostTarget {
+            target: target.id,
+            unanswered: target.time_since_activity(now),
+            retransmits: target.retransmits(),
+            repeated: target.time_since_retransmit(now),
+            silent: target.silent.then(|| now.since(target.silent_since)),
+            waited: request.map(|request| now.since(request.seen_at)),
+        }
+    }
+
     /// Returns whether a flow waits for an answer from an unreachable data centre.
     fn waits_for_unreachable_centre(
         &self,
--- a/lagoongauge/src/mark/target/mod.rs
+++ b/lagoongauge/src/mark/target/mod.rs
@@ -215,6 +215,11 @@
         self.retransmits
     }
 
+    /// Returns the time since the latest retransmission to it.
+    pub(super) fn time_since_retransmit(&self, now: Instant) -> Span {
+        now.since(self.last_retransmit)
+    }
+
     /// Records a retransmission to it; one that was queued during a stall of this host is ignored.
     pub(super) fn record_retransmit(&mut self, now: Instant) {
         if self.last_activity <= now {
--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -4,6 +4,7 @@
 
 use crate::id::TargetId;
 use crate::mark::Mark;
+use crate::time::Span;
 
 /// Why a packet was not forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -75,6 +76,23 @@
     }
 }
 
+/// What a reset with [`Cause::TargetLost`] was decided on, with the age of each input.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostTarget {
+    /// The target.
+    pub target: TargetId,
+    /// Time since a caller last acknowledged an answer of it.
+    pub unanswered: Span,
+    /// Packets that callers repeated to it since then.
+    pub retransmits: u16,
+    /// Time since the latest of them.
+    pub repeated: Span,
+    /// Time for which it has counted as silent, or `None` if it doesn't.
+    pub silent: Option<Span>,
+    /// Time for which the flow's own request has waited here, or `None` if the flow was idle.
+    pub waited: Option<Span>,
+}
+
 /// What to do with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/lagoongauged/src/mark_entry/data_plane.rs
+++ b/lagoongauged/src/mark_entry/data_plane.rs
@@ -11,6 +11,7 @@
 use lagoongauge::mark::{Cause, Codec, PacketTimes, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
+use super::decision_log::Inputs;
 use super::state::SharedState;
 use crate::daemon::isolate;
 
@@ -169,8 +170,9 @@
         Verdict::Forward { target, new_flow: true, .. } => router.time_since_activity(now, target),
         _ => None,
     };
-    let version = router.version();
+    let (version, lost) = (router.version(), router.take_lost_target());
     drop(router);
-    state.decisions.record(now, segment, &verdict, version, age.unwrap_or(Span(0)));
+    let inputs = Inputs { version, age: age.unwrap_or(Span(0)), lost };
+    state.decisions.record(now, segment, &verdict, inputs);
     verdict
 }
--- a/lagoongauged/src/mark_entry/decision_log.rs
+++ b/lagoongauged/src/mark_entry/decision_log.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
 use lagoongauge::id::TargetId;
-use lagoongauge::mark::{Cause, FlowKey, Mark, Segment, Verdict};
+use lagoongauge::mark::{Cause, FlowKey, LostTarget, Mark, Segment, Verdict};
 use lagoongauge::time::{Instant, Span};
 
 use crate::daemon::spawn;
@@ -24,12 +24,20 @@
 pub struct Decision {
     flow_key: FlowKey,
     outcome: Outcome,
-    /// Version of the catalog at the decision.
-    version: u64,
     /// Mark of the packet, if it had one.
     mark: Option<Mark>,
-    /// Time since the target's last activity, in milliseconds.
-    age_ms: u64,
+    inputs: Inputs,
+}
+
+/// What a decision was based on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Inputs {
+    /// Version of the catalog.
+    pub(super) version: u64,
+    /// Time since the last activity of the target on which a flow was placed.
+    pub(super) age: Span,
+    /// What spoke for the loss of the flow's target.
+    pub(super) lost: Option<LostTarget>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,8 +80,7 @@
         now: Instant,
         segment: &Segment,
         verdict: &Verdict,
-        version: u64,
-        age: Span,
+        inputs: Inputs,
     ) {
         let outcome = match *verdict {
             Verdict::Forward { new_flow: false, .. } | Verdict::Hold => return,
@@ -85,7 +92,7 @@
             return;
         }
         let Segment { flow_key, mark, .. } = *segment;
-        let decision = Decision { flow_key, outcome, version, mark, age_ms: age.0 };
+        let decision = Decision { flow_key, outcome, mark, inputs };
         if self.sender.try_send(decision).is_err() {
             self.budgets()[outcome.kind()].omitted += 1;
         }
@@ -133,27 +140,44 @@
 }
 
 fn write_line(decision: &Decision) {
-    let Decision { flow_key, outcome, version, mark, age_ms } = *decision;
+    let Decision { flow_key, outcome, mark, inputs } = *decision;
+    let Inputs { version, age, lost } = inputs;
     let flow = format!("{}>{}", flow_key.caller, flow_key.frontend);
     let mark = mark.map_or(0, Mark::bits);
-    match outcome {
-        Outcome::Placed(target) => {
+    match (outcome, lost) {
+        (Outcome::Placed(target), _) => {
             let target = target.to_string();
             log::info!(
                 decision = "placed", flow = flow.as_str(), target = target.as_str(),
-                version = version, age_ms = age_ms;
+                version = version, age_ms = age.0;
                 "flow placed at a target"
             );
         }
-        Outcome::Reset(cause) => log::info!(
+        (Outcome::Reset(cause), Some(lost)) => {
+            let target = lost.target.to_string();
+            let (silent, waited) = (format_age(lost.silent), format_age(lost.waited));
+            log::info!(
+                decision = "reset", flow = flow.as_str(), cause = cause.name(), mark = mark,
+                version = version, target = target.as_str(), unanswered_ms = lost.unanswered.0,
+                retransmits = lost.retransmits, repeated_ms = lost.repeated.0,
+                silent_ms = silent.as_str(), waited_ms = waited.as_str();
+                "flow reset, as its target seems lost"
+            );
+        }
+        (Outcome::Reset(cause), None) => log::info!(
             decision = "reset", flow = flow.as_str(), cause = cause.name(), mark = mark,
             version = version;
             "flow reset"
         ),
-        Outcome::Dropped(cause) => log::info!(
+        (Outcome::Dropped(cause), _) => log::info!(
             decision = "dropped", flow = flow.as_str(), cause = cause.name(), mark = mark,
             version = version;
             "packet dropped"
         ),
     }
 }
+
+/// Formats an age in milliseconds, or `none`.
+fn format_age(age: Option<Span>) -> String {
+    age.map_or_else(|| String::from("none"), |age| age.0.to_string())
+}
