Reset a flow for a lost target only if its own request waited

Cause: that a target is unreachable is inferred from what other flows met and from reports of control hosts, and ended flows that had waited for nothing. Ruled out as the only cause: the stale suspicion and the wrong reports of silence, which are faults of their own; the test has a fresh suspicion, and still failed before: expected a forwarded packet, got Reset(TargetLost).

Change: only a packet that repeats a request which has waited here for 500 ms is reset. An idle flow repeats nothing.

--- a/lagoongauge/src/mark/flow/mod.rs
+++ b/lagoongauge/src/mark/flow/mod.rs
@@ -135,6 +135,12 @@
         request
     }
 
+    /// Returns whether the packet's data was seen before.
+    pub(super) fn has_seen_data(&self, segment: &Segment) -> bool {
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        !is_later(end, self.next_sequence)
+    }
+
     /// Records the packet's data; returns whether it was not seen before.
     pub(super) fn record_data(&mut self, sequence: u32, length: u16) -> bool {
         let end = sequence.wrapping_add(u32::from(length));
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -10,8 +10,9 @@
 use crate::mark::{Cause, FlowKey, LostTarget, PacketTimes, Segment, SegmentKind, Verdict};
 use crate::time::{Instant, Span};
 
-/// Time that a request may wait before the reachability of its target's data centre is checked.
-const CENTRE_CHECK_DELAY: Span = Span::millis(500);
+/// Time that a request may wait before it is checked whether its target is unreachable; callers repeat it
+/// 200 and 600 ms after they sent it.
+const LOSS_CHECK_DELAY: Span = Span::millis(500);
 
 /// Maximum number of response times kept until they are collected.
 const MAX_RESPONSE_TIMES: usize = 4096;
@@ -44,7 +45,11 @@
         }
         let request = segment.kind == SegmentKind::Data && segment.length > 0;
         let may_reset = request && idempotency == Idempotency::Idempotent;
-        if may_reset && self.is_on(Mechanism::EarlyReset) && self.is_unreachable(now, key, known) {
+        if may_reset
+            && self.is_on(Mechanism::EarlyReset)
+            && known.is_some_and(|flow| is_overdue(now, &flow, segment))
+            && self.is_unreachable(now, key)
+        {
             self.lost_target = Some(self.lost_view(now, key, known));
             self.targets[key].record_retransmit(now);
             self.record_refusal(segment, Cause::TargetLost);
@@ -97,12 +102,14 @@
         }
     }
 
-    /// Returns whether a flow's target, or its whole data centre, is unreachable. A host whose own
-    /// link was busy may have received neither answers nor messages of control hosts.
-    fn is_unreachable(&self, now: Instant, key: TargetKey, flow: Option<Flow>) -> bool {
+    /// Returns whether a target, or its whole data centre, seems unreachable. A host whose own link was
+    /// busy may have received neither answers nor messages of control hosts.
+    fn is_unreachable(&self, now: Instant, key: TargetKey) -> bool {
         let cut_off = self.status.is_cut_off(now) && !self.is_link_busy(now);
-        self.targets[key].is_unreachable(now, cut_off)
-            || self.waits_for_unreachable_centre(now, key, flow)
+        let target = &self.targets[key];
+        target.is_unreachable(now, cut_off)
+            || (self.centres.is_unreachable(target.centre)
+                && target.is_unanswered(now, LOSS_CHECK_DELAY))
     }
 
     /// Returns what this host believes of the target of a flow that is about to be reset.
@@ -119,22 +126,6 @@
         }
     }
 
-    /// Returns whether a flow waits for an answer from an unreachable data centre.
-    fn waits_for_unreachable_centre(
-        &self,
-        now: Instant,
-        key: TargetKey,
-        flow: Option<Flow>,
-    ) -> bool {
-        let target = &self.targets[key];
-        let request = flow.and_then(|flow| flow.request);
-        let is_waiting =
-            request.is_some_and(|request| now.since(request.seen_at) >= CENTRE_CHECK_DELAY);
-        is_waiting
-            && self.centres.is_unreachable(target.centre)
-            && target.is_unanswered(now, CENTRE_CHECK_DELAY)
-    }
-
     /// Updates a flow and its target from a packet.
     fn update_flow(&mut self, times: PacketTimes, key: TargetKey, segment: &Segment) {
         let now = times.now;
@@ -199,3 +190,12 @@
         }
     }
 }
+
+/// Returns whether this packet repeats a request of the flow that has waited for long.
+///
+/// That a target is unreachable is inferred from what other flows met, which may be over. It ends no flow
+/// that has not itself waited in vain. See docs/incidents/idle-flow-reset.md.
+fn is_overdue(now: Instant, flow: &Flow, segment: &Segment) -> bool {
+    let waits = flow.request.is_some_and(|request| now.since(request.seen_at) >= LOSS_CHECK_DELAY);
+    waits && flow.has_seen_data(segment)
+}
--- /dev/null
+++ b/lagoongauge/tests/marks/lost.rs
@@ -0,0 +1,58 @@
+//! Open flows whose target seems lost: what is inferred grows old, answers refute it, and alone it ends no
+//! flow.
+
+use lagoongauge::id::TargetId;
+use lagoongauge::mark::{Cause, Mark, SegmentKind, Verdict};
+
+use crate::world::{Fixture, target_of};
+
+/// The target of the tests; another one serves as well.
+const TARGET: TargetId = TargetId(1);
+
+/// Offset of a flow's second request in its data.
+const SECOND_REQUEST: u32 = 10;
+
+/// Opens a flow to the target that is idle after its first request was answered.
+fn open_idle_flow(fixture: &mut Fixture, caller: u16) {
+    fixture.mark = Some(Mark::of(TARGET));
+    fixture.send_data(caller, 1, 0);
+    fixture.send(caller, SegmentKind::Data, SECOND_REQUEST, 100, 0);
+}
+
+/// Guards against the resets of review/13: a host on which other callers waited in vain reset the first
+/// packet of an idle flow, which waited for nothing.
+#[test]
+fn an_idle_flow_is_not_reset_on_what_other_flows_met() {
+    for cut_off in [false, true] {
+        let mut fixture = Fixture::new(&[1, 2]);
+        if cut_off {
+            fixture.set_remote(TARGET);
+            fixture.lose_quorum();
+        }
+        open_idle_flow(&mut fixture, 1);
+        fixture.retransmit_unanswered(2, TARGET);
+        fixture.set_silent(TARGET, !cut_off);
+        if cut_off {
+            fixture.set_remote(TARGET);
+        }
+        assert_eq!(target_of(fixture.send_data(1, 100, SECOND_REQUEST)), TARGET);
+        // A host that has never seen the flow does not know whether it waits.
+        assert_eq!(target_of(fixture.send_data(3, 100, SECOND_REQUEST)), TARGET);
+    }
+}
+
+/// A caller of a target that is gone repeats its request 200 and 600 ms later, and need not wait until it
+/// gives up.
+#[test]
+fn a_request_to_a_lost_target_is_reset_at_its_second_repeat() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    open_idle_flow(&mut fixture, 1);
+    fixture.retransmit_unanswered(2, TARGET);
+    fixture.set_silent(TARGET, true);
+    for delay in [0, 200] {
+        fixture.advance(delay);
+        assert_eq!(target_of(fixture.send_data(1, 100, SECOND_REQUEST)), TARGET);
+    }
+    fixture.advance(400);
+    assert_eq!(fixture.send_data(1, 100, SECOND_REQUEST), Verdict::Reset(Cause::TargetLost));
+}
