Let retransmissions speak against a target for two seconds

Cause: retransmissions counted until an answer cleared them, and a suspect target gets no flow that could be answered. Ruled out: targets that really did not answer, and pooled evidence, which expires.

Change: the count expires 2 s after the latest retransmission, for all its readers: suspicion, unreachable targets and data centres, copies of SYNs, admission.

The three tests failed before: a reset, one of seven new flows in place of three, a copy of a SYN at another target.

--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -119,7 +119,7 @@
         LostTarget {
             target: target.id,
             unanswered: target.time_since_activity(now),
-            retransmits: target.retransmits(),
+            retransmits: target.retransmits(now),
             repeated: target.time_since_retransmit(now),
             silent: target.silent.then(|| now.since(target.silent_since)),
             waited: request.map(|request| now.since(request.seen_at)),
--- a/lagoongauge/src/mark/target/mod.rs
+++ b/lagoongauge/src/mark/target/mod.rs
@@ -20,6 +20,11 @@
 /// Number of retransmissions without activity in between that make a target suspect.
 const SUSPECT_RETRANSMITS: u16 = 3;
 
+/// Time for which a retransmission counts; callers repeat a packet within 1.6 s. What an earlier one showed
+/// may be over, and a target without flows has no answer that could clear it. See
+/// docs/incidents/stale-suspicion.md.
+const RETRANSMIT_LIFETIME: Span = Span::millis(2000);
+
 /// Time without activity after which a suspect target is unreachable, if other evidence confirms
 /// it.
 const UNREACHABLE_TIMEOUT: Span = Span::millis(1000);
@@ -70,7 +75,7 @@
     pub(super) other_load: LoadCount,
     /// When a caller last acknowledged an answer of it.
     last_activity: Instant,
-    /// Retransmissions by callers since then.
+    /// Retransmissions by callers since then, unless the latest is too old, see [`Self::retransmits`].
     retransmits: u16,
     /// When the last retransmission arrived.
     last_retransmit: Instant,
@@ -210,9 +215,9 @@
         if now.since(self.last_retransmit) < max_age { self.retransmits } else { 0 }
     }
 
-    /// Returns the number of retransmissions since the last activity.
-    pub(super) fn retransmits(&self) -> u16 {
-        self.retransmits
+    /// Returns the number of retransmissions since the last activity that still count.
+    pub(super) fn retransmits(&self, now: Instant) -> u16 {
+        self.recent_retransmits(now, RETRANSMIT_LIFETIME)
     }
 
     /// Returns the time since the latest retransmission to it.
@@ -223,7 +228,7 @@
     /// Records a retransmission to it; one that was queued during a stall of this host is ignored.
     pub(super) fn record_retransmit(&mut self, now: Instant) {
         if self.last_activity <= now {
-            self.retransmits = self.retransmits.saturating_add(1);
+            self.retransmits = self.retransmits(now).saturating_add(1);
             self.last_retransmit = now;
             self.unanswered.record_repeat(now);
         }
@@ -231,7 +236,8 @@
 
     /// Returns whether it may be dead: callers retransmit to it, and none receives an answer.
     pub(super) fn is_suspect(&self, now: Instant) -> bool {
-        self.retransmits >= SUSPECT_RETRANSMITS && now.since(self.last_activity) >= SUSPECT_TIMEOUT
+        self.retransmits(now) >= SUSPECT_RETRANSMITS
+            && now.since(self.last_activity) >= SUSPECT_TIMEOUT
     }
 
     /// Returns whether it is unreachable: callers receive no answers, and either control hosts
@@ -244,7 +250,7 @@
 
     /// Returns whether callers retransmit to it and none has received an answer within `timeout`.
     pub(super) fn is_unanswered(&self, now: Instant, timeout: Span) -> bool {
-        self.retransmits > 0 && self.time_since_activity(now) >= timeout
+        self.retransmits(now) > 0 && self.time_since_activity(now) >= timeout
     }
 
     /// Records that a request of this host waits at it from now on.
--- a/lagoongauge/tests/marks/lost.rs
+++ b/lagoongauge/tests/marks/lost.rs
@@ -12,6 +12,9 @@
 /// Offset of a flow's second request in its data.
 const SECOND_REQUEST: u32 = 10;
 
+/// Time after which callers no longer repeat anything that they sent before.
+const LONG_AGO_MS: u64 = 3000;
+
 /// Opens a flow to the target that is idle after its first request was answered.
 fn open_idle_flow(fixture: &mut Fixture, caller: u16) {
     fixture.mark = Some(Mark::of(TARGET));
@@ -56,3 +59,46 @@
     fixture.advance(400);
     assert_eq!(fixture.send_data(1, 100, SECOND_REQUEST), Verdict::Reset(Cause::TargetLost));
 }
+
+/// Guards against the resets of review/13: retransmissions from a cut that was over long ago still spoke
+/// against a target.
+#[test]
+fn old_retransmissions_end_no_flow() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    open_idle_flow(&mut fixture, 1);
+    fixture.retransmit_unanswered(2, TARGET);
+    fixture.advance(LONG_AGO_MS);
+    fixture.set_silent(TARGET, true);
+    for delay in [0, 200, 400] {
+        fixture.advance(delay);
+        assert_eq!(target_of(fixture.send_data(1, 100, SECOND_REQUEST)), TARGET);
+    }
+}
+
+/// A target that was out of reach for some seconds gets new flows again, although no flow was left there
+/// whose answer could clear it.
+#[test]
+fn a_target_suspected_long_ago_gets_its_share_of_new_flows() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.retransmit_unanswered(1, TARGET);
+    fixture.advance(LONG_AGO_MS);
+    let targets: Vec<TargetId> = (10..17).map(|caller| target_of(fixture.open(caller))).collect();
+    let new_flows = targets.iter().filter(|target| **target == TARGET).count();
+    assert_eq!(new_flows, 3, "it has the first flow and three of seven others: {targets:?}");
+}
+
+/// A retransmission of long ago does not make the first copy of a SYN leave its target, which may hold half
+/// of the flow.
+#[test]
+fn old_retransmissions_move_no_syn() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    let target = target_of(fixture.open(1));
+    fixture.mark = Some(Mark::of(target));
+    fixture.send_data(1, 1, 0);
+    fixture.advance(200);
+    fixture.send_data(1, 1, 0);
+    fixture.advance(LONG_AGO_MS);
+    let caller = (2..20).find(|caller| target_of(fixture.open(*caller)) == target).unwrap();
+    fixture.advance(200);
+    assert_eq!(target_of(fixture.open(caller)), target, "a single answer may have been lost");
+}
