Take no first packet of a resumed flow for an answer

What callers saw: callers of a target that was gone waited up to 1.4 s for a reset in place of 0.6 s, and new flows went there again, as soon as an idle flow to it came from another entry host, or had been idle for 5 s.

Cause: the first packet that a host saw of a flow counted as the acknowledgement of a new answer, which holds only for flows opened there. It cleared the retransmissions of the target, told other hosts of a sign of life, and made a data centre that was cut off look alive. Evidence: the test failed before, and shows the time since the last answer fall to 0. Ruled out: a true answer; the test has none.

Change: the first packet of a resumed flow is no answer.

The fixture's acknowledge_answer relied on the fault: its first call was the first packet of a flow. It now sends a packet before, so that the tests that use it see an answer as strict as before.

--- a/lagoongauge/src/mark/flow/mod.rs
+++ b/lagoongauge/src/mark/flow/mod.rs
@@ -151,13 +151,15 @@
         later
     }
 
-    /// Records the packet's acknowledgement; returns whether it advances the previous one.
+    /// Records the packet's acknowledgement; returns whether it acknowledges an answer that the target gave
+    /// lately. The first packet of a resumed flow may repeat what its caller acknowledged long ago.
     pub(super) fn record_acknowledgement(&mut self, acknowledged: u32) -> bool {
-        let later = !self.established || is_later(acknowledged, self.acknowledged);
+        let first = !self.established;
+        let later = first || is_later(acknowledged, self.acknowledged);
         if later {
             self.acknowledged = acknowledged;
         }
-        later
+        later && !(first && self.resumed)
     }
 }
 
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -135,7 +135,7 @@
         flow.finished |= segment.kind == SegmentKind::Fin;
         let answered = flow.record_acknowledgement(segment.acknowledged);
         target.opening = target.opening.saturating_sub(u16::from(!flow.established));
-        if !flow.established && !flow.resumed && answered {
+        if !flow.established && answered {
             self.evidence.record_answered_syn(flow.opened_at);
         }
         flow.established = true;
--- a/lagoongauge/tests/marks/lost.rs
+++ b/lagoongauge/tests/marks/lost.rs
@@ -102,3 +102,20 @@
     fixture.advance(200);
     assert_eq!(target_of(fixture.open(caller)), target, "a single answer may have been lost");
 }
+
+/// The first packet that a host sees of a flow repeats an acknowledgement of long ago, and is no answer: a
+/// caller of a target that is gone does not wait longer because idle flows come from another host.
+#[test]
+fn a_flow_that_comes_from_another_host_is_no_answer_of_its_target() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    open_idle_flow(&mut fixture, 1);
+    fixture.retransmit_unanswered(2, TARGET);
+    fixture.set_silent(TARGET, true);
+    for delay in [0, 200] {
+        fixture.advance(delay);
+        fixture.send_data(1, 100, SECOND_REQUEST);
+    }
+    fixture.send_data(3, 100, SECOND_REQUEST);
+    fixture.advance(400);
+    assert_eq!(fixture.send_data(1, 100, SECOND_REQUEST), Verdict::Reset(Cause::TargetLost));
+}
--- a/lagoongauge/tests/marks/world.rs
+++ b/lagoongauge/tests/marks/world.rs
@@ -228,13 +228,17 @@
         self.router.decide(self.now, &segment)
     }
 
-    /// Acknowledges an answer of the target on another flow, which shows that the target is alive.
+    /// Acknowledges an answer of the target on another flow, which shows that the target is alive. The flow
+    /// was seen before: a first packet may repeat an acknowledgement of long ago.
     pub fn acknowledge_answer(&mut self, target: TargetId) {
         let mark = self.mark.replace(Mark::of(target));
         let caller = 60_000 + target.0 as u16;
         // Advances with time, so that each call acknowledges more than the previous one.
-        let acknowledged = self.now.0 as u32;
-        assert_eq!(target_of(self.send(caller, SegmentKind::Data, 0, acknowledged, 0)), target);
+        let latest = self.now.0 as u32;
+        for acknowledged in [latest - 1, latest] {
+            let verdict = self.send(caller, SegmentKind::Data, 0, acknowledged, 0);
+            assert_eq!(target_of(verdict), target);
+        }
         self.mark = mark;
     }
 }
