Send targets on once while a control host is without a quorum

Cause: a target stays with the control host that acknowledges it. One that is cut off went on acknowledging, and the others reported its targets as silent. Ruled out: lost announcements, as the others agree and lose no further target; trust in the host that is cut off.

Change: without contact with a quorum a control host merges an announcement, and then fails it once for each target and loss of the quorum, so that the target calls another host. In a data centre that is cut off it comes back and is served.

--- a/lagoongauged/src/cluster/host.rs
+++ b/lagoongauged/src/cluster/host.rs
@@ -5,6 +5,7 @@
 mod entries;
 mod evacuation;
 mod gossip;
+mod referrals;
 mod services;
 
 use std::cell::{Cell, RefCell};
@@ -36,6 +37,7 @@
 pub(super) use self::documents::CONFIRM_TIMEOUT;
 use self::entries::EntryHost;
 pub(super) use self::gossip::gossip;
+use self::referrals::Referrals;
 use self::services::NamedServices;
 
 /// Interval at which [`wait_until`] checks its condition.
@@ -106,6 +108,8 @@
     compressed: RefCell<Rc<CompressedDocument>>,
     /// Services of the catalog, against which announcements are checked.
     services: RefCell<NamedServices>,
+    /// Targets that were sent on to other control hosts.
+    referrals: RefCell<Referrals>,
     /// Number of addresses that a target took over from another one.
     takeovers: Cell<u64>,
     metrics: Metrics,
@@ -143,6 +147,7 @@
             was_current: Cell::new(false),
             compressed: RefCell::default(),
             services: RefCell::default(),
+            referrals: RefCell::default(),
             takeovers: Cell::default(),
             metrics,
         }
@@ -352,6 +357,7 @@
         let current = self.is_current();
         let changed = self.was_current.replace(current) != current;
         if changed {
+            self.reset_referrals();
             log::warn!("contact with a quorum of control hosts: {current}");
         }
         changed
--- a/lagoongauged/src/cluster/host/announcements.rs
+++ b/lagoongauged/src/cluster/host/announcements.rs
@@ -21,6 +21,8 @@
     /// control hosts has it, as this host may fail right afterwards; otherwise this fails with
     /// `UnknownOutcome`, as the hosts that have it act on it. An announcement of a service that the
     /// catalog doesn't name changes nothing; if it tells of a drain, this fails with `NotCurrent`.
+    ///
+    /// Without contact with a quorum, it fails once for each target after it was merged, see [`Self::refer`].
     pub async fn handle_announcement(&self, entry: Entry) -> Result<MergeOutcome> {
         if !self.check_service(&entry)? {
             return Ok(MergeOutcome::Stale);
@@ -64,6 +66,7 @@
             self.broadcast(&PeerMessage::Targets(vec![entry]));
             self.wake_feeds();
         }
+        self.refer(target)?;
         Ok(merged)
     }
 
