Let an answer refute an earlier report that a target is silent

A report of silence is an inference of control hosts; the entry host that forwarded the target's flows saw it answer, and still placed new flows elsewhere and moved copies of SYNs.

Cause: nothing but an announcement that reached the right control host ended a report. Evidence: the tests, of which an_answer_refutes_an_earlier_report_of_silence and a_copy_of_a_syn_stays_at_a_target_that_refuted_its_silence failed before (0 of 8 new flows in place of 4; the copy at another target). Ruled out: that an answer from before the report may count, as a target that crashed has those, too; that is the third test.

Change: a target is silent for an entry host only if it has seen no answer of the target since the report, or none for 3 s. All readers share this: placing, admission, copies of SYNs, resets, evidence, counts.

--- a/lagoongauge/src/mark/router.rs
+++ b/lagoongauge/src/mark/router.rs
@@ -150,9 +150,9 @@
     }
 
     /// Returns the number of targets that accept new flows.
-    pub fn serving_count(&self) -> usize {
+    pub fn serving_count(&self, now: Instant) -> usize {
         let serves = |target: &&Target| {
-            target.accepts_flows() && !target.silent && !self.is_evacuated(target.centre)
+            target.accepts_flows() && !target.is_silent(now) && !self.is_evacuated(target.centre)
         };
         self.targets.iter().filter(serves).count()
     }
--- a/lagoongauge/src/mark/router/continuation.rs
+++ b/lagoongauge/src/mark/router/continuation.rs
@@ -121,7 +121,7 @@
             unanswered: target.time_since_activity(now),
             retransmits: target.retransmits(now),
             repeated: target.time_since_retransmit(now),
-            silent: target.silent.then(|| now.since(target.silent_since)),
+            silent: target.silent_since().map(|since| now.since(since)),
             waited: request.map(|request| now.since(request.seen_at)),
         }
     }
--- a/lagoongauge/src/mark/router/evidence.rs
+++ b/lagoongauge/src/mark/router/evidence.rs
@@ -162,7 +162,7 @@
     fn accept(&mut self, now: Instant, host: HostId, statement: Statement) -> bool {
         let Statement { mark, observation, age } = statement;
         let Some(key) = self.targets.key_of_mark(mark) else { return false };
-        if age >= MAX_STATEMENT_AGE || !self.is_judged(key) {
+        if age >= MAX_STATEMENT_AGE || !self.is_judged(now, key) {
             return false;
         }
         let Some(entry) = self.evidence.targets.entry(key) else { return false };
@@ -172,7 +172,7 @@
     }
 
     fn update_target_evidence(&mut self, now: Instant, key: TargetKey) {
-        if !self.is_judged(key) {
+        if !self.is_judged(now, key) {
             self.evidence.targets.remove(key);
             return;
         }
@@ -185,7 +185,7 @@
             return;
         }
         let (id, seed) = (target.id, spread(now, target.mark.bits()));
-        let (has_room, hosts) = (self.has_ejection_room(key), self.sharing_hosts());
+        let (has_room, hosts) = (self.has_ejection_room(now, key), self.sharing_hosts());
         let Some(entry) = self.evidence.targets.entry(key) else { return };
         let evidence = entry.or_default();
         let reporters = evidence.reporters();
@@ -211,17 +211,17 @@
     }
 
     /// Returns whether evidence on a target matters: others get no new flows.
-    fn is_judged(&self, key: TargetKey) -> bool {
+    fn is_judged(&self, now: Instant, key: TargetKey) -> bool {
         let target = &self.targets[key];
-        target.phase == Phase::Serving && !target.silent
+        target.phase == Phase::Serving && !target.is_silent(now)
     }
 
     /// Returns whether another target of the same service and data centre may be ejected.
-    fn has_ejection_room(&self, key: TargetKey) -> bool {
+    fn has_ejection_room(&self, now: Instant, key: TargetKey) -> bool {
         let target = &self.targets[key];
         let (mut serving, mut ejected) = (0, 0);
         for peer in self.targets.keys_of_service(&target.service) {
-            if self.targets[*peer].centre != target.centre || !self.is_judged(*peer) {
+            if self.targets[*peer].centre != target.centre || !self.is_judged(now, *peer) {
                 continue;
             }
             serving += 1;
--- a/lagoongauge/src/mark/router/losses.rs
+++ b/lagoongauge/src/mark/router/losses.rs
@@ -79,7 +79,7 @@
             host_stalled: self.status.stale_until > began_at,
             host_cut_off: self.status.is_cut_off(now),
             centre_unreachable: self.centres.is_unreachable(target.centre),
-            target_dead: target.silent || target.phase == Phase::Gone,
+            target_dead: target.is_silent(now) || target.phase == Phase::Gone,
             target_unresponsive: target.is_suspect(now),
             target_draining: target.phase == Phase::Draining,
             target_cold: target.is_cold(now),
--- a/lagoongauge/src/mark/router/opening.rs
+++ b/lagoongauge/src/mark/router/opening.rs
@@ -56,7 +56,7 @@
             let unanswered = waited
                 && !target.is_active_since(flow.opened_at)
                 && (ejected || target.retransmits(now) >= MIN_UNANSWERED_REPEATS);
-            let dead = target.silent || (unanswered && !link_busy);
+            let dead = target.is_silent(now) || (unanswered && !link_busy);
             let may_stay = self.accepts_new_flows(flow.target)
                 && self.may_repeat_syn(now, flow.target)
                 && !dead;
--- a/lagoongauge/src/mark/router/placing.rs
+++ b/lagoongauge/src/mark/router/placing.rs
@@ -49,7 +49,7 @@
     pub(super) fn placement_candidate(&self, now: Instant, key: TargetKey) -> Candidate {
         let target = &self.targets[key];
         let mut candidate = target.candidate(now);
-        candidate.suspect &= target.silent || self.is_on(Mechanism::TargetSuspicion);
+        candidate.suspect &= target.is_silent(now) || self.is_on(Mechanism::TargetSuspicion);
         candidate.local |= !self.is_on(Mechanism::RemoteCost);
         candidate.cold &= self.is_on(Mechanism::ColdCost);
         candidate.suspect |=
--- a/lagoongauge/src/mark/target/mod.rs
+++ b/lagoongauge/src/mark/target/mod.rs
@@ -25,6 +25,9 @@
 /// docs/incidents/stale-suspicion.md.
 const RETRANSMIT_LIFETIME: Span = Span::millis(2000);
 
+/// Time for which an answer refutes an earlier report that the target is silent.
+const ANSWER_LIFETIME: Span = Span::seconds(3);
+
 /// Time without activity after which a suspect target is unreachable, if other evidence confirms
 /// it.
 const UNREACHABLE_TIMEOUT: Span = Span::millis(1000);
@@ -51,9 +54,8 @@
     pub(super) centre: CentreKey,
     pub(super) slots: u16,
     pub(super) phase: Phase,
-    pub(super) silent: bool,
-    /// When it last fell silent.
-    pub(super) silent_since: Instant,
+    /// When control hosts reported it as silent, or `None` if they don't.
+    silent_since: Option<Instant>,
     /// When its warm-up after a start ends.
     pub(super) warm_at: Instant,
     /// When this host learned of it.
@@ -96,8 +98,7 @@
             centre,
             slots: entry.slots,
             phase: entry.phase,
-            silent: false,
-            silent_since: now,
+            silent_since: None,
             warm_at: now + entry.warmup,
             learned_at: now,
             paced_until: now,
@@ -133,6 +134,29 @@
         self.warm_at = now + entry.warmup;
     }
 
+    /// Records whether control hosts report it as silent.
+    pub(super) fn set_silent(&mut self, now: Instant, silent: bool) {
+        self.silent_since = silent.then(|| self.silent_since.unwrap_or(now));
+    }
+
+    /// Returns since when control hosts have reported it as silent, or `None` if they don't.
+    pub(super) fn silent_since(&self) -> Option<Instant> {
+        self.silent_since
+    }
+
+    /// Returns whether it is silent: control hosts report so, and this host has seen no answer of it since.
+    ///
+    /// Control hosts infer it from missed announcements, which may reach only a control host that is cut off
+    /// from them. See docs/incidents/kept-announcements.md.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        let refutes = |since: Instant, answered: Instant| {
+            answered > since && now.since(answered) < ANSWER_LIFETIME
+        };
+        self.silent_since.is_some_and(|since| {
+            !self.answered_at().is_some_and(|answered| refutes(since, answered))
+        })
+    }
+
     /// Returns whether new flows may be placed on it.
     pub(super) fn accepts_flows(&self) -> bool {
         self.phase == Phase::Serving
@@ -245,7 +269,7 @@
     pub(super) fn is_unreachable(&self, now: Instant, cut_off: bool) -> bool {
         let unanswered =
             self.is_suspect(now) && self.time_since_activity(now) >= UNREACHABLE_TIMEOUT;
-        unanswered && (self.silent || (cut_off && !self.local))
+        unanswered && (self.is_silent(now) || (cut_off && !self.local))
     }
 
     /// Returns whether callers retransmit to it and none has received an answer within `timeout`.
@@ -279,7 +303,7 @@
             slots: self.slots,
             local: self.local,
             cold: self.is_cold(now),
-            suspect: self.silent || suspect,
+            suspect: self.is_silent(now) || suspect,
         }
     }
 
--- a/lagoongauge/src/mark/target/table.rs
+++ b/lagoongauge/src/mark/target/table.rs
@@ -81,7 +81,7 @@
         usable: UsableTargets<'_>,
     ) -> (u32, u32) {
         let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
-        let answering = targets.filter(|target| !target.silent && !target.is_suspect(now));
+        let answering = targets.filter(|target| !target.is_silent(now) && !target.is_suspect(now));
         answering.fold((0, 0), |(slots, waiting), target| {
             let serves = target.local && usable.contains(now, target);
             let own = u32::from(target.own_load.waiting) + u32::from(target.opening);
@@ -99,7 +99,8 @@
         condition: impl Fn(&Target) -> bool,
     ) -> bool {
         let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
-        let mut answering = targets.filter(|target| !target.silent && !target.is_suspect(now));
+        let mut answering =
+            targets.filter(|target| !target.is_silent(now) && !target.is_suspect(now));
         answering.any(|target| usable.contains(now, target) && condition(target))
     }
 
@@ -116,7 +117,7 @@
         for key in self.keys_of_service(service) {
             let target = &self.targets[*key];
             let Some(demand) = demands.get_mut(target.centre.index()) else { continue };
-            if target.silent || target.is_suspect(now) {
+            if target.is_silent(now) || target.is_suspect(now) {
                 continue;
             }
             demand.waiting += target.pending_requests();
@@ -144,10 +145,11 @@
     pub(in crate::mark) fn expired(&self, now: Instant) -> Vec<TargetKey> {
         let is_expired = |key: TargetKey, target: &Target| {
             let owner = self.by_address.get(&target.address);
-            let displaced = target.silent && owner.is_some_and(|owner| *owner != key);
-            let ended = target.phase == Phase::Gone;
-            (ended && now.since(target.gone_at) >= FORMER_TARGET_RETENTION)
-                || (displaced && now.since(target.silent_since) >= FORMER_TARGET_RETENTION)
+            let displaced_since =
+                target.silent_since().filter(|_| owner.is_some_and(|owner| *owner != key));
+            let ended_at = (target.phase == Phase::Gone).then_some(target.gone_at);
+            let is_over = |at: Instant| now.since(at) >= FORMER_TARGET_RETENTION;
+            ended_at.is_some_and(is_over) || displaced_since.is_some_and(is_over)
         };
         let expired = self.targets.iter().filter(|(key, target)| is_expired(*key, target));
         expired.map(|(key, _)| key).collect()
@@ -167,10 +169,7 @@
         };
         let target = &mut self.targets[key];
         target.update(entry, location, now);
-        if silent && !target.silent {
-            target.silent_since = now;
-        }
-        target.silent = silent;
+        target.set_silent(now, silent);
         if !silent && entry.phase != Phase::Gone {
             self.by_address.insert(entry.address, key);
         }
--- a/lagoongauge/tests/marks/evacuation.rs
+++ b/lagoongauge/tests/marks/evacuation.rs
@@ -28,11 +28,11 @@
     evacuate(&mut fixture, &["a"]);
     let opened = open_many(&mut fixture, 10..110);
     assert!(opened.iter().all(|target| target.0 > 2), "{opened:?}");
-    assert_eq!(fixture.router.serving_count(), 3);
+    assert_eq!(fixture.router.serving_count(fixture.now), 3);
     evacuate(&mut fixture, &[]);
     let opened = open_many(&mut fixture, 200..300);
     assert!(opened.iter().any(|target| target.0 <= 2), "{opened:?}");
-    assert_eq!(fixture.router.serving_count(), 5);
+    assert_eq!(fixture.router.serving_count(fixture.now), 5);
 }
 
 #[test]
--- a/lagoongauge/tests/marks/lost.rs
+++ b/lagoongauge/tests/marks/lost.rs
@@ -119,3 +119,50 @@
     fixture.advance(400);
     assert_eq!(fixture.send_data(1, 100, SECOND_REQUEST), Verdict::Reset(Cause::TargetLost));
 }
+
+/// Returns how many of eight new flows go to the target; their callers give up at once.
+fn count_placed(fixture: &mut Fixture, first_caller: u16) -> usize {
+    let callers = first_caller..first_caller + 8;
+    let targets: Vec<TargetId> = callers.map(|caller| target_of(fixture.open(caller))).collect();
+    fixture.advance(2000);
+    targets.iter().filter(|target| **target == TARGET).count()
+}
+
+/// Guards against live targets that get no flows while a control host is cut off (review/13): it has their
+/// announcements, and the others report them as silent. An answer refutes that for three seconds.
+#[test]
+fn an_answer_refutes_an_earlier_report_of_silence() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.set_silent(TARGET, true);
+    assert_eq!(count_placed(&mut fixture, 10), 0);
+    fixture.acknowledge_answer(TARGET);
+    assert_eq!(count_placed(&mut fixture, 20), 4);
+    fixture.advance(1000);
+    assert_eq!(count_placed(&mut fixture, 30), 0, "it may have ended since its last answer");
+}
+
+/// An answer from before the report refutes nothing, as a target that crashed answered before, too.
+#[test]
+fn an_earlier_answer_does_not_refute_a_report_of_silence() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.acknowledge_answer(TARGET);
+    fixture.advance(200);
+    fixture.set_silent(TARGET, true);
+    assert_eq!(count_placed(&mut fixture, 10), 0);
+}
+
+/// A copy of a SYN leaves a target that is reported as silent, but not one that has answered since: it may
+/// hold half of the flow.
+#[test]
+fn a_copy_of_a_syn_stays_at_a_target_that_refuted_its_silence() {
+    for answers in [false, true] {
+        let mut fixture = Fixture::new(&[1, 2]);
+        let target = target_of(fixture.open(1));
+        fixture.set_silent(target, true);
+        fixture.advance(200);
+        if answers {
+            fixture.acknowledge_answer(target);
+        }
+        assert_eq!(target_of(fixture.open(1)) == target, answers);
+    }
+}
--- a/lagoongauged/src/mark_entry/state.rs
+++ b/lagoongauged/src/mark_entry/state.rs
@@ -168,7 +168,7 @@
     /// Returns the numbers of tracked flows and of targets that accept new flows.
     pub fn counts(&self) -> (usize, usize) {
         let router = self.router();
-        (router.flow_count(), router.serving_count())
+        (router.flow_count(), router.serving_count(self.clock.now()))
     }
 
     /// Returns the number of flows whose SYN may have reached two targets.
