--- a/lagoongauge/src/mark/target/mod.rs
+++ b/lagoongauge/src/mark/target/mod.rs
@@ -264,6 +264,11 @@
             && now.since(self.last_activity) >= SUSPECT_TIMEOUT
     }
 
+    /// Returns whether nothing speaks against it, so that its slots count for admission.
+    pub(super) fn is_answering(&self, now: Instant) -> bool {
+        !self.is_silent(now) && !self.is_suspect(now)
+    }
+
     /// Returns whether it is unreachable: callers receive no answers, and either control hosts
     /// receive no announcements, or this host is cut off and the target is in another data centre.
     pub(super) fn is_unreachable(&self, now: Instant, cut_off: bool) -> bool {
--- a/lagoongauge/src/mark/target/table.rs
+++ b/lagoongauge/src/mark/target/table.rs
@@ -81,7 +81,7 @@
         usable: UsableTargets<'_>,
     ) -> (u32, u32) {
         let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
-        let answering = targets.filter(|target| !target.is_silent(now) && !target.is_suspect(now));
+        let answering = targets.filter(|target| target.is_answering(now));
         answering.fold((0, 0), |(slots, waiting), target| {
             let serves = target.local && usable.contains(now, target);
             let own = u32::from(target.own_load.waiting) + u32::from(target.opening);
@@ -99,8 +99,7 @@
         condition: impl Fn(&Target) -> bool,
     ) -> bool {
         let targets = self.keys_of_service(service).iter().map(|key| &self.targets[*key]);
-        let mut answering =
-            targets.filter(|target| !target.is_silent(now) && !target.is_suspect(now));
+        let mut answering = targets.filter(|target| target.is_answering(now));
         answering.any(|target| usable.contains(now, target) && condition(target))
     }
 
@@ -117,7 +116,7 @@
         for key in self.keys_of_service(service) {
             let target = &self.targets[*key];
             let Some(demand) = demands.get_mut(target.centre.index()) else { continue };
-            if target.is_silent(now) || target.is_suspect(now) {
+            if !target.is_answering(now) {
                 continue;
             }
             demand.waiting += target.pending_requests();
