--- a/lagoongauge/tests/marks/lost.rs
+++ b/lagoongauge/tests/marks/lost.rs
@@ -22,6 +22,14 @@
     fixture.send(caller, SegmentKind::Data, SECOND_REQUEST, 100, 0);
 }
 
+/// Sends the second request of a flow and repeats it 200 ms later; both reach the target.
+fn send_and_repeat(fixture: &mut Fixture, caller: u16) {
+    for delay in [0, 200] {
+        fixture.advance(delay);
+        assert_eq!(target_of(fixture.send_data(caller, 100, SECOND_REQUEST)), TARGET);
+    }
+}
+
 /// Guards against the resets of review/13: a host on which other callers waited in vain reset the first
 /// packet of an idle flow, which waited for nothing.
 #[test]
@@ -52,10 +60,7 @@
     open_idle_flow(&mut fixture, 1);
     fixture.retransmit_unanswered(2, TARGET);
     fixture.set_silent(TARGET, true);
-    for delay in [0, 200] {
-        fixture.advance(delay);
-        assert_eq!(target_of(fixture.send_data(1, 100, SECOND_REQUEST)), TARGET);
-    }
+    send_and_repeat(&mut fixture, 1);
     fixture.advance(400);
     assert_eq!(fixture.send_data(1, 100, SECOND_REQUEST), Verdict::Reset(Cause::TargetLost));
 }
@@ -111,10 +116,7 @@
     open_idle_flow(&mut fixture, 1);
     fixture.retransmit_unanswered(2, TARGET);
     fixture.set_silent(TARGET, true);
-    for delay in [0, 200] {
-        fixture.advance(delay);
-        fixture.send_data(1, 100, SECOND_REQUEST);
-    }
+    send_and_repeat(&mut fixture, 1);
     fixture.send_data(3, 100, SECOND_REQUEST);
     fixture.advance(400);
     assert_eq!(fixture.send_data(1, 100, SECOND_REQUEST), Verdict::Reset(Cause::TargetLost));
