--- a/lagoongauge/src/mark/verdict.rs
+++ b/lagoongauge/src/mark/verdict.rs
@@ -87,7 +87,7 @@
     pub retransmits: u16,
     /// Time since the latest of them.
     pub repeated: Span,
-    /// Time for which it has counted as silent, or `None` if it doesn't.
+    /// Time for which control hosts have reported it as silent, or `None` if they don't.
     pub silent: Option<Span>,
     /// Time for which the flow's own request has waited here, or `None` if the flow was idle.
     pub waited: Option<Span>,
